--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,113 @@
+#!/usr/bin/env bash
+# Runs a whole fleet of one deployment on loopback.
+#   scripts/fleet.sh start DEPLOYMENT [FOLDER]     starts everything and puts the first blueprint
+#   scripts/fleet.sh stop [FOLDER]                 ends everything that start began
+#   scripts/fleet.sh run NAME [FOLDER]             starts one process again (core-1, agent-3, worker-12 …)
+#   scripts/fleet.sh signal NAME SIGNAL [FOLDER]   sends one process a signal, such as KILL, STOP or CONT
+#   scripts/fleet.sh where [FOLDER]                prints the addresses that ctl and loadgen need
+# Environment: BUILD (folder with the programs, default build), BASE (first port, default 21000),
+#   EDGES, WORKERS (override the deployment's), FETCHING (true or false).
+set -u
+here=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD:-$here/build}
+base=${BASE:-21000}
+operatorKey=${TROUTTALLY_OPERATOR_KEY:-operator-secret}
+verb=${1:-}
+shift || true
+
+load() {
+  folder=${1:-$here/data/fleet}
+  [ -f "$folder/deployment" ] && deployment=$(cat "$folder/deployment")
+  . "$here/deployments/$deployment/fleet.env"
+  [ -f "$folder/overrides" ] && . "$folder/overrides"
+  localities=($LOCALITIES)
+  keyHash=$(printf %s "$operatorKey" | sha256sum | cut -d' ' -f1)
+  seeds="127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3)),127.0.0.1:$((base + 4))"
+}
+place() { echo "${localities[$((($1 - 1) % ${#localities[@]}))]}"; }
+first() { # the first three of the seeds other than number $1
+  local list=() number
+  for number in 1 2 3 4; do [ "$number" != "$1" ] && list+=("127.0.0.1:$((base + number))"); done
+  (IFS=,; echo "${list[*]:0:3}")
+}
+launch() {
+  local name=$1 program=$2
+  shift 2
+  "$build/$program" --name "$name" "$@" >>"$folder/logs/$name.log" 2>&1 &
+  echo $! >"$folder/pids/$name"
+}
+run() {
+  local name=$1 kind=${1%-*} number=${1##*-}
+  case $kind in
+    platform) launch platform trouttally-platform --address "127.0.0.1:$base" --list "$folder/machines.json" ;;
+    core) launch "$name" trouttally-core --address "127.0.0.1:$((base + number))" --locality "$(place "$number")" \
+      --seeds "$(first "$number")" --localities "$(IFS=,; echo "${localities[*]}")" --platform "127.0.0.1:$base" \
+      --operatorAddress "127.0.0.1:$((base + 10 + number))" --operatorKeyHash "$keyHash" --dataFolder "$folder/$name" ;;
+    agent) launch "$name" trouttally-agent --address "127.0.0.1:$((base + 100 + number))" --locality "$(place "$number")" \
+      --seeds "$(first $((number % 4 + 1)))" --webAddress "127.0.0.1:$((base + 200 + number))" ;;
+    proxy) launch "$name" trouttally-proxy --address "127.0.0.1:$((base + 300 + number))" --locality "$(place "$number")" \
+      --agentAddress "127.0.0.1:$((base + 100 + number))" --callerAddress "127.0.0.1:$((base + 400 + number))" \
+      --operatorKeyHash "$keyHash" --fetching "${FETCHING:-true}" ;;
+    worker) launch "$name" trouttally-worker --address "127.0.0.1:$((base + 500 + number))" --model "$MODEL" --weights "$WEIGHTS" \
+      --store "127.0.0.1:$((base + 490))" ;;
+    store) launch store trouttally-store --address "127.0.0.1:$((base + 490))" --keepMost 20000 ;;
+    app) launch app trouttally-worker --kind app --slots 32 --address "127.0.0.1:$((base + 491))" ;;
+    *) echo "no such process: $name" >&2; exit 2 ;;
+  esac
+}
+machines() {
+  local number rows=""
+  for number in $(seq "$WORKERS"); do
+    rows+="{\"name\":\"worker-$number\",\"address\":\"127.0.0.1:$((base + 500 + number))\",\"locality\":\"$(place "$number")\",\"kind\":\"language\"},"
+  done
+  rows+="{\"name\":\"store\",\"address\":\"127.0.0.1:$((base + 490))\",\"locality\":\"${localities[0]}\",\"kind\":\"store\"},"
+  rows+="{\"name\":\"app\",\"address\":\"127.0.0.1:$((base + 491))\",\"locality\":\"${localities[0]}\",\"kind\":\"app\"}"
+  echo "{\"stamp\":1,\"machines\":[$rows]}"
+}
+where() {
+  local number proxies=""
+  for number in $(seq "$EDGES"); do proxies+="127.0.0.1:$((base + 400 + number)),"; done
+  echo "export TROUTTALLY_CORES=127.0.0.1:$((base + 11)),127.0.0.1:$((base + 12)),127.0.0.1:$((base + 13)),127.0.0.1:$((base + 14))"
+  echo "export TROUTTALLY_OPERATOR_KEY=$operatorKey"
+  echo "export TROUTTALLY_PROXIES=${proxies%,}"
+}
+
+case $verb in
+  start)
+    deployment=${1:?which deployment? (a folder under deployments/)}
+    folder=${2:-$here/data/fleet}
+    mkdir -p "$folder/logs" "$folder/pids"
+    echo "$deployment" >"$folder/deployment"
+    : >"$folder/overrides"
+    [ -n "${EDGES:-}" ] && echo "EDGES=$EDGES" >>"$folder/overrides"
+    [ -n "${WORKERS:-}" ] && echo "WORKERS=$WORKERS" >>"$folder/overrides"
+    load "$folder"
+    machines >"$folder/machines.json"
+    run platform; run store; run app
+    for number in 1 2 3 4; do run "core-$number"; done
+    for number in $(seq "$WORKERS"); do run "worker-$number"; done
+    for number in $(seq "$EDGES"); do run "agent-$number"; run "proxy-$number"; done
+    eval "$(where)"
+    for try in $(seq 30); do
+      "$build/trouttally-ctl" --cores "$TROUTTALLY_CORES" --key "$operatorKey" put "$here/deployments/$deployment/blueprint.json" \
+        --change-id first >"$folder/put.log" 2>&1 && break
+      sleep 0.5
+    done
+    cat "$folder/put.log"
+    ;;
+  stop)
+    load "${1:-}"
+    for file in "$folder"/pids/*; do [ -f "$file" ] && kill "$(cat "$file")" 2>/dev/null; done
+    for try in $(seq 60); do
+      left=0
+      for file in "$folder"/pids/*; do [ -f "$file" ] && kill -0 "$(cat "$file")" 2>/dev/null && left=1; done
+      [ $left = 0 ] && break
+      sleep 0.25
+    done
+    for file in "$folder"/pids/*; do [ -f "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null; rm -f "$file"; done
+    ;;
+  run) load "${2:-}"; run "$1" ;;
+  signal) load "${3:-}"; kill "-$2" "$(cat "$folder/pids/$1")" ;;
+  where) load "${1:-}"; where ;;
+  *) sed -n '2,9p' "$0"; exit 2 ;;
+esac
--- /dev/null
+++ b/src/accord.hpp
@@ -0,0 +1,85 @@
+#pragma once
+#include "ballot.hpp"
+#include "blueprint.hpp"
+
+namespace tt {
+
+/// The thin layer over the cells: a replicated log on which the cores agree on the blueprint and on who they are.
+class Accord {
+ public:
+  Accord(Member self, std::size_t recordRoom);
+  void restore(const Recovered& recovered, Moment now);
+  void tick(Desk& desk);
+  void take(Desk& desk, const std::string& from, const Message& message);
+  /// Writes the first entry of a fleet: who its cores are.
+  void form(Desk& desk, const std::vector<Member>& firstMembers);
+  /// Takes a change if this core leads; the answer goes to whoever asked once it is agreed.
+  void takeChange(Desk& desk, const std::string& from, const ChangeAsk& ask);
+
+  bool formed() const { return !memberRows.empty(); }
+  const std::vector<Member>& members() const { return memberRows; }
+  const Member& self() const { return selfRow; }
+  std::string leaderAddress() const;
+  bool leads(Moment now) const { return ballot.holds(now); }
+  /// Whether what this core says of commits covers all earlier terms.
+  bool speaksForTerm() const;
+  std::uint64_t syncedEnd() const { return syncedIndex; }
+  std::uint64_t commit() const { return commitIndex; }
+  std::uint64_t logEnd() const;
+  const Blueprint& blueprint() const { return applied; }
+  const std::vector<Entry>& entries() const { return log; }
+  std::size_t pendingChanges() const { return waiters.size(); }
+  /// Entries after an index, or a capture where the log no longer reaches back that far.
+  NewsMsg newsAfter(std::uint64_t index, std::size_t most = 256) const;
+  Ballot ballot;
+  /// Told of each entry as it is applied.
+  std::function<void(Desk&, const Entry&)> entryApplied;
+  std::function<void(Desk&)> membersChanged;
+
+ private:
+  struct Follower {
+    std::uint64_t next{1};
+    std::uint64_t matched{0};
+    std::uint64_t toldCommit{0};
+    Moment sentAt{};
+    bool pending{false};
+  };
+  struct Waiter {
+    std::string from, askId;
+    std::uint64_t index, revision;
+  };
+  Member selfRow;
+  std::size_t room;
+  std::vector<Entry> log;
+  Capture base;
+  std::vector<Member> memberRows;
+  Blueprint applied, head;
+  std::uint64_t commitIndex{0}, syncedIndex{0};
+  std::map<std::string, Follower> followers;
+  std::vector<Waiter> waiters;
+  std::size_t logBytes{0};
+  std::uint64_t verifiedTerm{0}, verifiedEnd{0};
+
+  std::uint64_t termAt(std::uint64_t index) const;
+  const Entry* entryAt(std::uint64_t index) const;
+  void readMembers(Desk* desk);
+  void append(Desk& desk, EntryKind kind, std::string body, std::string changeId);
+  void store(Desk& desk, const Entry& entry);
+  void tellSynced(Desk& desk);
+  void sendTo(Desk& desk, const Member& member, bool again);
+  void sendAll(Desk& desk);
+  void advance(Desk& desk);
+  void applyUpTo(Desk& desk, std::uint64_t index);
+  void whenLeads(Desk& desk, bool won);
+  void trim(Desk& desk);
+  void mendMembers(Desk& desk);
+  void onAppend(Desk& desk, const std::string& from, const AppendMsg& message);
+  void onCapture(Desk& desk, const std::string& from, const CaptureMsg& message);
+  void onReply(Desk& desk, const AppendReply& reply);
+  void onJoin(Desk& desk, const std::string& from, const JoinAsk& ask);
+  bool memberChangePending() const;
+  void setMembers(Desk& desk, std::vector<Member> rows);
+  std::map<std::string, Moment> heardFrom;
+};
+
+}  // namespace tt
--- /dev/null
+++ b/src/ballot.hpp
@@ -0,0 +1,76 @@
+#pragma once
+#include "chart.hpp"
+#include "desk.hpp"
+
+namespace tt {
+
+/// The spans that duties and freshness keep to.
+namespace pace {
+constexpr Span holdEvery = 200ms;
+constexpr Span lease = 1200ms;
+constexpr Span promise = 1500ms;
+constexpr Span ballotWait = 300ms;
+constexpr Span freshFor = 1500ms;
+}  // namespace pace
+
+/// One core's part in one duty. A duty is won by ballot, kept by a lease that a quorum renews, and told apart by term.
+class Ballot {
+ public:
+  using LogEnd = std::function<std::pair<std::uint64_t, std::uint64_t>()>;
+  Ballot(std::string dutyName, std::string selfId, Span waitBeforeStanding);
+  void restore(const Vote& vote, Moment now);
+  /// Who votes, by id and address; the quorum is more than half of them.
+  void setVoters(const std::vector<Member>& members);
+  /// Looks at the log's end, where this duty cares whose log is longer.
+  LogEnd logEnd;
+  /// Whether this core may stand now.
+  bool mayStand{true};
+  void tick(Desk& desk);
+  void take(Desk& desk, const std::string& from, const Message& message);
+  /// Whether the lease is good at this moment: asked just before every command that leaves.
+  bool holds(Moment now) const;
+  /// Whether this core won the current term's ballot, lease good or not.
+  bool won() const { return walk.in("holding"); }
+  /// Gives the duty up at once, so that others need not wait for the lease.
+  void resign(Desk& desk);
+  /// Learns of a higher term.
+  void seeTerm(Desk& desk, std::uint64_t term);
+  std::uint64_t term() const { return vote.term; }
+  const std::string& holder() const { return knownHolder; }
+  const std::string& duty() const { return dutyName; }
+  std::string state() const { return walk.state(); }
+  std::size_t quorum() const { return voters.size() / 2 + 1; }
+  /// Whether this core itself votes.
+  bool voter() const { return addressById.count(selfId) > 0; }
+  /// Told when the duty is won or lost.
+  std::function<void(Desk&, bool)> changed;
+
+ private:
+  std::string dutyName, selfId;
+  Span eagerness;
+  Vote vote;
+  std::vector<Member> voters;
+  std::map<std::string, std::string> addressById;
+  std::string knownHolder;
+  Moment promisedUntil{}, standAt{}, askedAt{}, heldAt{};
+  bool started{false};
+  std::set<std::string> grants;
+  std::map<std::string, Moment> renewals;
+  std::uint64_t seenTerm{0};
+  ChartWalk<Ballot, Desk&> walk;
+
+  static const ChartWalk<Ballot, Desk&>::Deeds& deeds();
+  void askProbe(Desk& desk);
+  void voteSelf(Desk& desk);
+  void takeDuty(Desk& desk);
+  void loseDuty(Desk& desk);
+  void adoptTerm(Desk& desk);
+  void waitAgain(Desk& desk);
+  void sendHolds(Desk& desk);
+  void toOthers(Desk& desk, const Message& message);
+  Moment leaseStart(Moment now) const;
+  void onAsk(Desk& desk, const std::string& from, const BallotAsk& ask);
+  void onHold(Desk& desk, const std::string& from, const HoldMsg& hold);
+};
+
+}  // namespace tt
--- /dev/null
+++ b/src/base.cpp
@@ -0,0 +1,166 @@
+#include "base.hpp"
+
+#include <openssl/evp.h>
+
+#include <cstdio>
+#include <cstring>
+
+namespace tt {
+
+namespace {
+struct CodeRow {
+  int number;
+  const char* name;
+  const char* text;
+  int status;
+};
+constexpr CodeRow codeRows[] = {
+#define TT_CODE(number, name, text, status) {number, #name, text, status},
+#include "codes.def"
+#undef TT_CODE
+};
+const CodeRow& rowOf(Code code) {
+  for (const auto& row : codeRows)
+    if (row.number == static_cast<int>(code)) return row;
+  return codeRows[0];
+}
+std::array<unsigned char, 32> digest(std::string_view bytes) {
+  std::array<unsigned char, 32> sum{};
+  unsigned int length = 0;
+  EVP_Digest(bytes.data(), bytes.size(), sum.data(), &length, EVP_sha256(), nullptr);
+  return sum;
+}
+int nibble(char letter) {
+  if (letter >= '0' && letter <= '9') return letter - '0';
+  if (letter >= 'a' && letter <= 'f') return letter - 'a' + 10;
+  return -1;
+}
+}  // namespace
+
+const char* codeName(Code code) { return rowOf(code).name; }
+const char* codeText(Code code) { return rowOf(code).text; }
+int codeStatus(Code code) { return rowOf(code).status; }
+
+std::string codeTable() {
+  std::string table = "| code | name | meaning | HTTP status |\n|---|---|---|---|\n";
+  for (const auto& row : codeRows)
+    table += "| " + std::to_string(row.number) + " | " + row.name + " | " + row.text + " | " +
+             std::to_string(row.status) + " |\n";
+  return table;
+}
+
+Fault fault(Code code, std::string subject, std::string text) {
+  if (text.empty()) text = codeText(code);
+  return Fault{code, std::move(subject), std::move(text)};
+}
+
+std::string BlockHash::hex() const {
+  char text[33];
+  std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(high),
+                static_cast<unsigned long long>(low));
+  return text;
+}
+
+std::optional<BlockHash> BlockHash::parse(std::string_view text) {
+  if (text.size() != 32) return std::nullopt;
+  BlockHash hash;
+  for (std::size_t at = 0; at < 32; ++at) {
+    int value = nibble(text[at]);
+    if (value < 0) return std::nullopt;
+    auto& half = at < 16 ? hash.high : hash.low;
+    half = (half << 4) | static_cast<std::uint64_t>(value);
+  }
+  return hash;
+}
+
+std::string sha256Hex(std::string_view bytes) {
+  std::string text;
+  for (unsigned char byte : digest(bytes)) {
+    char pair[3];
+    std::snprintf(pair, sizeof pair, "%02x", byte);
+    text += pair;
+  }
+  return text;
+}
+
+BlockHash sha256Block(std::string_view bytes) {
+  auto sum = digest(bytes);
+  BlockHash hash;
+  for (int at = 0; at < 8; ++at) hash.high = (hash.high << 8) | sum[at];
+  for (int at = 8; at < 16; ++at) hash.low = (hash.low << 8) | sum[at];
+  return hash;
+}
+
+std::uint64_t rendezvous(std::string_view one, std::string_view other) {
+  std::uint64_t mixed = 1469598103934665603ULL;
+  auto fold = [&](std::string_view text) {
+    for (unsigned char byte : text) mixed = (mixed ^ byte) * 1099511628211ULL;
+    mixed = (mixed ^ 0xff) * 1099511628211ULL;
+  };
+  fold(one);
+  fold(other);
+  mixed ^= mixed >> 33;
+  mixed *= 0xff51afd7ed558ccdULL;
+  mixed ^= mixed >> 33;
+  mixed *= 0xc4ceb9fe1a85ec53ULL;
+  return mixed ^ (mixed >> 33);
+}
+
+std::string layPrompt(const std::vector<std::string>& parts) {
+  std::string laid;
+  for (const auto& part : parts) {
+    for (char byte : part) {
+      if (byte == '\x1e')
+        laid += "\x1f\x01";
+      else if (byte == '\x1f')
+        laid += "\x1f\x02";
+      else
+        laid += byte;
+    }
+    laid += '\x1e';
+  }
+  return laid;
+}
+
+std::vector<BlockHash> hashPrompt(const std::vector<std::string>& parts, std::string_view salt) {
+  std::string laid = layPrompt(parts);
+  std::vector<BlockHash> hashes;
+  BlockHash last = sha256Block(salt);
+  for (std::size_t at = 0; at + blockBytes <= laid.size(); at += blockBytes) {
+    std::string link(reinterpret_cast<const char*>(&last), sizeof last);
+    link.append(laid, at, blockBytes);
+    last = sha256Block(link);
+    hashes.push_back(last);
+  }
+  return hashes;
+}
+
+std::string cacheSalt(std::string_view model, std::string_view weights, std::string_view domain) {
+  std::string seed;
+  for (auto word : {model, weights, domain}) seed += std::to_string(word.size()) + ":" + std::string(word) + ";";
+  return sha256Hex(seed);
+}
+
+std::vector<std::string> cutPrompt(const std::vector<std::string>& parts, std::size_t blocks) {
+  std::vector<std::string> cut;
+  std::size_t room = blocks * blockBytes;
+  for (const auto& part : parts) {
+    std::string kept;
+    for (char byte : part) {
+      std::size_t width = byte == '\x1e' || byte == '\x1f' ? 2 : 1;
+      if (room < width) {
+        room = 0;
+        break;
+      }
+      kept += byte;
+      room -= width;
+    }
+    if (!kept.empty() || room) cut.push_back(kept);
+    if (room == 0) break;
+    room -= 1;
+    if (room == 0) break;
+  }
+  return cut;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/blueprint.cpp
@@ -0,0 +1,335 @@
+#include "blueprint.hpp"
+
+namespace tt {
+namespace {
+const std::set<std::string> sectionNames{"models", "weights", "tenants", "keys", "routes", "policies"};
+const std::map<std::string, std::set<std::string>> itemFields{
+    {"models", {"weights"}},
+    {"weights", {"model"}},
+    {"tenants", {"isolated"}},
+    {"keys", {"tenant", "hash", "secret"}},
+    {"routes", {"model", "kind", "tenants", "policy"}},
+};
+constexpr std::size_t changesRemembered = 4096;
+constexpr std::size_t longestName = 128;
+}  // namespace
+
+Result<std::string> Blueprint::preparePatch(const std::string& text, bool whole) const {
+  auto read = readJson(text);
+  if (!read) return read.error();
+  if (!read.value().is<JsonObject>()) return fault(Code::badField, "body", "must be an object");
+  JsonObject asked = read.value().get<JsonObject>();
+  for (auto& [sectionName, content] : asked) {
+    if (!sectionNames.count(sectionName)) return fault(Code::unknownField, sectionName);
+    if (!whole && content.is<picojson::null>()) {
+      JsonObject nothing;
+      if (auto found = sections.find(sectionName); found != sections.end())
+        for (const auto& [name, item] : found->second) nothing[name] = Json();
+      content = Json(nothing);
+    }
+    if (!content.is<JsonObject>()) return fault(Code::badField, sectionName, "must be an object");
+    for (auto& [name, item] : content.get<JsonObject>()) {
+      std::string path = sectionName + "." + name;
+      if (name.empty() || name.size() > longestName) return fault(Code::badField, path, "names have 1 to 128 letters");
+      if (item.is<picojson::null>()) {
+        if (whole) return fault(Code::badField, path, "a whole blueprint has no null");
+        continue;
+      }
+      if (sectionName == "policies") {
+        if (!item.is<std::string>()) return fault(Code::badField, path, "must be a text");
+        continue;
+      }
+      if (!item.is<JsonObject>()) return fault(Code::badField, path, "must be an object");
+      auto& fields = item.get<JsonObject>();
+      for (const auto& [fieldName, value] : fields)
+        if (!itemFields.at(sectionName).count(fieldName)) return fault(Code::unknownField, path + "." + fieldName);
+      if (sectionName == "keys" && fields.count("secret")) {
+        if (fields.count("hash")) return fault(Code::badField, path + ".hash", "not beside a secret");
+        auto secret = textField(fields, "secret", path);
+        if (!secret) return secret.error();
+        if (secret.value().size() < 8) return fault(Code::badField, path + ".secret", "must have 8 letters or more");
+        fields["hash"] = Json(sha256Hex(secret.value()));
+        fields.erase("secret");
+      }
+    }
+  }
+  if (whole) {
+    for (const auto& [sectionName, items] : sections)
+      for (const auto& [name, item] : items) {
+        auto& content = asked[sectionName];
+        if (!content.is<JsonObject>()) content = Json(JsonObject());
+        auto& wanted = content.get<JsonObject>();
+        auto found = wanted.find(name);
+        if (found == wanted.end()) {
+          wanted[name] = Json();
+        } else if (found->second == item) {
+          wanted.erase(found);
+        } else if (item.is<JsonObject>() && found->second.is<JsonObject>()) {
+          for (const auto& [fieldName, value] : item.get<JsonObject>())
+            if (!found->second.get<JsonObject>().count(fieldName)) found->second.get<JsonObject>()[fieldName] = Json();
+        }
+      }
+  }
+
+  // The touched items as they would be; the rest is read through to what stands.
+  std::map<std::string, std::map<std::string, std::optional<Json>>> overlay;
+  for (const auto& [sectionName, content] : asked)
+    for (const auto& [name, item] : content.get<JsonObject>()) {
+      if (item.is<picojson::null>()) {
+        overlay[sectionName][name] = std::nullopt;
+        continue;
+      }
+      Json merged;
+      auto found = sections.find(sectionName);
+      if (found != sections.end())
+        if (auto old = found->second.find(name); old != found->second.end()) merged = old->second;
+      mergePatch(merged, item);
+      overlay[sectionName][name] = merged;
+    }
+  auto find = [&](const std::string& sectionName, const std::string& name) -> const Json* {
+    if (auto changed = overlay.find(sectionName); changed != overlay.end())
+      if (auto item = changed->second.find(name); item != changed->second.end())
+        return item->second ? &*item->second : nullptr;
+    auto found = sections.find(sectionName);
+    if (found == sections.end()) return nullptr;
+    auto item = found->second.find(name);
+    return item == found->second.end() ? nullptr : &item->second;
+  };
+  auto checkItem = [&](const std::string& sectionName, const std::string& name, const Json& item) -> Result<void> {
+    std::string path = sectionName + "." + name;
+    if (sectionName == "policies") {
+      auto policy = Policy::read(item.get<std::string>());
+      if (!policy) return fault(Code::badField, path, policy.error().subject + ": " + policy.error().text);
+      return boost::outcome_v2::success();
+    }
+    const auto& fields = item.get<JsonObject>();
+    if (sectionName == "models") {
+      auto weights = textField(fields, "weights", path);
+      if (!weights) return weights.error();
+      auto* version = find("weights", weights.value());
+      if (!version) return fault(Code::blueprintBad, path + ".weights", "no such weights: " + weights.value());
+      if (textOr(*version, "model") != name)
+        return fault(Code::blueprintBad, path + ".weights", "these weights belong to another model");
+    } else if (sectionName == "weights") {
+      auto model = textField(fields, "model", path);
+      if (!model) return model.error();
+    } else if (sectionName == "tenants") {
+      auto isolated = flagField(fields, "isolated", false, path);
+      if (!isolated) return isolated.error();
+    } else if (sectionName == "keys") {
+      auto tenant = textField(fields, "tenant", path);
+      if (!tenant) return tenant.error();
+      if (!find("tenants", tenant.value()))
+        return fault(Code::blueprintBad, path + ".tenant", "no such tenant: " + tenant.value());
+      auto hash = textField(fields, "hash", path);
+      if (!hash) return fault(hash.error().code, path + ".secret", hash.error().text);
+      if (hash.value().size() != 64 || hash.value().find_first_not_of("0123456789abcdef") != std::string::npos)
+        return fault(Code::badField, path + ".hash", "must be 64 hexadecimal digits");
+      auto known = keyIdByHash.find(hash.value());
+      if (known != keyIdByHash.end() && known->second != name && find("keys", known->second) &&
+          textOr(*find("keys", known->second), "hash") == hash.value())
+        return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
+    } else if (sectionName == "routes") {
+      auto model = textField(fields, "model", path);
+      if (!model) return model.error();
+      if (!find("models", model.value()))
+        return fault(Code::blueprintBad, path + ".model", "no such model: " + model.value());
+      if (fields.count("kind")) {
+        auto kind = textField(fields, "kind", path);
+        if (!kind) return kind.error();
+        if (kind.value() != "language" && kind.value() != "app")
+          return fault(Code::badField, path + ".kind", "must be language or app");
+      }
+      if (fields.count("tenants")) {
+        auto tenants = textsField(fields, "tenants", path);
+        if (!tenants) return tenants.error();
+        for (const auto& tenant : tenants.value())
+          if (!find("tenants", tenant)) return fault(Code::blueprintBad, path + ".tenants", "no such tenant: " + tenant);
+      }
+      if (fields.count("policy")) {
+        auto policy = textField(fields, "policy", path);
+        if (!policy) return policy.error();
+        if (!find("policies", policy.value()))
+          return fault(Code::blueprintBad, path + ".policy", "no such policy: " + policy.value());
+      }
+    }
+    return boost::outcome_v2::success();
+  };
+  std::set<std::string> disturbed;
+  for (const auto& [sectionName, items] : overlay)
+    for (const auto& [name, item] : items) {
+      if (!item || sectionName == "weights") disturbed.insert(sectionName);
+      if (!item) continue;
+      auto checked = checkItem(sectionName, name, *item);
+      if (!checked) return checked.error();
+    }
+  // What points at a section from which something was taken away is looked at again.
+  static const std::vector<std::pair<std::string, std::set<std::string>>> pointers{
+      {"models", {"weights"}}, {"keys", {"tenants"}}, {"routes", {"models", "tenants", "policies"}}};
+  for (const auto& [pointing, pointed] : pointers) {
+    bool again = false;
+    for (const auto& sectionName : pointed) again = again || disturbed.count(sectionName);
+    auto found = sections.find(pointing);
+    if (!again || found == sections.end()) continue;
+    for (const auto& [name, item] : found->second) {
+      if (overlay.count(pointing) && overlay.at(pointing).count(name)) continue;
+      auto checked = checkItem(pointing, name, item);
+      if (!checked) return checked.error();
+    }
+  }
+  return Json(asked).serialize();
+}
+
+void Blueprint::setItem(const std::string& sectionName, const std::string& name, const Json* value) {
+  auto& items = sections[sectionName];
+  auto old = items.find(name);
+  if (old != items.end()) {
+    weight -= std::min(weight, name.size() + old->second.serialize().size());
+    if (sectionName == "keys") keyIdByHash.erase(textOr(old->second, "hash"));
+    if (sectionName == "policies") policies.erase(name);
+  }
+  if (!value) {
+    if (old != items.end()) items.erase(old);
+    return;
+  }
+  items[name] = *value;
+  weight += name.size() + value->serialize().size();
+  if (sectionName == "keys") keyIdByHash[textOr(*value, "hash")] = name;
+  if (sectionName == "policies" && value->is<std::string>())
+    if (auto policy = Policy::read(value->get<std::string>())) policies[name] = policy.value();
+}
+
+void Blueprint::applyPatch(const JsonObject& patch) {
+  for (const auto& [sectionName, content] : patch) {
+    if (!content.is<JsonObject>()) continue;
+    // Removals first, so that a secret may pass from one key to another in one change.
+    for (bool removing : {true, false})
+      for (const auto& [name, item] : content.get<JsonObject>()) {
+        if (item.is<picojson::null>() != removing) continue;
+        if (removing) {
+          setItem(sectionName, name, nullptr);
+          continue;
+        }
+        auto& items = sections[sectionName];
+        Json merged;
+        if (auto old = items.find(name); old != items.end()) merged = old->second;
+        mergePatch(merged, item);
+        setItem(sectionName, name, &merged);
+      }
+  }
+}
+
+void Blueprint::apply(const Entry& entry) {
+  if (entry.index <= appliedIndex) return;
+  appliedIndex = entry.index;
+  appliedTerm = entry.term;
+  auto kind = static_cast<EntryKind>(entry.kind);
+  if (kind == EntryKind::members) {
+    Entry unpacked = entry;
+    auto capture = decodeCapture(unpacked.body);
+    if (capture) memberRows = capture.value().members;
+  } else if (kind == EntryKind::change) {
+    ++currentRevision;
+    auto patch = readJson(entry.body);
+    if (patch && patch.value().is<JsonObject>()) applyPatch(patch.value().get<JsonObject>());
+    if (!entry.changeId.empty()) {
+      changeRevisions[entry.changeId] = currentRevision;
+      changeOrder.push_back(entry.changeId);
+      if (changeOrder.size() > changesRemembered) {
+        changeRevisions.erase(changeOrder.front());
+        changeOrder.pop_front();
+      }
+    }
+  }
+}
+
+Capture Blueprint::capture() const {
+  Capture made;
+  made.index = appliedIndex;
+  made.term = appliedTerm;
+  made.revision = currentRevision;
+  made.blueprint = text();
+  made.members = memberRows;
+  for (const auto& id : changeOrder) {
+    made.changeIds.push_back(id);
+    made.changeRevisions.push_back(changeRevisions.at(id));
+  }
+  return made;
+}
+
+Result<void> Blueprint::adopt(const Capture& capture) {
+  auto read = readJson(capture.blueprint);
+  if (!read) return read.error();
+  if (!read.value().is<JsonObject>()) return fault(Code::badField, "capture");
+  *this = Blueprint();
+  applyPatch(read.value().get<JsonObject>());
+  appliedIndex = capture.index;
+  appliedTerm = capture.term;
+  currentRevision = capture.revision;
+  memberRows = capture.members;
+  for (std::size_t at = 0; at < capture.changeIds.size() && at < capture.changeRevisions.size(); ++at) {
+    changeOrder.push_back(capture.changeIds[at]);
+    changeRevisions[capture.changeIds[at]] = capture.changeRevisions[at];
+  }
+  return boost::outcome_v2::success();
+}
+
+std::optional<std::uint64_t> Blueprint::takenAs(const std::string& changeId) const {
+  auto found = changeRevisions.find(changeId);
+  if (changeId.empty() || found == changeRevisions.end()) return std::nullopt;
+  return found->second;
+}
+
+std::string Blueprint::text() const {
+  JsonObject whole;
+  for (const auto& [name, items] : sections)
+    if (!items.empty()) whole[name] = Json(items);
+  return Json(whole).serialize();
+}
+
+JsonObject Blueprint::section(const std::string& name) const {
+  auto found = sections.find(name);
+  return found == sections.end() ? JsonObject() : found->second;
+}
+
+std::optional<KeyView> Blueprint::findKey(const std::string& secretHash) const {
+  auto found = keyIdByHash.find(secretHash);
+  if (found == keyIdByHash.end()) return std::nullopt;
+  return KeyView{found->second, textOr(sections.at("keys").at(found->second), "tenant")};
+}
+
+std::optional<RouteView> Blueprint::findRoute(const std::string& name) const {
+  auto found = sections.find("routes");
+  if (found == sections.end()) return std::nullopt;
+  auto item = found->second.find(name);
+  if (item == found->second.end()) return std::nullopt;
+  RouteView route;
+  route.model = textOr(item->second, "model");
+  route.app = textOr(item->second, "kind") == "app";
+  route.policy = textOr(item->second, "policy");
+  const auto& fields = item->second.get<JsonObject>();
+  if (auto tenants = fields.find("tenants"); tenants != fields.end() && tenants->second.is<JsonArray>())
+    for (const auto& tenant : tenants->second.get<JsonArray>()) route.tenants.insert(tenant.to_str());
+  return route;
+}
+
+std::optional<std::string> Blueprint::weightsOf(const std::string& model) const {
+  auto found = sections.find("models");
+  if (found == sections.end() || !found->second.count(model)) return std::nullopt;
+  return textOr(found->second.at(model), "weights");
+}
+
+bool Blueprint::knowsModel(const std::string& model) const { return weightsOf(model).has_value(); }
+
+std::string Blueprint::domainOf(const std::string& tenant) const {
+  auto found = sections.find("tenants");
+  if (found == sections.end() || !found->second.count(tenant)) return "own:" + tenant;
+  return flagOr(found->second.at(tenant), "isolated", false) ? "own:" + tenant : "shared";
+}
+
+Policy Blueprint::policyOf(const std::string& name) const {
+  auto found = policies.find(name);
+  return found == policies.end() ? Policy() : found->second;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/cell.cpp
@@ -0,0 +1,434 @@
+#include "cell.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr Span askEvery = 100ms;
+constexpr Span askAgain = 700ms;
+constexpr Span lateAfter = 1s;
+constexpr Span goneAfter = 1500ms;
+constexpr Span publishEvery = 250ms;
+constexpr Span sweepEvery = 1s;
+constexpr Span markWait = 1s;
+constexpr Span drainWait = 3s;
+constexpr Span loadWait = 8s;
+constexpr Span commandAgain = 500ms;
+constexpr Span retryWait = 3s;
+constexpr Span speedKept = 30s;
+constexpr std::size_t summaryMost = 8192;
+}  // namespace
+
+std::string Summary::make(const std::unordered_set<BlockHash, BlockHashKey>& kept) {
+  if (kept.empty()) return {};
+  std::size_t bytes = 16;
+  while (bytes < kept.size() + kept.size() / 4 && bytes < summaryMost) bytes *= 2;
+  std::string bits(bytes, '\0');
+  for (const auto& hash : kept)
+    for (std::uint64_t probe : {hash.high, hash.low, hash.high >> 32 ^ hash.low >> 16}) {
+      std::size_t bit = probe % (bytes * 8);
+      bits[bit / 8] = static_cast<char>(bits[bit / 8] | (1 << bit % 8));
+    }
+  return bits;
+}
+
+bool Summary::mayHold(const std::string& bits, const BlockHash& hash) {
+  if (bits.empty()) return false;
+  for (std::uint64_t probe : {hash.high, hash.low, hash.high >> 32 ^ hash.low >> 16}) {
+    std::size_t bit = probe % (bits.size() * 8);
+    if (!(bits[bit / 8] >> bit % 8 & 1)) return false;
+  }
+  return true;
+}
+
+const Cell::RolloutDeeds& Cell::rolloutDeeds() {
+  static const RolloutDeeds table{{"hold", &Cell::hold},           {"sendDrain", &Cell::sendDrain},
+                                  {"sendLoad", &Cell::sendLoad},   {"sendAdmit", &Cell::sendAdmit},
+                                  {"release", &Cell::release},     {"giveUp", &Cell::giveUp}};
+  return table;
+}
+const Cell::WatchDeeds& Cell::watchDeeds() {
+  static const WatchDeeds table{{"tellDone", &Cell::tellDone}, {"tellFailed", &Cell::tellFailed}};
+  return table;
+}
+
+Cell::Cell(std::string locality, const Member& self, bool local)
+    : ballot("cell/" + locality, self.id, local ? Span(0) : Span(600ms)),
+      place(std::move(locality)),
+      selfId(self.id),
+      selfAddress(self.address) {
+  ballot.changed = [this](Desk& desk, bool won) { whenHolds(desk, won); };
+}
+
+void Cell::whenHolds(Desk& desk, bool) {
+  // A new holder knows nothing for sure: everything is asked again, and until then nothing counts as kept.
+  for (auto& [name, keeper] : rows) {
+    keeper.confirmed = false;
+    keeper.askPending = false;
+    keeper.kept.clear();
+    keeper.summaryStale = true;
+    keeper.heardAt = desk.now;
+    keeper.known = false;
+  }
+  rollouts.clear();
+  watches.clear();
+  agentMarks.clear();
+  sequence = 0;
+  newsDue = true;
+}
+
+void Cell::setMachines(const std::vector<Machine>& machines) {
+  std::set<std::string> listed;
+  for (const auto& machine : machines) {
+    if (machine.locality != place) continue;
+    listed.insert(machine.name);
+    auto& keeper = rows[machine.name];
+    if (keeper.machine.address != machine.address) keeper = Keeper{};
+    if (keeper.machine.leaving != machine.leaving || keeper.machine.name.empty()) newsDue = true;
+    keeper.machine = machine;
+  }
+  for (auto row = rows.begin(); row != rows.end();) {
+    if (listed.count(row->first)) {
+      ++row;
+      continue;
+    }
+    rollouts.erase(row->first);
+    row = rows.erase(row);
+    newsDue = true;
+  }
+}
+
+void Cell::doubt(Desk& desk, Keeper& keeper, const char* why) {
+  if (!keeper.confirmed) return;
+  keeper.confirmed = false;
+  keeper.kept.clear();
+  keeper.summaryStale = true;
+  newsDue = true;
+  desk.note("keeper unconfirmed", keeper.machine.name + " " + why);
+}
+
+void Cell::askReports(Desk& desk) {
+  for (auto& [name, keeper] : rows) {
+    if (keeper.known && desk.now - keeper.heardAt > lateAfter) doubt(desk, keeper, "late");
+    if (keeper.askPending ? desk.now - keeper.askedAt < askAgain : desk.now - keeper.askedAt < askEvery) continue;
+    bool sweeping = false;
+    if (keeper.confirmed && desk.now - sweptAt > sweepEvery && name > sweptLast) {
+      sweeping = true;
+      sweptAt = desk.now;
+      sweptLast = name;
+    }
+    keeper.askPending = true;
+    keeper.askedAt = desk.now;
+    desk.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed});
+  }
+  if (desk.now - sweptAt > 2 * sweepEvery) sweptLast.clear();
+}
+
+void Cell::onReport(Desk& desk, const Report& report) {
+  auto found = rows.find(report.worker);
+  if (found == rows.end()) return;
+  auto& keeper = found->second;
+  keeper.askPending = false;
+  // An answer that took long tells of the past only.
+  if (desk.now - keeper.askedAt > lateAfter) return;
+  bool changed = !keeper.known || keeper.last.weights != report.weights || keeper.last.draining != report.draining;
+  if (keeper.known && keeper.last.incarnation != report.incarnation) {
+    doubt(desk, keeper, "new incarnation");
+    keeper.applied = 0;
+  }
+  if (keeper.confirmed && keeper.last.weights != report.weights) doubt(desk, keeper, "other weights");
+  keeper.heardAt = desk.now;
+  keeper.known = true;
+  keeper.last = report;
+  keeper.last.kept.clear();
+  keeper.last.events.clear();
+  newsDue = newsDue || changed;
+  if (report.whole) {
+    std::unordered_set<BlockHash, BlockHashKey> kept(report.kept.begin(), report.kept.end());
+    if (keeper.confirmed) {
+      std::int64_t mended = 0;
+      for (const auto& hash : kept) mended += !keeper.kept.count(hash);
+      for (const auto& hash : keeper.kept) mended += !kept.count(hash);
+      desk.note("swept", report.worker, mended);
+      if (mended) desk.note("sweep mended", report.worker, mended);
+    } else {
+      desk.note("keeper confirmed", report.worker, static_cast<std::int64_t>(kept.size()));
+    }
+    keeper.kept = std::move(kept);
+    keeper.applied = report.sequence;
+    keeper.confirmed = true;
+    keeper.summaryStale = true;
+    newsDue = true;
+    return;
+  }
+  if (!keeper.confirmed) return;
+  for (const auto& event : report.events) {
+    if (event.sequence <= keeper.applied) continue;
+    if (event.sequence != keeper.applied + 1) {
+      doubt(desk, keeper, "gap");
+      return;
+    }
+    keeper.applied = event.sequence;
+    switch (static_cast<KeptKind>(event.kind)) {
+      case KeptKind::stored:
+        keeper.kept.insert(event.hashes.begin(), event.hashes.end());
+        break;
+      case KeptKind::removed:
+        for (const auto& hash : event.hashes) keeper.kept.erase(hash);
+        break;
+      case KeptKind::cleared:
+        keeper.kept.clear();
+        break;
+    }
+    keeper.summaryStale = true;
+    newsDue = true;
+  }
+  if (report.sequence != keeper.applied) doubt(desk, keeper, "gap");
+}
+
+void Cell::onLookup(Desk& desk, const LookupMsg& ask) {
+  if (!ballot.holds(desk.now)) return;
+  auto found = rows.find(ask.keeper);
+  LookupReply reply{ask.lookupId, ask.keeper, {}};
+  if (found != rows.end()) {
+    const auto& keeper = found->second;
+    bool usable = keeper.confirmed && desk.now - keeper.heardAt < lateAfter && !keeper.last.draining &&
+                  !keeper.machine.leaving &&
+                  (keeper.machine.kind == "store" || keeper.last.weights == ask.weights);
+    for (const auto& hash : ask.hashes) reply.hits.push_back(usable && keeper.kept.count(hash) ? 1 : 0);
+  }
+  desk.note("lookup", ask.keeper, static_cast<std::int64_t>(ask.hashes.size()));
+  desk.send(ask.replyTo, reply);
+}
+
+void Cell::command(Desk& desk, const std::string& worker, const std::string& action) {
+  auto found = rows.find(worker);
+  auto& rollout = rollouts[worker];
+  rollout.sentAt = desk.now;
+  // The lease is looked at just before the command leaves; the term lets the worker turn down an old holder.
+  if (found == rows.end() || !ballot.holds(desk.now)) return;
+  desk.send(found->second.machine.address, ControlAsk{ballot.term(), selfId, action, rollout.model, rollout.weights});
+}
+
+void Cell::hold(Desk& desk, const std::string& worker) {
+  auto& rollout = rollouts[worker];
+  rollout.since = desk.now;
+  rollout.markSequence = sequence + 1;
+  newsDue = true;
+  publishedAt = Moment{};
+  desk.note("weights hold", worker);
+}
+void Cell::sendDrain(Desk& desk, const std::string& worker) { command(desk, worker, "drain"); }
+void Cell::sendLoad(Desk& desk, const std::string& worker) { command(desk, worker, "load"); }
+void Cell::sendAdmit(Desk& desk, const std::string& worker) { command(desk, worker, "admit"); }
+void Cell::release(Desk& desk, const std::string& worker) {
+  newsDue = true;
+  publishedAt = Moment{};
+  desk.note("weights in use", worker + " " + rollouts[worker].weights);
+}
+void Cell::giveUp(Desk& desk, const std::string& worker) { desk.note("weights failed", worker); }
+
+std::string Cell::rolloutState(const std::string& worker) const {
+  auto found = rollouts.find(worker);
+  return found == rollouts.end() ? "serving" : found->second.walk->state();
+}
+
+std::int64_t Cell::unconfirmedCount() const {
+  std::int64_t count = 0;
+  for (const auto& [name, keeper] : rows) count += keeper.machine.kind != "app" && !keeper.confirmed;
+  return count;
+}
+
+void Cell::agentHas(const std::string& agent, const CellMark& mark, Moment now) {
+  agentMarks[agent] = AgentMark{mark, now};
+}
+
+bool Cell::agentsHave(std::uint64_t markSequence, Moment now) const {
+  for (const auto& [agent, row] : agentMarks) {
+    if (now - row.at > 2s) continue;
+    if (row.mark.term < ballot.term() || (row.mark.term == ballot.term() && row.mark.sequence < markSequence))
+      return false;
+  }
+  return true;
+}
+
+void Cell::moveRollouts(Desk& desk, const Blueprint& blueprint) {
+  std::map<std::string, int> workers, busy;
+  for (const auto& [name, keeper] : rows) {
+    if (keeper.machine.kind != "language" || !keeper.known || keeper.machine.leaving) continue;
+    if (desk.now - keeper.heardAt > goneAfter) continue;
+    ++workers[keeper.last.model];
+    auto rollout = rollouts.find(name);
+    if (rollout != rollouts.end() && !rollout->second.walk->in("serving")) ++busy[keeper.last.model];
+  }
+  for (auto& [name, keeper] : rows) {
+    if (keeper.machine.kind != "language" || !keeper.known) continue;
+    auto wanted = blueprint.weightsOf(keeper.last.model);
+    if (!wanted) continue;
+    auto& rollout = rollouts[name];
+    if (!rollout.walk)
+      rollout.walk = std::make_unique<ChartWalk<Cell, Desk&, const std::string&>>("weights", rolloutDeeds(), "serving");
+    auto& walk = *rollout.walk;
+    auto happen = [&](const char* event) {
+      std::string before = walk.state();
+      if (walk.happen(*this, event, desk, name) && walk.state() != before) {
+        rollout.since = desk.now;
+        desk.note("rollout", name + " " + walk.state());
+      }
+    };
+    if (desk.now - keeper.heardAt > goneAfter) continue;
+    const auto& report = keeper.last;
+    bool right = report.weights == *wanted;
+    if (walk.in("serving")) {
+      if (right && !report.draining) continue;
+      // A third of the model's workers in this cell at a time; one without any weights serves nobody, so it never waits.
+      int room = std::max(1, (workers[report.model] + 2) / 3);
+      if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
+      ++busy[report.model];
+      rollout.weights = *wanted;
+      rollout.model = report.model;
+      happen("wanted");
+      continue;
+    }
+    bool again = desk.now - rollout.sentAt >= commandAgain;
+    if (rollout.weights != *wanted) {
+      rollout.weights = *wanted;
+      rollout.model = report.model;
+      happen("wanted");
+    }
+    if (walk.in("marking")) {
+      if (desk.now - rollout.since >= markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, desk.now)))
+        happen(right && report.draining ? "settled" : "cleared");
+    } else if (walk.in("draining")) {
+      if (right && report.draining)
+        happen("settled");
+      else if (report.draining && report.running == 0)
+        happen("emptied");
+      else if (desk.now - rollout.since >= drainWait)
+        happen("overdue");
+      else if (again)
+        happen("again");
+    } else if (walk.in("loading")) {
+      if (right)
+        happen("loaded");
+      else if (desk.now - rollout.since >= loadWait)
+        happen("overdue");
+      else if (again)
+        happen("again");
+    } else if (walk.in("admitting")) {
+      if (right && !report.draining)
+        happen("admitted");
+      else if (again)
+        happen("again");
+    } else if (walk.in("broken")) {
+      if (right)
+        happen("loaded");
+      else if (desk.now - rollout.since >= retryWait)
+        happen("retry");
+    }
+  }
+}
+
+void Cell::tellDone(Desk& desk, Watch& watch) {
+  double seconds = std::chrono::duration<double>(desk.now - watch.startedAt).count();
+  speeds[{watch.ask.source, watch.ask.target}] =
+      Speed{static_cast<double>(watch.ask.hashes.size()) / std::max(seconds, 0.001), desk.now};
+  newsDue = true;
+  desk.note("transfer done", watch.ask.moveId, inMs(desk.now - watch.startedAt));
+  desk.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, true});
+}
+
+void Cell::tellFailed(Desk& desk, Watch& watch) {
+  double seconds = std::max(std::chrono::duration<double>(desk.now - watch.startedAt).count(), 0.001);
+  auto& speed = speeds[{watch.ask.source, watch.ask.target}];
+  speed = Speed{static_cast<double>(watch.ask.hashes.size()) / seconds / 2, desk.now};
+  newsDue = true;
+  // A move that came short is a sign that the index is old about its source.
+  if (auto source = rows.find(watch.ask.source); source != rows.end()) doubt(desk, source->second, "move came short");
+  desk.note("transfer failed", watch.ask.moveId);
+  desk.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, false});
+}
+
+void Cell::moveWatches(Desk& desk) {
+  for (auto row = watches.begin(); row != watches.end();) {
+    auto& watch = row->second;
+    auto found = rows.find(watch.ask.target);
+    if (found == rows.end()) {
+      watch.walk->happen(*this, "denied", desk, watch);
+    } else {
+      const auto& kept = found->second.kept;
+      bool all = found->second.confirmed && std::all_of(watch.ask.hashes.begin(), watch.ask.hashes.end(),
+                                                        [&](const BlockHash& hash) { return kept.count(hash) > 0; });
+      if (all)
+        watch.walk->happen(*this, "done", desk, watch);
+      else if (desk.now >= watch.deadline)
+        watch.walk->happen(*this, "overdue", desk, watch);
+      else
+        watch.walk->happen(*this, "accepted", desk, watch);
+    }
+    row = watch.walk->in("finished") || watch.walk->in("failed") ? watches.erase(row) : std::next(row);
+  }
+}
+
+void Cell::publishNews(Desk& desk) {
+  if (desk.now - publishedAt < (newsDue ? publishEvery / 2 : 2 * publishEvery)) return;
+  if (!ballot.holds(desk.now)) return;
+  publishedAt = desk.now;
+  newsDue = false;
+  CellNews news{place, ballot.term(), ++sequence, selfAddress, {}, {}};
+  for (auto& [name, keeper] : rows) {
+    if (keeper.summaryStale) {
+      keeper.summary = Summary::make(keeper.kept);
+      keeper.summaryStale = false;
+    }
+    auto rollout = rollouts.find(name);
+    bool held = keeper.last.draining || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
+    bool alive = keeper.known && desk.now - keeper.heardAt < goneAfter;
+    news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
+                                      keeper.last.model, keeper.last.running, keeper.last.slots, held, alive,
+                                      keeper.confirmed, keeper.kept.size(), keeper.last.sequence, keeper.summary});
+  }
+  for (auto speed = speeds.begin(); speed != speeds.end();) {
+    if (desk.now - speed->second.at > speedKept) {
+      speed = speeds.erase(speed);
+      continue;
+    }
+    news.links.push_back(LinkSpeed{speed->first.first, speed->first.second, speed->second.blocksPerSecond});
+    ++speed;
+  }
+  if (publish) publish(desk, news);
+}
+
+void Cell::tick(Desk& desk, const Blueprint& blueprint) {
+  ballot.tick(desk);
+  if (!ballot.holds(desk.now)) return;
+  askReports(desk);
+  moveRollouts(desk, blueprint);
+  moveWatches(desk);
+  publishNews(desk);
+}
+
+void Cell::take(Desk& desk, const std::string& from, const Message& message) {
+  if (auto* report = std::get_if<Report>(&message)) {
+    if (ballot.holds(desk.now)) {
+      onReport(desk, *report);
+      moveWatches(desk);
+    }
+  } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
+    onLookup(desk, *lookup);
+  } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
+    if (!ballot.holds(desk.now)) return;
+    Watch made;
+    made.ask = *watch;
+    made.startedAt = desk.now;
+    made.deadline = desk.now + std::chrono::milliseconds(std::clamp<std::int64_t>(watch->deadlineMs, 1, 10000));
+    made.walk = std::make_unique<ChartWalk<Cell, Desk&, Watch&>>("transfer", watchDeeds(), "asked");
+    if (watches.size() < 4096) watches[watch->moveId] = std::move(made);
+  } else if (auto* reply = std::get_if<ControlReply>(&message)) {
+    if (reply->code == static_cast<int>(Code::termOld)) ballot.seeTerm(desk, reply->term);
+  } else {
+    ballot.take(desk, from, message);
+  }
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/cell.hpp
@@ -0,0 +1,99 @@
+#pragma once
+#include "ballot.hpp"
+#include "blueprint.hpp"
+
+namespace tt {
+
+/// A small sketch of a set of block hashes: may say yes wrongly, never no.
+class Summary {
+ public:
+  static std::string make(const std::unordered_set<BlockHash, BlockHashKey>& kept);
+  static bool mayHold(const std::string& bits, const BlockHash& hash);
+};
+
+/// One keeper's row in the exact index: a worker or the store.
+struct Keeper {
+  Machine machine;
+  Report last;
+  Moment heardAt{}, askedAt{}, sweptAt{};
+  bool known{false}, confirmed{false}, askPending{false};
+  std::uint64_t applied{0};
+  std::unordered_set<BlockHash, BlockHashKey> kept;
+  std::string summary;
+  bool summaryStale{true};
+};
+
+/// A locality's cell: its workers, its exact block index, and the commands to its workers. Every core has one for
+/// each locality; only the holder of the cell's duty asks, commands and answers.
+class Cell {
+ public:
+  Cell(std::string locality, const Member& self, bool local);
+  Ballot ballot;
+  void setMachines(const std::vector<Machine>& machines);
+  void tick(Desk& desk, const Blueprint& blueprint);
+  void take(Desk& desk, const std::string& from, const Message& message);
+  /// What an agent is known to have applied of this cell's news.
+  void agentHas(const std::string& agent, const CellMark& mark, Moment now);
+  /// Where fresh news go: the other cores and the agents that follow this core.
+  std::function<void(Desk&, const CellNews&)> publish;
+  const std::string& locality() const { return place; }
+  const std::map<std::string, Keeper>& keepers() const { return rows; }
+  std::string rolloutState(const std::string& worker) const;
+  std::int64_t unconfirmedCount() const;
+
+ private:
+  struct Rollout {
+    std::string weights, model;
+    Moment since{}, sentAt{}, readyAt{};
+    std::uint64_t markSequence{0};
+    std::unique_ptr<ChartWalk<Cell, Desk&, const std::string&>> walk;
+  };
+  struct Watch {
+    WatchMsg ask;
+    Moment startedAt{}, deadline{};
+    std::unique_ptr<ChartWalk<Cell, Desk&, Watch&>> walk;
+  };
+  struct AgentMark {
+    CellMark mark;
+    Moment at{};
+  };
+  std::string place, selfId, selfAddress;
+  std::map<std::string, Keeper> rows;
+  std::map<std::string, Rollout> rollouts;
+  std::map<std::string, Watch> watches;
+  std::map<std::string, AgentMark> agentMarks;
+  struct Speed {
+    double blocksPerSecond{0};
+    Moment at{};
+  };
+  std::map<std::pair<std::string, std::string>, Speed> speeds;
+  std::uint64_t sequence{0};
+  Moment publishedAt{}, sweptAt{};
+  std::string sweptLast;
+  bool newsDue{true};
+
+  using RolloutDeeds = ChartWalk<Cell, Desk&, const std::string&>::Deeds;
+  using WatchDeeds = ChartWalk<Cell, Desk&, Watch&>::Deeds;
+  static const RolloutDeeds& rolloutDeeds();
+  static const WatchDeeds& watchDeeds();
+  void hold(Desk& desk, const std::string& worker);
+  void sendDrain(Desk& desk, const std::string& worker);
+  void sendLoad(Desk& desk, const std::string& worker);
+  void sendAdmit(Desk& desk, const std::string& worker);
+  void release(Desk& desk, const std::string& worker);
+  void giveUp(Desk& desk, const std::string& worker);
+  void tellDone(Desk& desk, Watch& watch);
+  void tellFailed(Desk& desk, Watch& watch);
+  void command(Desk& desk, const std::string& worker, const std::string& action);
+  void onReport(Desk& desk, const Report& report);
+  void onLookup(Desk& desk, const LookupMsg& ask);
+  void askReports(Desk& desk);
+  void moveRollouts(Desk& desk, const Blueprint& blueprint);
+  void moveWatches(Desk& desk);
+  void publishNews(Desk& desk);
+  void whenHolds(Desk& desk, bool won);
+  bool agentsHave(std::uint64_t markSequence, Moment now) const;
+  void doubt(Desk& desk, Keeper& keeper, const char* why);
+};
+
+}  // namespace tt
--- /dev/null
+++ b/src/chart.cpp
@@ -0,0 +1,54 @@
+#include "chart.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+
+namespace tt {
+
+Result<Chart> Chart::read(std::string_view text) {
+  Chart chart;
+  std::istringstream source{std::string(text)};
+  std::string line;
+  for (int lineNumber = 1; std::getline(source, line); ++lineNumber) {
+    if (auto hash = line.find('#'); hash != std::string::npos) line.resize(hash);
+    std::istringstream words(line);
+    std::string state, event, arrow, next;
+    if (!(words >> state)) continue;
+    if (!(words >> event >> arrow >> next) || arrow != "->")
+      return fault(Code::badChart, "line " + std::to_string(lineNumber), "a row is: state event -> next actions");
+    Step step{next, {}};
+    for (std::string action; words >> action;)
+      if (action != "-") {
+        step.actions.push_back(action);
+        chart.actionNames.insert(action);
+      }
+    if (!chart.steps.emplace(std::make_pair(state, event), step).second)
+      return fault(Code::badChart, "line " + std::to_string(lineNumber), "this state and event stand twice");
+  }
+  return chart;
+}
+
+const Chart& Chart::named(const std::string& name) {
+  static const std::map<std::string, Chart> charts = [] {
+    std::map<std::string, Chart> made;
+    for (const auto& [chartName, text] : chartTexts()) {
+      auto read = Chart::read(text);
+      if (!read) {
+        std::fprintf(stderr, "chart %s: %s: %s\n", chartName.c_str(), read.error().subject.c_str(),
+                     read.error().text.c_str());
+        std::abort();
+      }
+      made.emplace(chartName, read.value());
+    }
+    return made;
+  }();
+  return charts.at(name);
+}
+
+const Chart::Step* Chart::step(const std::string& state, const std::string& event) const {
+  auto found = steps.find({state, event});
+  return found == steps.end() ? nullptr : &found->second;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/chart.hpp
@@ -0,0 +1,57 @@
+#pragma once
+#include "base.hpp"
+
+namespace tt {
+
+/// A state chart read from its file. Code asks it what comes next and does the actions it names.
+class Chart {
+ public:
+  struct Step {
+    std::string next;
+    std::vector<std::string> actions;
+  };
+  /// Reads a chart; a fault names the line.
+  static Result<Chart> read(std::string_view text);
+  /// One of the charts built into the program from charts/, by file name without ending.
+  static const Chart& named(const std::string& name);
+  /// What an event leads to in a state; nothing where the chart has no such row.
+  const Step* step(const std::string& state, const std::string& event) const;
+  const std::set<std::string>& actions() const { return actionNames; }
+
+ private:
+  std::map<std::pair<std::string, std::string>, Step> steps;
+  std::set<std::string> actionNames;
+};
+
+/// Walks a chart for one owner: an event moves the state and runs the named actions.
+template <class Owner, class... Args>
+class ChartWalk {
+ public:
+  using Deed = void (Owner::*)(Args...);
+  using Deeds = std::map<std::string, Deed>;
+  ChartWalk(const std::string& chartName, const Deeds& deeds, std::string startState)
+      : chart(&Chart::named(chartName)), deedsByName(&deeds), current(std::move(startState)) {}
+  /// Whether the event meant anything in this state.
+  bool happen(Owner& owner, const std::string& event, Args... args) {
+    const auto* step = chart->step(current, event);
+    if (!step) return false;
+    current = step->next;
+    for (const auto& action : step->actions) {
+      auto deed = deedsByName->find(action);
+      if (deed != deedsByName->end()) (owner.*(deed->second))(args...);
+    }
+    return true;
+  }
+  const std::string& state() const { return current; }
+  bool in(const char* state) const { return current == state; }
+
+ private:
+  const Chart* chart;
+  const Deeds* deedsByName;
+  std::string current;
+};
+
+/// The chart files' names and texts, as built in.
+const std::map<std::string, std::string>& chartTexts();
+
+}  // namespace tt
--- /dev/null
+++ b/src/contract.cpp
@@ -0,0 +1,366 @@
+#include "contract.hpp"
+
+namespace tt {
+namespace {
+Json hashRow(const Hashes& hashes) {
+  JsonArray row;
+  for (const auto& hash : hashes) row.push_back(Json(hash.hex()));
+  return Json(row);
+}
+Json textRow(const Strings& texts) {
+  JsonArray row;
+  for (const auto& text : texts) row.push_back(Json(text));
+  return Json(row);
+}
+Json number(double value) { return Json(value); }
+Result<Hashes> readHashes(const JsonObject& object, const std::string& name) {
+  if (!object.count(name)) return Hashes{};
+  auto texts = textsField(object, name);
+  if (!texts) return texts.error();
+  Hashes hashes;
+  for (const auto& text : texts.value()) {
+    auto hash = BlockHash::parse(text);
+    if (!hash) return fault(Code::badField, name, "a hash is 32 hexadecimal digits");
+    hashes.push_back(*hash);
+  }
+  return hashes;
+}
+Result<JsonObject> readAnyObject(const std::string& text) {
+  auto value = readJson(text);
+  if (!value) return value.error();
+  if (!value.value().is<JsonObject>()) return fault(Code::badField, "body", "must be an object");
+  return value.value().get<JsonObject>();
+}
+}  // namespace
+
+std::string writeWorkerOrder(const WorkerOrder& order) {
+  JsonObject body;
+  body["order_id"] = Json(order.orderId);
+  body["model"] = Json(order.model);
+  body["weights"] = Json(order.weights);
+  body["cache_salt"] = Json(order.cacheSalt);
+  body["parts"] = textRow(order.parts);
+  body["block_hashes"] = hashRow(order.hashes);
+  body["max_tokens"] = number(order.maxTokens);
+  body["tenant"] = Json(order.tenant);
+  if (order.app) body["app"] = Json(true);
+  if (order.moves) body["move"] = Json(true);
+  JsonObject params;
+  if (!order.params.empty())
+    if (auto given = readJson(order.params); given && given.value().is<JsonObject>()) params = given.value().get<JsonObject>();
+  if (!order.sourceAddress.empty()) {
+    auto colon = order.sourceAddress.rfind(':');
+    JsonObject source;
+    source["kv_request_id"] = Json(order.transferId);
+    source["remote_host"] = Json(order.sourceAddress.substr(0, colon));
+    source["remote_port"] = number(std::atoi(order.sourceAddress.c_str() + colon + 1));
+    params["remote_kv_source"] = Json(source);
+  }
+  if (!params.empty()) body["kv_transfer_params"] = Json(params);
+  return Json(body).serialize();
+}
+
+Result<WorkerOrder> readWorkerOrder(const std::string& text) {
+  auto read = readObject(text, {"order_id", "model", "weights", "cache_salt", "parts", "block_hashes", "max_tokens",
+                                "tenant", "app", "move", "kv_transfer_params"});
+  if (!read) return read.error();
+  const auto& body = read.value();
+  WorkerOrder order;
+  auto id = textField(body, "order_id");
+  if (!id) return id.error();
+  order.orderId = id.value();
+  Json whole(body);
+  order.model = textOr(whole, "model");
+  order.weights = textOr(whole, "weights");
+  order.cacheSalt = textOr(whole, "cache_salt");
+  order.tenant = textOr(whole, "tenant");
+  auto parts = textsField(body, "parts");
+  if (!parts) return parts.error();
+  order.parts = parts.value();
+  auto hashes = readHashes(body, "block_hashes");
+  if (!hashes) return hashes.error();
+  order.hashes = hashes.value();
+  auto tokens = numberField(body, "max_tokens", 16, 0, 100000);
+  if (!tokens) return tokens.error();
+  order.maxTokens = static_cast<int>(tokens.value());
+  order.app = flagOr(whole, "app", false);
+  order.moves = flagOr(whole, "move", false);
+  if (auto params = body.find("kv_transfer_params"); params != body.end() && params->second.is<JsonObject>()) {
+    const auto& rows = params->second.get<JsonObject>();
+    if (auto source = rows.find("remote_kv_source"); source != rows.end()) {
+      order.transferId = textOr(source->second, "kv_request_id");
+      order.sourceAddress = textOr(source->second, "remote_host") + ":" + std::to_string(numberOr(source->second, "remote_port", 0));
+    }
+  }
+  return order;
+}
+
+std::string writeWorkerChunk(const WorkerChunk& chunk) {
+  JsonObject body;
+  body["token"] = Json(chunk.text);
+  return Json(body).serialize();
+}
+
+std::string writeWorkerEnd(const WorkerEnd& end) {
+  static const char* words[] = {"done", "denied", "unsent", "broken", "failed", "silent"};
+  JsonObject body;
+  body["end"] = Json(std::string(words[end.outcome]));
+  body["code"] = number(end.code);
+  body["local"] = number(end.local);
+  body["fetched"] = number(end.fetched);
+  body["computed"] = number(end.computed);
+  return Json(body).serialize();
+}
+
+std::variant<std::monostate, WorkerChunk, WorkerEnd> readWorkerLine(const std::string& orderId, const std::string& line) {
+  auto read = readJson(line);
+  if (!read || !read.value().is<JsonObject>()) return std::monostate{};
+  const auto& body = read.value();
+  std::string end = textOr(body, "end");
+  if (end.empty()) {
+    if (!body.get<JsonObject>().count("token")) return std::monostate{};
+    return WorkerChunk{orderId, textOr(body, "token")};
+  }
+  Outcome outcome = end == "done" ? Outcome::done : end == "denied" ? Outcome::denied : end == "broken" ? Outcome::broken : Outcome::failed;
+  return WorkerEnd{orderId,
+                   static_cast<int>(outcome),
+                   static_cast<int>(numberOr(body, "code", 0)),
+                   static_cast<int>(numberOr(body, "local", 0)),
+                   static_cast<int>(numberOr(body, "fetched", 0)),
+                   static_cast<int>(numberOr(body, "computed", 0))};
+}
+
+std::string writeReport(const Report& report) {
+  JsonObject body;
+  body["worker"] = Json(report.worker);
+  body["incarnation"] = Json(report.incarnation);
+  body["weights"] = Json(report.weights);
+  body["model"] = Json(report.model);
+  body["running"] = number(report.running);
+  body["slots"] = number(report.slots);
+  body["sequence"] = number(static_cast<double>(report.sequence));
+  body["draining"] = Json(report.draining);
+  body["term"] = number(static_cast<double>(report.term));
+  body["whole"] = Json(report.whole);
+  if (report.whole) {
+    body["kept"] = hashRow(report.kept);
+  } else {
+    JsonArray events;
+    static const char* kinds[] = {"stored", "removed", "cleared"};
+    for (const auto& event : report.events) {
+      JsonObject row;
+      row["sequence"] = number(static_cast<double>(event.sequence));
+      row["kind"] = Json(std::string(kinds[event.kind]));
+      row["hashes"] = hashRow(event.hashes);
+      events.push_back(Json(row));
+    }
+    body["events"] = Json(events);
+  }
+  return Json(body).serialize();
+}
+
+Result<Report> readReport(const std::string& text) {
+  auto read = readAnyObject(text);
+  if (!read) return read.error();
+  const auto& body = read.value();
+  Json whole(body);
+  Report report;
+  auto worker = textField(body, "worker");
+  if (!worker) return worker.error();
+  report.worker = worker.value();
+  report.incarnation = textOr(whole, "incarnation");
+  report.weights = textOr(whole, "weights");
+  report.model = textOr(whole, "model");
+  report.running = static_cast<int>(numberOr(whole, "running", 0));
+  report.slots = static_cast<int>(numberOr(whole, "slots", 0));
+  report.sequence = static_cast<Count>(numberOr(whole, "sequence", 0));
+  report.term = static_cast<Count>(numberOr(whole, "term", 0));
+  report.draining = flagOr(whole, "draining", false);
+  report.whole = flagOr(whole, "whole", false);
+  auto kept = readHashes(body, "kept");
+  if (!kept) return kept.error();
+  report.kept = kept.value();
+  if (auto events = body.find("events"); events != body.end() && events->second.is<JsonArray>())
+    for (const auto& row : events->second.get<JsonArray>()) {
+      if (!row.is<JsonObject>()) return fault(Code::badField, "events");
+      KeptEvent event;
+      event.sequence = static_cast<Count>(numberOr(row, "sequence", 0));
+      std::string kind = textOr(row, "kind");
+      if (kind != "stored" && kind != "removed" && kind != "cleared") return fault(Code::badField, "events.kind");
+      event.kind = static_cast<int>(kind == "stored" ? KeptKind::stored : kind == "removed" ? KeptKind::removed : KeptKind::cleared);
+      auto hashes = readHashes(row.get<JsonObject>(), "hashes");
+      if (!hashes) return hashes.error();
+      event.hashes = hashes.value();
+      report.events.push_back(std::move(event));
+    }
+  return report;
+}
+
+std::string writeControl(const ControlAsk& ask) {
+  JsonObject body;
+  body["term"] = number(static_cast<double>(ask.term));
+  body["holder"] = Json(ask.holder);
+  body["action"] = Json(ask.action);
+  body["model"] = Json(ask.model);
+  body["weights"] = Json(ask.weights);
+  return Json(body).serialize();
+}
+Result<ControlAsk> readControl(const std::string& text) {
+  auto read = readObject(text, {"term", "holder", "action", "model", "weights"});
+  if (!read) return read.error();
+  const auto& body = read.value();
+  auto term = numberField(body, "term", 0, 0, 1LL << 52);
+  if (!term) return term.error();
+  auto action = textField(body, "action");
+  if (!action) return action.error();
+  if (action.value() != "drain" && action.value() != "load" && action.value() != "admit")
+    return fault(Code::badField, "action", "must be drain, load or admit");
+  Json whole(body);
+  return ControlAsk{static_cast<Count>(term.value()), textOr(whole, "holder"), action.value(), textOr(whole, "model"), textOr(whole, "weights")};
+}
+std::string writeControlReply(const ControlReply& reply) {
+  JsonObject body;
+  body["worker"] = Json(reply.worker);
+  body["term"] = number(static_cast<double>(reply.term));
+  body["code"] = number(reply.code);
+  return Json(body).serialize();
+}
+Result<ControlReply> readControlReply(const std::string& text) {
+  auto read = readAnyObject(text);
+  if (!read) return read.error();
+  Json whole(read.value());
+  return ControlReply{textOr(whole, "worker"), static_cast<Count>(numberOr(whole, "term", 0)), static_cast<int>(numberOr(whole, "code", 0))};
+}
+
+std::string writeBlocks(const Hashes& hashes, const Strings& origins) {
+  JsonObject body;
+  body["hashes"] = hashRow(hashes);
+  body["origins"] = textRow(origins);
+  return Json(body).serialize();
+}
+Result<StoreMsg> readBlocks(const std::string& text) {
+  auto read = readObject(text, {"hashes", "origins"});
+  if (!read) return read.error();
+  auto hashes = readHashes(read.value(), "hashes");
+  if (!hashes) return hashes.error();
+  StoreMsg message{hashes.value(), {}};
+  if (read.value().count("origins")) {
+    auto origins = textsField(read.value(), "origins");
+    if (!origins) return origins.error();
+    message.origins = origins.value();
+  }
+  return message;
+}
+
+std::string writeMachines(const MachinesReply& reply) {
+  JsonObject body;
+  body["stamp"] = number(static_cast<double>(reply.stamp));
+  JsonArray rows;
+  for (const auto& machine : reply.machines) {
+    JsonObject row;
+    row["name"] = Json(machine.name);
+    row["address"] = Json(machine.address);
+    row["locality"] = Json(machine.locality);
+    row["kind"] = Json(machine.kind);
+    row["leaving"] = Json(machine.leaving);
+    rows.push_back(Json(row));
+  }
+  body["machines"] = Json(rows);
+  return Json(body).serialize();
+}
+Result<Machine> readMachine(const Json& value) {
+  if (!value.is<JsonObject>()) return fault(Code::badField, "machines");
+  Machine machine;
+  for (auto [name, field] : std::initializer_list<std::pair<const char*, std::string*>>{
+           {"name", &machine.name}, {"address", &machine.address}, {"locality", &machine.locality}, {"kind", &machine.kind}}) {
+    auto text = textField(value.get<JsonObject>(), name, "machines");
+    if (!text) return text.error();
+    *field = text.value();
+  }
+  if (machine.kind != "language" && machine.kind != "app" && machine.kind != "store")
+    return fault(Code::badField, "machines.kind", "must be language, app or store");
+  machine.leaving = flagOr(value, "leaving", false);
+  return machine;
+}
+Result<MachinesReply> readMachines(const std::string& text) {
+  auto read = readAnyObject(text);
+  if (!read) return read.error();
+  MachinesReply reply;
+  reply.stamp = static_cast<Count>(numberOr(Json(read.value()), "stamp", 0));
+  auto rows = read.value().find("machines");
+  if (rows == read.value().end() || !rows->second.is<JsonArray>()) return fault(Code::missingField, "machines");
+  for (const auto& row : rows->second.get<JsonArray>()) {
+    auto machine = readMachine(row);
+    if (!machine) return machine.error();
+    reply.machines.push_back(machine.value());
+  }
+  return reply;
+}
+
+Result<CallerOrder> readCallerOrder(const std::string& text) {
+  if (text.size() > callerBodyMost) return fault(Code::tooLarge, "body", "a body has " + std::to_string(callerBodyMost) + " bytes at most");
+  auto read = readObject(text, {"route", "model", "parts", "repeatable", "maxTokens", "tenant", "kv_transfer_params"});
+  if (!read) return read.error();
+  const auto& body = read.value();
+  CallerOrder order;
+  auto route = textField(body, "route");
+  if (!route) return route.error();
+  order.route = route.value();
+  auto model = textField(body, "model");
+  if (!model) return model.error();
+  order.model = model.value();
+  auto parts = textsField(body, "parts");
+  if (!parts) return parts.error();
+  if (parts.value().empty()) return fault(Code::badField, "parts", "must not be empty");
+  order.parts = parts.value();
+  auto repeatable = flagField(body, "repeatable", false);
+  if (!repeatable) return repeatable.error();
+  order.repeatable = repeatable.value();
+  auto tokens = numberField(body, "maxTokens", 16, 1, 4096);
+  if (!tokens) return tokens.error();
+  order.maxTokens = static_cast<int>(tokens.value());
+  if (body.count("tenant")) {
+    auto tenant = textField(body, "tenant");
+    if (!tenant) return tenant.error();
+    order.tenant = tenant.value();
+  }
+  if (auto params = body.find("kv_transfer_params"); params != body.end()) {
+    if (!params->second.is<JsonObject>()) return fault(Code::badField, "kv_transfer_params", "must be an object");
+    for (const auto& [name, value] : params->second.get<JsonObject>()) {
+      order.modes.push_back(name);
+      if (!value.is<JsonObject>()) return fault(Code::badField, "kv_transfer_params." + name, "must be an object");
+      auto id = textField(value.get<JsonObject>(), "kv_request_id", "kv_transfer_params." + name);
+      if (!id) return id.error();
+    }
+    order.params = params->second.serialize();
+  }
+  return order;
+}
+
+std::string writeVerdict(const CallerVerdict& verdict) {
+  JsonObject body;
+  body["verdict"] = Json(verdict.verdict);
+  body["orderId"] = Json(verdict.orderId);
+  body["code"] = number(verdict.code);
+  body["name"] = Json(std::string(codeName(static_cast<Code>(verdict.code))));
+  body["text"] = Json(verdict.text);
+  if (!verdict.subject.empty()) body["field"] = Json(verdict.subject);
+  if (verdict.retryAfterMs) body["retryAfterMs"] = number(verdict.retryAfterMs);
+  body["tries"] = number(verdict.tries);
+  if (!verdict.worker.empty()) {
+    body["worker"] = Json(verdict.worker);
+    JsonObject blocks;
+    blocks["local"] = number(verdict.local);
+    blocks["fetched"] = number(verdict.fetched);
+    blocks["computed"] = number(verdict.computed);
+    body["blocks"] = Json(blocks);
+  }
+  return Json(body).serialize();
+}
+std::string writeChunk(const CallerChunk& chunk) {
+  JsonObject body;
+  body["text"] = Json(chunk.text);
+  return Json(body).serialize();
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/core.cpp
@@ -0,0 +1,393 @@
+#include "core.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr Span helloEvery = 300ms;
+constexpr Span joinEvery = 1s;
+constexpr Span platformEvery = 300ms;
+constexpr Span agentKept = 2s;
+constexpr Span followerKept = 1s;
+constexpr Span agentsWait = 400ms;
+constexpr Span operatorWait = 6s;
+constexpr Span passAgain = 700ms;
+constexpr Span stallAfter = 800ms;
+constexpr std::size_t mostAsked = 1024;
+constexpr std::size_t rootRanks = 4;
+}  // namespace
+
+Strings drawWatch(const std::string& agent, const Strings& fellows, std::size_t most) {
+  std::uint64_t ownRank = rendezvous("rank", agent);
+  std::vector<std::pair<std::uint64_t, std::string>> lower;
+  std::size_t below = 0;
+  for (const auto& fellow : fellows) {
+    if (fellow == agent || rendezvous("rank", fellow) >= ownRank) continue;
+    ++below;
+    lower.emplace_back(rendezvous(agent, fellow), fellow);
+  }
+  if (below < rootRanks) return {};
+  std::sort(lower.rbegin(), lower.rend());
+  Strings drawn;
+  for (std::size_t at = 0; at < lower.size() && at < most; ++at) drawn.push_back(lower[at].second);
+  return drawn;
+}
+
+Core::Core(CoreProps coreProps, const Recovered& recovered, std::mt19937_64& dice, Moment now)
+    : props(std::move(coreProps)), startedAt(now) {
+  std::string id = recovered.identity;
+  if (id.empty()) {
+    char mark[20];
+    std::snprintf(mark, sizeof mark, "%08x", static_cast<unsigned>(dice()));
+    id = props.name + "-" + mark;
+  } else {
+    idSynced = true;
+  }
+  self = Member{id, props.name, props.address, props.locality, true};
+  accord = std::make_unique<Accord>(self, props.recordRoom);
+  accord->restore(recovered, now);
+  for (const auto& locality : props.localities) cellFor(locality);
+  for (const auto& [duty, vote] : recovered.votes)
+    if (duty.rfind("cell/", 0) == 0) cellFor(duty.substr(5)).ballot.restore(vote, now);
+  accord->entryApplied = [this](Desk& desk, const Entry& entry) {
+    desk.note("applied", self.id, static_cast<std::int64_t>(entry.index));
+    if (entry.kind == static_cast<int>(EntryKind::whole)) return;
+    spread(desk, NewsMsg{accord->commit(), {entry}, {}});
+  };
+  accord->membersChanged = [this](Desk&) {
+    for (auto& [locality, cell] : cells) cell->ballot.setVoters(accord->members());
+  };
+}
+
+Cell& Core::cellFor(const std::string& locality) {
+  auto& cell = cells[locality];
+  if (!cell) {
+    cell = std::make_unique<Cell>(locality, self, locality == props.locality);
+    cell->ballot.restore(Vote{}, startedAt);
+    cell->ballot.setVoters(accord->members());
+    cell->setMachines(marks.machines);
+    cell->publish = [this](Desk& desk, const CellNews& news) { keepNews(desk, news, true); };
+  }
+  return *cell;
+}
+
+void Core::spread(Desk& desk, const Message& message) {
+  for (const auto& [address, at] : followers)
+    if (desk.now - at < followerKept) desk.send(address, message);
+}
+
+void Core::keepNews(Desk& desk, const CellNews& news, bool own) {
+  auto& kept = lastNews[news.locality];
+  if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence)) return;
+  kept = news;
+  spread(desk, news);
+  if (!own) return;
+  for (const auto& member : accord->members())
+    if (member.id != self.id) desk.send(member.address, news);
+}
+
+void Core::seekFleet(Desk& desk) {
+  if (!idSynced) {
+    if (idSavedAt == Moment{}) {
+      idSavedAt = desk.now;
+      desk.save(identityRecord(self.id), [this](Desk&) { idSynced = true; });
+    }
+    return;
+  }
+  bool member = false;
+  for (const auto& row : accord->members()) member = member || (row.id == self.id && row.address == self.address);
+  if (accord->formed() && member) return;
+  if (desk.now - helloAt >= helloEvery) {
+    helloAt = desk.now;
+    for (const auto& seed : props.seeds)
+      if (seed != self.address) desk.send(seed, HelloAsk{self, accord->formed()});
+    considerForming(desk);
+  }
+  if (desk.now - joinAt < joinEvery) return;
+  joinAt = desk.now;
+  std::set<std::string> told;
+  for (const auto& [seed, hello] : hellos)
+    for (const auto& row : hello.members) told.insert(row.address);
+  for (const auto& row : accord->members()) told.insert(row.address);
+  told.erase(self.address);
+  for (const auto& address : told) desk.send(address, JoinAsk{self});
+}
+
+void Core::considerForming(Desk& desk) {
+  if (accord->formed()) return;
+  std::vector<Member> first{self};
+  for (const auto& seed : props.seeds) {
+    if (seed == self.address) continue;
+    auto found = hellos.find(seed);
+    if (found == hellos.end() || found->second.formed) return;
+    first.push_back(found->second.self);
+  }
+  std::sort(first.begin(), first.end(), [](const Member& one, const Member& other) { return one.id < other.id; });
+  // The lowest id forms the fleet; the rest follow its word, so there is one list only.
+  if (first.front().id != self.id) return;
+  for (const auto& row : first)
+    if (row.id != self.id) desk.send(row.address, FormMsg{first});
+  accord->form(desk, first);
+}
+
+Strings Core::watchFor(const std::string& agent, Moment now) const {
+  Strings fellows;
+  for (const auto& [address, row] : agents)
+    if (now - row.at < agentKept) fellows.push_back(address);
+  return drawWatch(agent, fellows, 3);
+}
+
+void Core::onEnds(Desk& desk, const std::string& from, const EndsAsk& ask) {
+  agents[from] = AgentRow{ask.agent, ask.locality, ask.applied, ask.fresh, desk.now};
+  for (const auto& mark : ask.cells)
+    if (auto cell = cells.find(mark.locality); cell != cells.end()) cell->second->agentHas(from, mark, desk.now);
+  if (!accord->formed()) return;
+  // Where a speaker for the term looks behind its lease, it still tells the truth about what it has committed.
+  desk.send(from, EndsReply{ask.askId, self.id, accord->ballot.term(), accord->speaksForTerm(), accord->syncedEnd(),
+                            accord->commit(), accord->members(), watchFor(from, desk.now)});
+}
+
+void Core::onNewsAsk(Desk& desk, const std::string& from, const NewsAsk& ask) {
+  followers[from] = desk.now;
+  auto news = accord->newsAfter(ask.applied);
+  desk.send(from, news);
+  std::map<std::string, CellMark> marksByLocality;
+  for (const auto& mark : ask.cells) marksByLocality[mark.locality] = mark;
+  for (const auto& [locality, kept] : lastNews) {
+    auto found = marksByLocality.find(locality);
+    if (found == marksByLocality.end() ||
+        std::make_pair(found->second.term, found->second.sequence) < std::make_pair(kept.term, kept.sequence))
+      desk.send(from, kept);
+  }
+  if (marks.stamp) desk.send(from, marks);
+}
+
+void Core::onOperator(Desk& desk, const std::string& from, const OperatorAsk& ask) {
+  if (asked.size() >= mostAsked) {
+    desk.send(from, OperatorReply{ask.askId, static_cast<int>(Code::changesFull), "changes",
+                                  codeText(Code::changesFull), 0, 0});
+    return;
+  }
+  Asked row;
+  row.from = from;
+  row.askId = ask.askId;
+  row.at = desk.now;
+  row.ask = ask;
+  // A change without an id of its own gets one, so that passing it on again cannot take it twice.
+  if (row.ask.changeId.empty()) row.ask.changeId = self.id + "/" + std::to_string(startedAt.time_since_epoch().count()) + "/" + std::to_string(++askCount);
+  asked[self.id + "/" + std::to_string(++askCount)] = row;
+  settleAsked(desk);
+}
+
+void Core::onChangeReply(Desk& desk, const ChangeReply& reply) {
+  auto found = asked.find(reply.askId);
+  if (found == asked.end()) return;
+  auto& row = found->second;
+  auto code = static_cast<Code>(reply.code);
+  if (code == Code::changeTaken) {
+    if (!row.agreed) row.agreedAt = desk.now;
+    row.agreed = true;
+    row.revision = reply.revision;
+    row.index = reply.index;
+    settleAsked(desk);
+    return;
+  }
+  // Without a leader the change is passed on again until the wait is over; its changeId makes that safe.
+  if (code == Code::notLeading || code == Code::changeUnsure) return;
+  desk.send(row.from, OperatorReply{row.askId, reply.code, reply.subject, reply.text, reply.revision, 0});
+  asked.erase(found);
+}
+
+void Core::settleAsked(Desk& desk) {
+  for (auto row = asked.begin(); row != asked.end();) {
+    auto& ask = row->second;
+    if (ask.agreed) {
+      std::uint64_t reached = 0, all = 0;
+      for (const auto& [address, agent] : agents) {
+        if (desk.now - agent.at > agentKept) continue;
+        ++all;
+        reached += agent.applied >= ask.index;
+      }
+      if (reached == all || desk.now - ask.agreedAt >= agentsWait) {
+        desk.note("change acked", ask.ask.changeId, static_cast<std::int64_t>(ask.index));
+        desk.send(ask.from, OperatorReply{ask.askId, static_cast<int>(Code::changeTaken), {},
+                                          codeText(Code::changeTaken), ask.revision, reached});
+        row = asked.erase(row);
+        continue;
+      }
+    } else if (desk.now - ask.at >= operatorWait) {
+      Code code = ask.sentAt == Moment{} ? Code::notLeading : Code::changeUnsure;
+      desk.send(ask.from, OperatorReply{ask.askId, static_cast<int>(code), "accord", codeText(code), 0, 0});
+      row = asked.erase(row);
+      continue;
+    } else if (ask.sentAt == Moment{} || desk.now - ask.sentAt >= passAgain) {
+      ChangeAsk change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId};
+      if (accord->leads(desk.now)) {
+        ask.sentAt = desk.now;
+        desk.send(self.address, change);
+      } else if (auto leader = accord->leaderAddress(); !leader.empty() && leader != self.address) {
+        ask.sentAt = desk.now;
+        desk.send(leader, change);
+      }
+    }
+    ++row;
+  }
+}
+
+void Core::tick(Desk& desk) {
+  seekFleet(desk);
+  bool stalled = diskWait > stallAfter;
+  if (stalled != diskStalled) {
+    diskStalled = stalled;
+    desk.note(stalled ? "disk stalled" : "disk well", self.id, inMs(diskWait));
+  }
+  accord->ballot.mayStand = !diskStalled;
+  for (auto& [locality, cell] : cells) cell->ballot.mayStand = !diskStalled;
+  accord->tick(desk);
+  for (auto& [locality, cell] : cells) cell->tick(desk, accord->blueprint());
+  if (!props.platformAddress.empty() && desk.now - platformAt >= platformEvery) {
+    platformAt = desk.now;
+    desk.send(props.platformAddress, MachinesAsk{marks.stamp});
+  }
+  settleAsked(desk);
+  for (auto row = agents.begin(); row != agents.end();)
+    row = desk.now - row->second.at > 10s ? agents.erase(row) : std::next(row);
+  for (auto row = followers.begin(); row != followers.end();)
+    row = desk.now - row->second > followerKept ? followers.erase(row) : std::next(row);
+}
+
+void Core::take(Desk& desk, const std::string& from, const Message& message) {
+  if (auto* ask = std::get_if<EndsAsk>(&message)) {
+    onEnds(desk, from, *ask);
+  } else if (auto* news = std::get_if<NewsAsk>(&message)) {
+    onNewsAsk(desk, from, *news);
+  } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
+    keepNews(desk, *cellNews, false);
+  } else if (std::holds_alternative<HelloAsk>(message)) {
+    if (idSynced || accord->formed())
+      desk.send(from, HelloReply{self, accord->formed(), accord->members()});
+  } else if (auto* reply = std::get_if<HelloReply>(&message)) {
+    hellos[from] = *reply;
+  } else if (auto* form = std::get_if<FormMsg>(&message)) {
+    for (const auto& row : form->members)
+      if (row.id == self.id && idSynced) accord->form(desk, form->members);
+  } else if (auto* join = std::get_if<JoinAsk>(&message)) {
+    auto leader = accord->leaderAddress();
+    if (accord->leads(desk.now))
+      accord->take(desk, from, message);
+    else if (!leader.empty() && leader != self.address && from == join->self.address)
+      desk.send(leader, message);
+  } else if (auto* machines = std::get_if<MachinesReply>(&message)) {
+    if (machines->stamp <= marks.stamp) return;
+    marks = MarksMsg{machines->stamp, self.id, machines->machines};
+    for (const auto& machine : marks.machines) cellFor(machine.locality);
+    for (auto& [locality, cell] : cells) cell->setMachines(marks.machines);
+    spread(desk, marks);
+    desk.note("machines", self.id, static_cast<std::int64_t>(marks.stamp));
+  } else if (auto* operatorAsk = std::get_if<OperatorAsk>(&message)) {
+    onOperator(desk, from, *operatorAsk);
+  } else if (auto* change = std::get_if<ChangeAsk>(&message)) {
+    accord->takeChange(desk, from, *change);
+  } else if (auto* changeReply = std::get_if<ChangeReply>(&message)) {
+    onChangeReply(desk, *changeReply);
+  } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
+    if (auto cell = cells.find(lookup->locality); cell != cells.end()) cell->second->take(desk, from, message);
+  } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
+    if (auto cell = cells.find(watch->locality); cell != cells.end()) cell->second->take(desk, from, message);
+  } else if (auto* report = std::get_if<Report>(&message)) {
+    for (auto& [locality, cell] : cells)
+      if (cell->keepers().count(report->worker)) cell->take(desk, from, message);
+  } else if (auto* control = std::get_if<ControlReply>(&message)) {
+    for (auto& [locality, cell] : cells)
+      if (cell->keepers().count(control->worker)) cell->take(desk, from, message);
+  } else {
+    auto duty = std::visit(
+        [](const auto& value) -> std::string {
+          using T = std::decay_t<decltype(value)>;
+          if constexpr (std::is_same_v<T, BallotAsk> || std::is_same_v<T, BallotReply> || std::is_same_v<T, HoldMsg> ||
+                        std::is_same_v<T, HoldReply>)
+            return value.duty;
+          else
+            return "accord";
+        },
+        message);
+    if (duty == "accord")
+      accord->take(desk, from, message);
+    else if (duty.rfind("cell/", 0) == 0 && (cells.size() < 256 || cells.count(duty.substr(5))))
+      cellFor(duty.substr(5)).take(desk, from, message);
+  }
+}
+
+void Core::resign(Desk& desk) {
+  for (auto& [locality, cell] : cells) cell->ballot.resign(desk);
+  accord->ballot.resign(desk);
+}
+
+std::string Core::condition(Moment now) const {
+  JsonObject whole;
+  whole["core"] = Json(self.id);
+  whole["locality"] = Json(self.locality);
+  whole["formed"] = Json(accord->formed());
+  whole["diskStalled"] = Json(diskStalled);
+  whole["revision"] = jsonNumber(static_cast<double>(accord->blueprint().revision()));
+  whole["commit"] = jsonNumber(static_cast<double>(accord->commit()));
+  whole["logEnd"] = jsonNumber(static_cast<double>(accord->logEnd()));
+  whole["pendingChanges"] = jsonNumber(static_cast<double>(accord->pendingChanges() + asked.size()));
+  JsonArray memberRows;
+  for (const auto& member : accord->members()) {
+    JsonObject row;
+    row["id"] = Json(member.id);
+    row["address"] = Json(member.address);
+    row["locality"] = Json(member.locality);
+    row["votes"] = Json(member.votes);
+    memberRows.push_back(Json(row));
+  }
+  whole["members"] = Json(memberRows);
+  JsonObject duties;
+  auto duty = [&](const Ballot& ballot) {
+    JsonObject row;
+    row["term"] = jsonNumber(static_cast<double>(ballot.term()));
+    row["holder"] = Json(ballot.holder());
+    row["here"] = Json(ballot.holds(now));
+    duties[ballot.duty()] = Json(row);
+  };
+  duty(accord->ballot);
+  JsonObject workers;
+  for (const auto& [locality, cell] : cells) {
+    duty(cell->ballot);
+    if (!cell->ballot.holds(now)) continue;
+    for (const auto& [name, keeper] : cell->keepers()) {
+      JsonObject row;
+      row["locality"] = Json(locality);
+      row["kind"] = Json(keeper.machine.kind);
+      row["weights"] = Json(keeper.last.weights);
+      row["model"] = Json(keeper.last.model);
+      row["running"] = jsonNumber(keeper.last.running);
+      row["leaving"] = Json(keeper.machine.leaving);
+      row["indexConfirmed"] = Json(keeper.confirmed);
+      row["kept"] = jsonNumber(static_cast<double>(keeper.kept.size()));
+      row["reportAgeMs"] = jsonNumber(keeper.known ? static_cast<double>(inMs(now - keeper.heardAt)) : -1);
+      row["rollout"] = Json(cell->rolloutState(name));
+      workers[name] = Json(row);
+    }
+  }
+  whole["duties"] = Json(duties);
+  whole["workers"] = Json(workers);
+  JsonObject agentRows;
+  for (const auto& [address, agent] : agents) {
+    JsonObject row;
+    row["address"] = Json(address);
+    row["locality"] = Json(agent.locality);
+    row["applied"] = jsonNumber(static_cast<double>(agent.applied));
+    row["fresh"] = Json(agent.fresh);
+    row["heardMs"] = jsonNumber(static_cast<double>(inMs(now - agent.at)));
+    agentRows[agent.id] = Json(row);
+  }
+  whole["agents"] = Json(agentRows);
+  JsonObject counters;
+  for (const auto& [kind, count] : journal.counts()) counters[kind] = jsonNumber(static_cast<double>(count));
+  whole["counters"] = Json(counters);
+  return Json(whole).serialize(true);
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/desk.cpp
@@ -0,0 +1,80 @@
+#include "desk.hpp"
+
+#include <cstring>
+
+namespace tt {
+
+void Journal::append(Moment at, std::string kind, std::string subject, std::int64_t number) {
+  rows.push_back(Event{at, std::move(kind), std::move(subject), number});
+  ++countRows[rows.back().kind];
+  Event copy = rows.back();
+  if (rows.size() > 2048) rows.pop_front();
+  appended(copy);
+}
+
+namespace {
+std::string packVote(const std::string& duty, const Vote& vote) {
+  Entry row;
+  row.term = vote.term;
+  row.changeId = duty;
+  row.body = vote.votedFor;
+  return encodeEntry(row);
+}
+}  // namespace
+
+Record identityRecord(const std::string& id) { return {RecordKind::identity, id}; }
+Record voteRecord(const std::string& duty, const Vote& vote) { return {RecordKind::vote, packVote(duty, vote)}; }
+Record entryRecord(const Entry& entry) { return {RecordKind::entry, encodeEntry(entry)}; }
+Record cutRecord(std::uint64_t firstGone) { return {RecordKind::cut, std::to_string(firstGone)}; }
+Record captureRecord(const Capture& capture) { return {RecordKind::capture, encodeCapture(capture)}; }
+
+bool Recovered::fold(const Record& record) {
+  switch (record.kind) {
+    case RecordKind::identity:
+      identity = record.bytes;
+      return true;
+    case RecordKind::vote: {
+      auto row = decodeEntry(record.bytes);
+      if (!row) return false;
+      votes[row.value().changeId] = Vote{row.value().term, row.value().body};
+      return true;
+    }
+    case RecordKind::entry: {
+      auto row = decodeEntry(record.bytes);
+      if (!row) return false;
+      auto& entry = row.value();
+      while (!entries.empty() && entries.back().index >= entry.index) entries.pop_back();
+      entries.push_back(std::move(entry));
+      return true;
+    }
+    case RecordKind::cut: {
+      std::uint64_t firstGone = std::strtoull(record.bytes.c_str(), nullptr, 10);
+      while (!entries.empty() && entries.back().index >= firstGone) entries.pop_back();
+      return true;
+    }
+    case RecordKind::capture: {
+      auto made = decodeCapture(record.bytes);
+      if (!made) return false;
+      capture = std::move(made).value();
+      std::vector<Entry> kept;
+      for (auto& entry : entries)
+        if (entry.index > capture->index) kept.push_back(std::move(entry));
+      entries = std::move(kept);
+      return true;
+    }
+    case RecordKind::checkpointEnd:
+      return true;
+  }
+  return false;
+}
+
+std::vector<Record> Recovered::records() const {
+  std::vector<Record> rows;
+  rows.push_back(identityRecord(identity));
+  for (const auto& [duty, vote] : votes) rows.push_back(voteRecord(duty, vote));
+  if (capture) rows.push_back(captureRecord(*capture));
+  for (const auto& entry : entries) rows.push_back(entryRecord(entry));
+  return rows;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/edge.cpp
@@ -0,0 +1,586 @@
+#include "edge.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr Span feedEvery = 100ms;
+constexpr Span lookupWait = 200ms;
+constexpr Span shunFor = 2s;
+constexpr Span staleMost = 2500ms;
+constexpr double unmeasuredSpeed = 1000;
+constexpr double retryShare = 0.1;
+constexpr double retryMost = 10;
+constexpr int mostTries = 3;
+constexpr std::size_t leastGain = 4;
+}  // namespace
+
+Result<void> checkModes(const Strings& modes) {
+  std::set<std::string> given(modes.begin(), modes.end());
+  for (const auto& mode : given)
+    if (mode != "remote_decoder" && mode != "remote_prefiller" && mode != "remote_kv_source")
+      return fault(Code::unknownField, "kv_transfer_params." + mode);
+  if (given.count("remote_prefiller") && given.size() > 1)
+    return fault(Code::badMode, "kv_transfer_params",
+                 given.count("remote_kv_source") ? "two fetch sources for one order"
+                                                 : "a prefill source together with a decode target");
+  return boost::outcome_v2::success();
+}
+
+std::size_t prefixHits(const std::vector<int>& hits) {
+  std::size_t count = 0;
+  while (count < hits.size() && hits[count] == 1) ++count;
+  return count;
+}
+
+const Edge::Deeds& Edge::deeds() {
+  static const Deeds table{{"sendOrder", &Edge::sendOrder},     {"sendLookup", &Edge::sendLookup},
+                           {"sendMove", &Edge::sendMove},       {"dropMove", &Edge::dropMove},
+                           {"freeWorker", &Edge::freeWorker},   {"passChunk", &Edge::passChunk},
+                           {"endDone", &Edge::endDone},         {"endFailed", &Edge::endFailed},
+                           {"endBroken", &Edge::endBroken},     {"endSilent", &Edge::endSilent},
+                           {"endRevoked", &Edge::endRevoked},   {"denyLate", &Edge::denyLate},
+                           {"denyKey", &Edge::denyKey},         {"dropOrder", &Edge::dropOrder},
+                           {"weighUnsent", &Edge::weighUnsent}, {"weighBroken", &Edge::weighBroken},
+                           {"redraw", &Edge::redraw}};
+  return table;
+}
+
+Edge::Edge(EdgeProps edgeProps) : props(std::move(edgeProps)) {}
+
+bool Edge::fresh(Moment now) const { return now < freshUntil && view.index() >= needed; }
+
+const WorkerView* Edge::workerView(const std::string& name) const {
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers)
+      if (worker.name == name) return &worker;
+  return nullptr;
+}
+
+int Edge::busyOf(const WorkerView& worker) const {
+  auto local = locals.find(worker.name);
+  if (local == locals.end()) return worker.running;
+  return std::max(local->second.open, worker.running + local->second.sentSinceNews);
+}
+
+double Edge::linkSpeed(const std::string& source, const std::string& target) const {
+  for (const auto& [locality, news] : cells)
+    for (const auto& link : news.links)
+      if (link.source == source && link.target == target) return link.blocksPerSecond;
+  return unmeasuredSpeed;
+}
+
+bool Edge::spendRetry() {
+  if (retryTokens < 1) return false;
+  retryTokens -= 1;
+  return true;
+}
+
+void Edge::verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject) {
+  CallerVerdict said;
+  said.orderId = order.ask.orderId;
+  said.verdict = word;
+  said.code = static_cast<int>(code);
+  said.subject = subject;
+  said.text = codeText(code);
+  if (word == "not run")
+    said.retryAfterMs = code == Code::keyDenied || code == Code::keyRevoked ? 0 : 300 + static_cast<int>(desk.roll(700));
+  said.tries = order.tries;
+  // What the move brought over lies in the worker by now and is counted there as its own.
+  int moved = std::min(order.end.local, order.movedBlocks);
+  said.local = order.end.local - moved;
+  said.fetched = order.end.fetched + moved;
+  said.computed = order.end.computed;
+  said.worker = order.plan.worker;
+  desk.note("verdict " + word, order.ask.orderId, static_cast<int>(code));
+  desk.send("caller", said);
+}
+
+// "Not run" is only ever said of an order of which no try may have run.
+void Edge::denyOrUnknown(Desk& desk, Order& order, Code code, const std::string& subject) {
+  verdict(desk, order, order.mayHaveRun ? "unknown" : "not run", code, subject);
+}
+
+void Edge::admit(Desk& desk, const CallerOrder& ask) {
+  auto order = std::make_unique<Order>();
+  order->ask = ask;
+  order->takenAt = desk.now;
+  auto deny = [&](Code code, const std::string& subject = {}, const std::string& text = {}) {
+    CallerVerdict said;
+    said.orderId = ask.orderId;
+    said.verdict = "not run";
+    said.code = static_cast<int>(code);
+    said.subject = subject;
+    said.text = text.empty() ? codeText(code) : text;
+    if (codeStatus(code) == 503) said.retryAfterMs = 300 + static_cast<int>(desk.roll(700));
+    desk.note("denied", ask.orderId, static_cast<int>(code));
+    desk.send("caller", said);
+  };
+  if (stopping) return deny(Code::stopping);
+  if (!fresh(desk.now)) return deny(Code::staleEdge);
+  order->keyHash = sha256Hex(ask.key);
+  auto key = view.findKey(order->keyHash);
+  if (!key) return deny(Code::keyDenied, "authorization");
+  order->tenant = key->tenant;
+  auto route = view.findRoute(ask.route);
+  if (!route) return deny(Code::unknownRoute, "route");
+  if (!view.knowsModel(ask.model)) return deny(Code::unknownModel, "model");
+  if (route->model != ask.model) return deny(Code::badField, "model", "this route serves model " + route->model);
+  if (!route->tenants.empty() && !route->tenants.count(order->tenant)) return deny(Code::unknownTenant, "route");
+  if (!ask.tenant.empty() && ask.tenant != order->tenant) return deny(Code::unknownTenant, "tenant");
+  if (auto modes = checkModes(ask.modes); !modes) return deny(modes.error().code, modes.error().subject, modes.error().text);
+  if (pending.size() >= props.pendingMost) return deny(Code::pendingFull, "pending");
+  order->route = *route;
+  order->policy = view.policyOf(route->policy);
+  order->walk = std::make_unique<ChartWalk<Edge, Desk&, Order&>>("order", deeds(), "pending");
+  retryTokens = std::min(retryMost, retryTokens + retryShare);
+  desk.note("admitted", ask.orderId);
+  orders[ask.orderId] = std::move(order);
+  pending.push_back(ask.orderId);
+  servePending(desk);
+}
+
+bool Edge::drawWorker(Desk& desk, Order& order) {
+  struct Choice {
+    const WorkerView* worker;
+    std::size_t hits;
+    double cost;
+    Hashes hashes;
+    std::string salt;
+  };
+  std::vector<const WorkerView*> able;
+  std::string kind = order.route.app ? "app" : "language";
+  bool anyAlive = false;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers) {
+      if (worker.kind != kind || !worker.alive || worker.held || leaving.count(worker.name)) continue;
+      if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty())) continue;
+      anyAlive = true;
+      if (order.tried.count(worker.name)) continue;
+      if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
+      if (busyOf(worker) >= worker.slots) continue;
+      able.push_back(&worker);
+    }
+  order.lastCode = anyAlive ? Code::pendingFull : Code::noWorker;
+  if (able.empty()) return false;
+  std::shuffle(able.begin(), able.end(), desk.dice);
+  // Proxies see the same late reports, so each looks at a random half: no worker is everybody's first draw.
+  if (able.size() > 4) able.resize((able.size() + 1) / 2);
+  std::map<std::string, std::pair<std::string, Hashes>> byWeights;
+  std::string domain = view.domainOf(order.tenant);
+  std::optional<Choice> best;
+  for (const auto* worker : able) {
+    Choice choice{worker, 0, 0, {}, {}};
+    if (!order.route.app) {
+      auto& hashed = byWeights[worker->weights];
+      if (hashed.first.empty()) {
+        hashed.first = cacheSalt(order.ask.model, worker->weights, domain);
+        hashed.second = hashPrompt(order.ask.parts, hashed.first);
+      }
+      if (worker->confirmed)
+        while (choice.hits < hashed.second.size() && Summary::mayHold(worker->summary, hashed.second[choice.hits]))
+          ++choice.hits;
+      choice.cost = static_cast<double>(hashed.second.size() - choice.hits) * props.blockMs;
+    }
+    double busyness = worker->slots > 0 ? static_cast<double>(busyOf(*worker)) / worker->slots : 1;
+    choice.cost += busyness * busyness * 800 + busyness * 100 + static_cast<double>(desk.roll(20));
+    if (worker->locality != props.locality) choice.cost += 5;
+    if (!best || choice.cost < best->cost) best = std::move(choice);
+  }
+  Plan plan;
+  plan.worker = best->worker->name;
+  plan.address = best->worker->address;
+  plan.locality = best->worker->locality;
+  plan.model = order.ask.model;
+  plan.localHits = best->hits;
+  if (!order.route.app) {
+    plan.weights = best->worker->weights;
+    plan.salt = byWeights[plan.weights].first;
+    plan.hashes = byWeights[plan.weights].second;
+  }
+  order.plan = std::move(plan);
+  auto& local = locals[order.plan.worker];
+  ++local.open;
+  ++local.sentSinceNews;
+  order.counted = true;
+  return true;
+}
+
+void Edge::drawSources(Order& order) {
+  auto& plan = order.plan;
+  plan.candidates.clear();
+  bool namesSource = false;
+  for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
+  if (!props.fetching || order.route.app || namesSource || order.tries > 0) return;
+  std::optional<Plan::Candidate> bestPeer, bestStore;
+  for (const auto& [locality, news] : cells)
+    for (const auto& keeper : news.workers) {
+      bool store = keeper.kind == "store";
+      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held || leaving.count(keeper.name))
+        continue;
+      if (!store && (keeper.kind != "language" || keeper.weights != plan.weights)) continue;
+      Plan::Candidate candidate{keeper.name, keeper.address, keeper.locality, store, 0, 0, linkSpeed(keeper.name, plan.worker)};
+      while (candidate.guessedHits < plan.hashes.size() &&
+             Summary::mayHold(keeper.summary, plan.hashes[candidate.guessedHits]))
+        ++candidate.guessedHits;
+      if (candidate.guessedHits < plan.localHits + leastGain) continue;
+      candidate.busyness = keeper.slots > 0 ? static_cast<double>(busyOf(keeper)) / keeper.slots : 0;
+      FetchFacts facts{store, static_cast<double>(candidate.guessedHits), candidate.speed, candidate.busyness};
+      if (!order.policy.fetches(facts)) continue;
+      auto& best = store ? bestStore : bestPeer;
+      if (!best || candidate.guessedHits > best->guessedHits ||
+          (candidate.guessedHits == best->guessedHits && candidate.busyness < best->busyness))
+        best = candidate;
+    }
+  if (bestPeer) plan.candidates.push_back(*bestPeer);
+  if (bestStore) plan.candidates.push_back(*bestStore);
+}
+
+void Edge::servePending(Desk& desk) {
+  std::size_t rounds = pending.size();
+  for (std::size_t at = 0; at < rounds && !pending.empty(); ++at) {
+    std::string orderId = pending.front();
+    pending.pop_front();
+    auto found = orders.find(orderId);
+    if (found == orders.end() || !found->second->walk->in("pending")) continue;
+    auto& order = *found->second;
+    if (desk.now - order.takenAt >= props.pendingWait || !fresh(desk.now) || stopping) {
+      if (!fresh(desk.now)) order.lastCode = Code::staleEdge;
+      happen(desk, orderId, "late");
+      continue;
+    }
+    if (!drawWorker(desk, order)) {
+      // Nobody is left to try: the verdict goes out now rather than at the wait's end.
+      if (order.lastCode == Code::noWorker && desk.now - order.takenAt > 500ms) {
+        happen(desk, orderId, "late");
+        continue;
+      }
+      pending.push_back(orderId);
+      continue;
+    }
+    drawSources(order);
+    happen(desk, orderId, order.plan.candidates.empty() ? "drawn" : "wantMove");
+  }
+}
+
+void Edge::happen(Desk& desk, const std::string& orderId, const std::string& event) {
+  auto found = orders.find(orderId);
+  if (found == orders.end()) return;
+  auto& order = *found->second;
+  order.walk->happen(*this, event, desk, order);
+  if (order.walk->in("again")) order.walk->happen(*this, order.retryAsked ? "retry" : "giveUp", desk, order);
+  if (!order.walk->in("ended")) return;
+  freeWorker(desk, order);
+  orderBySend.erase(order.sendId);
+  orders.erase(orderId);
+}
+
+void Edge::freeWorker(Desk&, Order& order) {
+  if (!order.counted) return;
+  order.counted = false;
+  auto& local = locals[order.plan.worker];
+  if (local.open > 0) --local.open;
+}
+
+void Edge::sendOrder(Desk& desk, Order& order) {
+  ++order.tries;
+  order.sendId = order.ask.orderId + "." + std::to_string(order.tries);
+  order.heardAt = desk.now;
+  orderBySend[order.sendId] = order.ask.orderId;
+  desk.note("order sent", order.sendId);
+  desk.send(order.plan.address,
+            WorkerOrder{order.sendId, order.plan.model, order.plan.weights, order.plan.salt, order.ask.parts,
+                        order.plan.hashes, order.ask.maxTokens, false, {}, {}, order.tenant, order.route.app,
+                        order.ask.params});
+}
+
+void Edge::sendLookup(Desk& desk, Order& order) {
+  order.lookupAt = desk.now;
+  order.replies.clear();
+  for (const auto& candidate : order.plan.candidates) {
+    std::string lookupId = props.name + "/l" + std::to_string(++idCount);
+    orderByLookup[lookupId] = order.ask.orderId;
+    desk.send(props.agentAddress,
+              LookupMsg{lookupId, candidate.locality, candidate.name, order.plan.weights, order.plan.hashes, {}});
+  }
+  desk.note("lookup asked", order.ask.orderId, static_cast<std::int64_t>(order.plan.candidates.size()));
+}
+
+void Edge::settleLookup(Desk& desk, Order& order) {
+  auto& plan = order.plan;
+  // Unanswered by now means a miss; only hits that were confirmed count from here on.
+  plan.source.reset();
+  plan.confirmedHits = 0;
+  for (const auto& candidate : plan.candidates) {
+    auto reply = order.replies.find(candidate.name);
+    if (reply == order.replies.end()) continue;
+    std::size_t hits = prefixHits(reply->second);
+    FetchFacts facts{candidate.store, static_cast<double>(hits), candidate.speed, candidate.busyness};
+    if (hits < plan.localHits + leastGain || hits <= plan.confirmedHits || !order.policy.fetches(facts)) continue;
+    plan.source = candidate;
+    plan.confirmedHits = hits;
+  }
+  for (auto row = orderByLookup.begin(); row != orderByLookup.end();)
+    row = row->second == order.ask.orderId ? orderByLookup.erase(row) : std::next(row);
+  if (!fresh(desk.now)) {
+    order.lastCode = Code::staleEdge;
+    denyOrUnknown(desk, order, Code::staleEdge);
+    happen(desk, order.ask.orderId, "callerGone");
+    return;
+  }
+  happen(desk, order.ask.orderId, plan.source ? "hits" : "misses");
+}
+
+void Edge::sendMove(Desk& desk, Order& order) {
+  auto& plan = order.plan;
+  Hashes prefix(plan.hashes.begin(), plan.hashes.begin() + static_cast<std::ptrdiff_t>(plan.confirmedHits));
+  // Orders with the same prefix bound for the same worker wait for the one move.
+  std::string moveId = plan.worker + "/" + prefix.back().hex();
+  order.moveId = moveId;
+  auto [row, fresh] = moves.try_emplace(moveId);
+  row->second.orderIds.insert(order.ask.orderId);
+  if (!fresh) return;
+  auto& move = row->second;
+  move.target = plan.worker;
+  move.sendId = props.name + "/m" + std::to_string(++idCount);
+  moveBySend[move.sendId] = moveId;
+  double expectedMs = static_cast<double>(prefix.size()) / std::max(plan.source->speed, 1.0) * 1000;
+  auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(expectedMs * 3 + 300, 400.0, 1200.0)));
+  move.deadline = desk.now + wait + 50ms;
+  desk.note("move sent", move.sendId + " " + plan.source->name + " " + plan.worker, static_cast<std::int64_t>(prefix.size()));
+  desk.send(props.agentAddress, WatchMsg{move.sendId, plan.locality, plan.source->name, plan.worker, prefix, inMs(wait), {}});
+  desk.send(plan.address, WorkerOrder{move.sendId, plan.model, plan.weights, plan.salt,
+                                      cutPrompt(order.ask.parts, plan.confirmedHits), prefix, 0, true, move.sendId,
+                                      plan.source->address, order.tenant, false, {}});
+}
+
+void Edge::dropMove(Desk&, Order& order) {
+  auto move = moves.find(order.moveId);
+  if (move != moves.end()) move->second.orderIds.erase(order.ask.orderId);
+}
+
+void Edge::settleMove(Desk& desk, const std::string& moveId, bool success) {
+  auto found = moves.find(moveId);
+  if (found == moves.end()) return;
+  Move move = std::move(found->second);
+  moveBySend.erase(move.sendId);
+  moves.erase(found);
+  desk.note(success ? "moved" : "not moved", move.sendId);
+  for (const auto& orderId : move.orderIds) {
+    auto order = orders.find(orderId);
+    if (order == orders.end()) continue;
+    if (!fresh(desk.now)) {
+      denyOrUnknown(desk, *order->second, Code::staleEdge);
+      happen(desk, orderId, "callerGone");
+      continue;
+    }
+    auto& plan = order->second->plan;
+    if (success) order->second->movedBlocks = static_cast<int>(plan.confirmedHits - plan.localHits);
+    happen(desk, orderId, success ? "moved" : "notMoved");
+  }
+}
+
+void Edge::passChunk(Desk& desk, Order& order) {
+  desk.send("caller", CallerChunk{order.ask.orderId, order.chunk});
+  order.heardAt = desk.now;
+}
+
+void Edge::endDone(Desk& desk, Order& order) { verdict(desk, order, "done", Code::done); }
+void Edge::endFailed(Desk& desk, Order& order) { verdict(desk, order, "failed", Code::workerFailed, order.plan.worker); }
+void Edge::endBroken(Desk& desk, Order& order) { verdict(desk, order, "failed", Code::workerBroke, order.plan.worker); }
+void Edge::endSilent(Desk& desk, Order& order) { verdict(desk, order, "failed", Code::workerSilent, order.plan.worker); }
+void Edge::endRevoked(Desk& desk, Order& order) {
+  verdict(desk, order, "failed", order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyRevoked);
+}
+void Edge::denyLate(Desk& desk, Order& order) { denyOrUnknown(desk, order, order.lastCode); }
+void Edge::denyKey(Desk& desk, Order& order) { denyOrUnknown(desk, order, order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyDenied, "authorization"); }
+void Edge::dropOrder(Desk& desk, Order& order) { desk.send(order.plan.address, WorkerDrop{order.sendId}); }
+
+void Edge::weighUnsent(Desk& desk, Order& order) {
+  freeWorker(desk, order);
+  order.tried.insert(order.plan.worker);
+  orderBySend.erase(order.sendId);
+  order.retryAsked = order.tries < mostTries && spendRetry();
+  if (!order.retryAsked) denyOrUnknown(desk, order, order.tries < mostTries ? Code::retryBudget : Code::noWorker);
+}
+
+void Edge::weighBroken(Desk& desk, Order& order) {
+  freeWorker(desk, order);
+  order.tried.insert(order.plan.worker);
+  orderBySend.erase(order.sendId);
+  order.mayHaveRun = true;
+  order.retryAsked = order.ask.repeatable && order.tries < mostTries && spendRetry();
+  if (!order.retryAsked) verdict(desk, order, "unknown", Code::workerBroke, order.plan.worker);
+}
+
+void Edge::redraw(Desk& desk, Order& order) {
+  desk.note("retry", order.ask.orderId, order.tries);
+  order.takenAt = desk.now;
+  pending.push_front(order.ask.orderId);
+}
+
+void Edge::revokeOpen(Desk& desk) {
+  std::vector<std::string> revoked;
+  for (const auto& [orderId, order] : orders)
+    if (!view.findKey(order->keyHash)) revoked.push_back(orderId);
+  for (const auto& orderId : revoked) happen(desk, orderId, "revoked");
+}
+
+void Edge::setNews(Desk& desk) {
+  desk.note("edge applied", props.name, static_cast<std::int64_t>(view.index()));
+  revokeOpen(desk);
+  servePending(desk);
+}
+
+void Edge::tick(Desk& desk) {
+  if (desk.now - feedAt >= feedEvery) {
+    feedAt = desk.now;
+    std::vector<CellMark> rows;
+    for (const auto& [locality, news] : cells) rows.push_back(CellMark{locality, news.term, news.sequence});
+    desk.send(props.agentAddress, FeedAsk{inNs(desk.now), view.index(), rows});
+  }
+  if (fresh(desk.now))
+    staleSince = Moment{};
+  else if (staleSince == Moment{})
+    staleSince = std::max(freshUntil, std::min(desk.now, freshUntil + 1s));
+  std::vector<std::string> ids;
+  for (const auto& [orderId, order] : orders) ids.push_back(orderId);
+  bool cutOff = staleSince != Moment{} && desk.now - staleSince > staleMost;
+  for (const auto& orderId : ids) {
+    auto found = orders.find(orderId);
+    if (found == orders.end()) continue;
+    auto& order = *found->second;
+    // Cut off for this long, a key may have been revoked unseen: what still streams ends.
+    if (cutOff) {
+      order.lastCode = Code::staleEdge;
+      happen(desk, orderId, "revoked");
+      continue;
+    }
+    if (order.walk->in("lookup") && desk.now - order.lookupAt >= lookupWait)
+      settleLookup(desk, order);
+    else if (order.walk->in("sent") && desk.now - order.heardAt >= props.firstByteWait)
+      happen(desk, orderId, "silent");
+    else if (order.walk->in("streaming") && desk.now - order.heardAt >= props.chunkWait)
+      happen(desk, orderId, "silent");
+  }
+  std::vector<std::string> overdue;
+  for (const auto& [moveId, move] : moves)
+    if (desk.now >= move.deadline) overdue.push_back(moveId);
+  for (const auto& moveId : overdue) settleMove(desk, moveId, false);
+  servePending(desk);
+}
+
+void Edge::take(Desk& desk, const std::string& from, const Message& message) {
+  if (auto* ask = std::get_if<CallerOrder>(&message)) {
+    admit(desk, *ask);
+  } else if (auto* gone = std::get_if<CallerGone>(&message)) {
+    desk.note("caller gone", gone->orderId);
+    happen(desk, gone->orderId, "callerGone");
+  } else if (auto* chunk = std::get_if<WorkerChunk>(&message)) {
+    auto sent = orderBySend.find(chunk->orderId);
+    if (sent == orderBySend.end()) return;
+    std::string orderId = sent->second;
+    orders.at(orderId)->chunk = chunk->text;
+    happen(desk, orderId, "chunk");
+  } else if (auto* end = std::get_if<WorkerEnd>(&message)) {
+    auto outcome = static_cast<Outcome>(end->outcome);
+    if (auto move = moveBySend.find(end->orderId); move != moveBySend.end()) {
+      // A move that a worker carried out is done when its reports show it, not when it says so.
+      std::string moveId = move->second;
+      if (outcome != Outcome::done) settleMove(desk, moveId, false);
+      return;
+    }
+    auto sent = orderBySend.find(end->orderId);
+    if (sent == orderBySend.end()) return;
+    std::string orderId = sent->second;
+    auto& order = *orders.at(orderId);
+    order.end = *end;
+    auto& local = locals[order.plan.worker];
+    if (outcome == Outcome::brokenUnsent || outcome == Outcome::broken || outcome == Outcome::denied)
+      local.shunUntil = desk.now + (outcome == Outcome::denied ? Span(200ms) : shunFor);
+    const char* event = outcome == Outcome::done           ? "finished"
+                        : outcome == Outcome::denied       ? "denied"
+                        : outcome == Outcome::brokenUnsent ? "unsent"
+                        : outcome == Outcome::failed       ? "failed"
+                        : outcome == Outcome::silent       ? "silent"
+                                                           : "broken";
+    happen(desk, orderId, event);
+    servePending(desk);
+  } else if (from != props.agentAddress) {
+    return;
+  } else if (auto* feed = std::get_if<FeedReply>(&message)) {
+    agentHeard = desk.now;
+    if (!feed->known) return;
+    Moment until = fromNs(feed->sentAt) - Span(feed->age) + pace::freshFor;
+    if (feed->age < 0 || until <= freshUntil) return;
+    if (view.index() >= feed->needed) {
+      freshUntil = until;
+      needed = feed->needed;
+    }
+  } else if (auto* news = std::get_if<NewsMsg>(&message)) {
+    std::uint64_t before = view.index();
+    for (const auto& capture : news->captures)
+      if (capture.index > view.index()) (void)view.adopt(capture);
+    for (const auto& entry : news->entries)
+      if (entry.index == view.index() + 1) view.apply(entry);
+    if (view.index() != before) setNews(desk);
+  } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
+    auto& kept = cells[cellNews->locality];
+    if (std::make_pair(cellNews->term, cellNews->sequence) <= std::make_pair(kept.term, kept.sequence)) return;
+    kept = *cellNews;
+    for (const auto& worker : kept.workers) locals[worker.name].sentSinceNews = 0;
+    servePending(desk);
+  } else if (auto* newMarks = std::get_if<MarksMsg>(&message)) {
+    if (newMarks->stamp <= marks.stamp) return;
+    marks = *newMarks;
+    leaving.clear();
+    std::set<std::string> listed;
+    for (const auto& machine : marks.machines)
+      if (machine.leaving) leaving.insert(machine.name);
+  } else if (auto* reply = std::get_if<LookupReply>(&message)) {
+    auto row = orderByLookup.find(reply->lookupId);
+    if (row == orderByLookup.end()) return;
+    std::string orderId = row->second;
+    orderByLookup.erase(row);
+    auto found = orders.find(orderId);
+    if (found == orders.end() || !found->second->walk->in("lookup")) return;
+    auto& order = *found->second;
+    if (desk.now - order.lookupAt < lookupWait) order.replies[reply->keeper] = reply->hits;
+    if (order.replies.size() == order.plan.candidates.size()) settleLookup(desk, order);
+  } else if (auto* done = std::get_if<TransferDone>(&message)) {
+    auto move = moveBySend.find(done->moveId);
+    if (move != moveBySend.end()) settleMove(desk, std::string(move->second), done->success);
+  }
+}
+
+std::string Edge::condition(Moment now) const {
+  JsonObject whole;
+  whole["proxy"] = Json(props.name);
+  whole["fresh"] = Json(fresh(now));
+  whole["revision"] = jsonNumber(static_cast<double>(view.revision()));
+  whole["applied"] = jsonNumber(static_cast<double>(view.index()));
+  whole["orders"] = jsonNumber(static_cast<double>(orders.size()));
+  whole["pending"] = jsonNumber(static_cast<double>(pending.size()));
+  whole["retryTokens"] = jsonNumber(retryTokens);
+  JsonObject workers;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers) {
+      JsonObject row;
+      row["weights"] = Json(worker.weights);
+      row["running"] = jsonNumber(worker.running);
+      row["slots"] = jsonNumber(worker.slots);
+      row["held"] = Json(worker.held);
+      row["alive"] = Json(worker.alive);
+      row["leaving"] = Json(leaving.count(worker.name) > 0);
+      auto local = locals.find(worker.name);
+      row["open"] = jsonNumber(local == locals.end() ? 0 : local->second.open);
+      workers[worker.name] = Json(row);
+    }
+  whole["workers"] = Json(workers);
+  JsonObject counters;
+  for (const auto& [kind, count] : journal.counts()) counters[kind] = jsonNumber(static_cast<double>(count));
+  whole["counters"] = Json(counters);
+  return Json(whole).serialize(true);
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/edge.hpp
@@ -0,0 +1,133 @@
+#pragma once
+#include <deque>
+
+#include "agent.hpp"
+
+namespace tt {
+
+struct EdgeProps {
+  std::string name, address, locality, agentAddress;
+  bool fetching{true};
+  std::size_t pendingMost{64};
+  Span pendingWait{1500ms};
+  Span firstByteWait{10s};
+  Span chunkWait{5s};
+  double blockMs{4};
+};
+
+/// What a proxy means to do with an order, as data, before any of it is done.
+struct Plan {
+  std::string worker, address, locality, model, weights, salt;
+  Hashes hashes;
+  std::size_t localHits{0};
+  struct Candidate {
+    std::string name, address, locality;
+    bool store{false};
+    std::size_t guessedHits{0};
+    double busyness{0}, speed{0};
+  };
+  std::vector<Candidate> candidates;
+  std::optional<Candidate> source;
+  std::size_t confirmedHits{0};
+};
+
+/// The logic of a proxy: admits, plans and carries out orders. It speaks to callers as "caller", to its agent and to
+/// workers by address.
+class Edge : public Node {
+ public:
+  explicit Edge(EdgeProps edgeProps);
+  void take(Desk& desk, const std::string& from, const Message& message) override;
+  void tick(Desk& desk) override;
+  std::string condition(Moment now) const;
+  bool fresh(Moment now) const;
+  const Blueprint& blueprint() const { return view; }
+  std::size_t openOrders() const { return orders.size(); }
+  /// Takes no more orders; those under way go on.
+  void stop() { stopping = true; }
+
+ private:
+  struct Order {
+    CallerOrder ask;
+    std::string keyHash, tenant;
+    RouteView route;
+    Policy policy;
+    Plan plan;
+    std::string sendId, moveId;
+    std::set<std::string> tried;
+    int tries{0}, movedBlocks{0};
+    bool mayHaveRun{false}, counted{false}, retryAsked{false};
+    Moment takenAt{}, heardAt{}, lookupAt{};
+    std::map<std::string, std::vector<int>> replies;
+    Code lastCode{Code::noWorker};
+    WorkerEnd end;
+    std::string chunk;
+    std::unique_ptr<ChartWalk<Edge, Desk&, Order&>> walk;
+  };
+  struct Move {
+    std::string target, sendId;
+    std::set<std::string> orderIds;
+    Moment deadline{};
+  };
+  struct WorkerLocal {
+    int open{0};
+    int sentSinceNews{0};
+    Moment shunUntil{};
+  };
+  EdgeProps props;
+  Blueprint view;
+  std::map<std::string, CellNews> cells;
+  MarksMsg marks;
+  std::set<std::string> leaving;
+  std::map<std::string, std::unique_ptr<Order>> orders;
+  std::deque<std::string> pending;
+  std::map<std::string, std::string> orderBySend, orderByLookup;
+  std::map<std::string, Move> moves;
+  std::map<std::string, std::string> moveBySend;
+  std::map<std::string, WorkerLocal> locals;
+  std::uint64_t needed{0}, idCount{0};
+  Moment freshUntil{}, feedAt{}, agentHeard{}, staleSince{};
+  double retryTokens{1};
+  bool stopping{false};
+
+  using Deeds = ChartWalk<Edge, Desk&, Order&>::Deeds;
+  static const Deeds& deeds();
+  void sendOrder(Desk& desk, Order& order);
+  void sendLookup(Desk& desk, Order& order);
+  void sendMove(Desk& desk, Order& order);
+  void dropMove(Desk& desk, Order& order);
+  void freeWorker(Desk& desk, Order& order);
+  void passChunk(Desk& desk, Order& order);
+  void endDone(Desk& desk, Order& order);
+  void endFailed(Desk& desk, Order& order);
+  void endBroken(Desk& desk, Order& order);
+  void endSilent(Desk& desk, Order& order);
+  void endRevoked(Desk& desk, Order& order);
+  void denyLate(Desk& desk, Order& order);
+  void denyKey(Desk& desk, Order& order);
+  void dropOrder(Desk& desk, Order& order);
+  void weighUnsent(Desk& desk, Order& order);
+  void weighBroken(Desk& desk, Order& order);
+  void redraw(Desk& desk, Order& order);
+
+  void admit(Desk& desk, const CallerOrder& ask);
+  void happen(Desk& desk, const std::string& orderId, const std::string& event);
+  bool drawWorker(Desk& desk, Order& order);
+  void drawSources(Order& order);
+  void settleLookup(Desk& desk, Order& order);
+  void settleMove(Desk& desk, const std::string& moveId, bool success);
+  void servePending(Desk& desk);
+  void verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject = {});
+  void denyOrUnknown(Desk& desk, Order& order, Code code, const std::string& subject = {});
+  void revokeOpen(Desk& desk);
+  void setNews(Desk& desk);
+  const WorkerView* workerView(const std::string& name) const;
+  int busyOf(const WorkerView& worker) const;
+  bool spendRetry();
+  double linkSpeed(const std::string& source, const std::string& target) const;
+};
+
+/// Whether these transfer modes may stand together in one order.
+Result<void> checkModes(const Strings& modes);
+std::size_t prefixHits(const std::vector<int>& hits);
+
+}  // namespace tt
--- /dev/null
+++ b/src/main_agent.cpp
@@ -0,0 +1,52 @@
+#include "agent.hpp"
+#include "process.hpp"
+
+using namespace tt;
+
+int main(int count, char** words) {
+  AgentProps props;
+  std::string webAddress;
+  double threads = 2;
+  bool chatty = false;
+  Props reader("trouttally-agent", "The agent beside a proxy: link to the control plane, relay of news");
+  reader.text("name", &props.name, "this machine's name", true)
+      .address("address", &props.address, "where other processes reach this one")
+      .text("locality", &props.locality, "this machine's locality", true)
+      .addresses("seeds", &props.seeds, "three cores to start from")
+      .address("webAddress", &webAddress, "where condition and counters are read", false)
+      .number("threads", &threads, 1, 64, "threads in the pool")
+      .flag("chatty", &chatty, "log more");
+  if (auto code = reader.read(count, words)) return *code;
+  startLog("agent", props.name, chatty);
+  asio::io_context context;
+  Agent agent(props);
+  Host host(agent, context, 20ms);
+  Hub hub(context, props.address, [&](const std::string& from, Message message) { host.take(from, message); });
+  host.carry = [&](const std::string& to, Message&& message) { hub.send(to, message); };
+  agent.journal.appended.connect([](const Event& event) {
+    if (event.kind == "follows" || event.kind == "parent dropped" || event.kind == "capture taken")
+      logInfo(event.kind + ": " + event.subject + ".");
+  });
+  std::unique_ptr<WebServer> server;
+  if (!webAddress.empty()) {
+    server = std::make_unique<WebServer>(context, webAddress, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+      if (ask.path != "/v1/condition" && ask.path != "/v1/counters" && ask.path != "/v1/blueprint")
+        return answer->finish(404, faultBody(fault(Code::unknownPath, ask.path)));
+      std::string text;
+      host.with([&](Desk& desk) {
+        text = ask.path == "/v1/blueprint" ? "{\"revision\":" + std::to_string(agent.blueprint().revision()) + "}" : agent.condition(desk.now);
+      });
+      answer->finish(200, text);
+    });
+    if (auto done = server->open(); !done) return failStart(done.error());
+  }
+  if (auto done = hub.listen(); !done) return failStart(done.error());
+  host.start();
+  logInfo("Serving at " + props.address + ".");
+  runPool(context, static_cast<std::size_t>(threads), [&] {
+    if (server) server->close();
+    hub.stop();
+    host.stop();
+  });
+  return 0;
+}
--- /dev/null
+++ b/src/main_core.cpp
@@ -0,0 +1,181 @@
+#include <cstdlib>
+
+#include "contract.hpp"
+#include "core.hpp"
+#include "process.hpp"
+
+using namespace tt;
+
+namespace {
+
+struct CoreMain {
+  CoreProps props;
+  std::string operatorAddress, operatorKeyHash, dataFolder;
+  double ringFiles{4}, ringFileKiB{4096}, threads{3};
+};
+
+std::string operatorBody(const OperatorReply& reply) {
+  JsonObject body;
+  body["code"] = jsonNumber(reply.code);
+  body["name"] = Json(std::string(codeName(static_cast<Code>(reply.code))));
+  body["text"] = Json(reply.text);
+  if (!reply.subject.empty()) body["field"] = Json(reply.subject);
+  if (reply.revision) body["revision"] = jsonNumber(static_cast<double>(reply.revision));
+  body["agentsReached"] = jsonNumber(static_cast<double>(reply.reached));
+  return Json(body).serialize();
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CoreMain given;
+  bool chatty = false;
+  Props reader("trouttally-core", "A core of the fleet: accord, cells, operator API");
+  reader.text("name", &given.props.name, "this machine's name", true)
+      .address("address", &given.props.address, "where other processes reach this one")
+      .text("locality", &given.props.locality, "this machine's locality", true)
+      .addresses("seeds", &given.props.seeds, "the other first cores")
+      .texts("localities", &given.props.localities, "all localities that cells stand for")
+      .address("platform", &given.props.platformAddress, "the platform's HTTP address", false)
+      .address("operatorAddress", &given.operatorAddress, "where operators reach this core")
+      .text("operatorKeyHash", &given.operatorKeyHash, "SHA-256 of the operator key, in hex", true)
+      .text("dataFolder", &given.dataFolder, "the folder that all files live under", true)
+      .number("ringFiles", &given.ringFiles, 3, 64, "how many files the ring has")
+      .number("ringFileKiB", &given.ringFileKiB, 256, 262144, "the size of each ring file")
+      .number("threads", &given.threads, 1, 64, "threads in the pool")
+      .flag("chatty", &chatty, "log more");
+  if (auto code = reader.read(count, words)) return *code;
+  if (given.operatorKeyHash.size() != 64) return failStart(fault(Code::badProps, "operatorKeyHash", "must be 64 hexadecimal digits"));
+  startLog("core", given.props.name, chatty);
+
+  auto files = FolderFiles::open(given.dataFolder, static_cast<int>(given.ringFiles), static_cast<std::size_t>(given.ringFileKiB) * 1024);
+  if (!files) return failStart(files.error());
+  auto ring = Ring::open(*files.value());
+  if (!ring) {
+    // What a damaged ring still holds cannot be told from what it lost, so this core starts empty, under a new id.
+    logWarning("Ring damaged (" + ring.error().subject + ": " + ring.error().text + "), starting empty.");
+    if (auto wiped = Ring::wipe(*files.value()); !wiped) return failStart(wiped.error());
+    ring = Ring::open(*files.value());
+    if (!ring) return failStart(ring.error());
+  }
+  if (ring.value()->tornEnd()) logInfo("Torn end dropped.");
+  given.props.recordRoom = ring.value()->room() / 2;
+  if (given.props.localities.empty()) given.props.localities.push_back(given.props.locality);
+
+  asio::io_context context;
+  std::mt19937_64 dice(std::random_device{}());
+  Core core(given.props, ring.value()->held(), dice, Clock::now());
+  WebCalls calls;
+  OpenAnswers answers;
+  Host host(core, context, 20ms);
+  Hub hub(context, given.props.address, [&](const std::string& from, Message message) { host.take(from, message); });
+
+  auto call = [&](const std::string& to, WebCall made, std::function<void(const std::string&)> onBody) {
+    made.wholeWait = 2s;
+    calls.start(std::move(made), [to, onBody](const WebResult& result) {
+      if (result.reached && (result.status == 200 || result.status == 409)) onBody(result.body);
+    });
+  };
+  host.ring = ring.value().get();
+  host.diskWaits = [&](Span span) { core.diskWaits(span); };
+  host.diskFailed = [](const Fault& trouble) {
+    logWarning("Disk failed (" + trouble.subject + ": " + trouble.text + "), ending.");
+    std::_Exit(3);
+  };
+  host.carry = [&](const std::string& to, Message&& message) {
+    if (std::holds_alternative<MachinesAsk>(message)) {
+      WebCall made;
+      made.url = "http://" + to + "/v1/machines";
+      call(to, made, [&, to](const std::string& body) {
+        if (auto reply = readMachines(body)) host.take(to, reply.value());
+      });
+    } else if (auto* ask = std::get_if<ReportAsk>(&message)) {
+      WebCall made;
+      made.url = "http://" + to + "/v1/reports?after=" + std::to_string(ask->after) + "&incarnation=" + ask->incarnation + (ask->whole ? "&whole=1" : "");
+      call(to, made, [&, to](const std::string& body) {
+        if (auto report = readReport(body))
+          host.take(to, report.value());
+        else
+          logWarning("Malformed report from " + to + " (" + report.error().subject + ").");
+      });
+    } else if (auto* control = std::get_if<ControlAsk>(&message)) {
+      WebCall made;
+      made.method = "POST";
+      made.url = "http://" + to + "/v1/control";
+      made.body = writeControl(*control);
+      call(to, made, [&, to](const std::string& body) {
+        if (auto reply = readControlReply(body)) host.take(to, reply.value());
+      });
+    } else if (auto* reply = std::get_if<OperatorReply>(&message)) {
+      if (auto answer = answers.remove(to))
+        answer->finish(codeStatus(static_cast<Code>(reply->code)), operatorBody(*reply),
+                       codeStatus(static_cast<Code>(reply->code)) == 429 || codeStatus(static_cast<Code>(reply->code)) == 503 ? 1000 : 0);
+    } else if (to == given.props.address) {
+      asio::post(context, [&, message = std::move(message)] { host.take(given.props.address, message); });
+    } else {
+      hub.send(to, message);
+    }
+  };
+  core.journal.appended.connect([](const Event& event) {
+    if (event.kind == "duty won" || event.kind == "duty lost" || event.kind == "formed" || event.kind == "core joins" || event.kind == "core votes" ||
+        event.kind == "core replaced" || event.kind == "disk stalled" || event.kind == "disk well" || event.kind == "keeper unconfirmed" ||
+        event.kind == "weights in use" || event.kind == "weights failed" || event.kind == "capture" || event.kind == "caught up by capture")
+      logInfo(event.kind + ": " + event.subject + " (" + std::to_string(event.number) + ").");
+  });
+
+  WebServer server(context, given.operatorAddress, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+    auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
+    if (ask.path == "/v1/counters" && ask.method == "GET") {
+      JsonObject rows;
+      host.with([&](Desk&) {
+        for (const auto& [kind, number] : core.journal.counts()) rows[kind] = jsonNumber(static_cast<double>(number));
+      });
+      rows["bytes sent"] = jsonNumber(static_cast<double>(hub.bytesOut.load()));
+      rows["frames sent"] = jsonNumber(static_cast<double>(hub.framesOut.load()));
+      return answer->finish(200, Json(rows).serialize());
+    }
+    if (sha256Hex(ask.bearer) != given.operatorKeyHash) return deny(fault(Code::operatorDenied, "authorization"));
+    if (ask.path == "/v1/condition" && ask.method == "GET") {
+      std::string text;
+      host.with([&](Desk& desk) { text = core.condition(desk.now); });
+      return answer->finish(200, text);
+    }
+    if (ask.path != "/v1/blueprint") return deny(fault(Code::unknownPath, ask.path));
+    if (ask.method == "GET") {
+      std::string text;
+      host.with([&](Desk&) {
+        const auto& view = core.agreement().blueprint();
+        text = "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) + ",\"blueprint\":" + view.text() + "}";
+      });
+      return answer->finish(200, text);
+    }
+    if (ask.method != "PUT" && ask.method != "PATCH") return deny(fault(Code::unknownPath, ask.method));
+    if (ask.body.size() > given.props.recordRoom) return deny(fault(Code::tooLarge, "body"));
+    OperatorAsk change{{}, ask.body, ask.method == "PUT", -1, {}};
+    for (const auto& [name, value] : ask.query) {
+      if (name == "changeId" && value.size() <= 128) {
+        change.changeId = value;
+      } else if (name == "ifRevision" && !value.empty() && value.size() < 16 && value.find_first_not_of("0123456789") == std::string::npos) {
+        change.ifRevision = std::stoll(value);
+      } else {
+        return deny(fault(name == "changeId" || name == "ifRevision" ? Code::badField : Code::unknownField, name));
+      }
+    }
+    std::string name = answers.add(answer);
+    change.askId = name;
+    host.take(name, change);
+  });
+
+  if (auto done = hub.listen(); !done) return failStart(done.error());
+  if (auto done = server.open(); !done) return failStart(done.error());
+  host.start();
+  logInfo("Serving as " + core.id() + " at " + given.props.address + ", operators at " + given.operatorAddress + ".");
+  runPool(context, static_cast<std::size_t>(given.threads), [&] {
+    host.with([&](Desk& desk) { core.resign(desk); });
+    std::this_thread::sleep_for(100ms);
+    server.close();
+    hub.stop();
+    host.stop();
+  });
+  return 0;
+}
--- /dev/null
+++ b/src/main_keeper.cpp
@@ -0,0 +1,182 @@
+#include <cstdlib>
+
+#include "contract.hpp"
+#include "process.hpp"
+#include "standin.hpp"
+
+using namespace tt;
+
+#ifdef TT_STORE
+constexpr const char* programName = "trouttally-store";
+#else
+constexpr const char* programName = "trouttally-worker";
+#endif
+
+int main(int count, char** words) {
+  KeeperProps props;
+  double slots = 8, keepMost = 4000, loadMs = 1500, threads = 2;
+  bool chatty = false;
+  Props reader(programName, "A stand-in back end for trying and testing the fleet");
+  reader.text("name", &props.name, "this machine's name", true)
+      .address("address", &props.address, "where this back end is reached over HTTP")
+#ifndef TT_STORE
+      .text("kind", &props.kind, "language or app")
+      .text("model", &props.model, "the model this worker serves")
+      .text("weights", &props.weights, "the weights it starts with")
+      .address("store", &props.storeAddress, "the store's HTTP address", false)
+      .number("slots", &slots, 1, 1024, "orders it runs at a time")
+      .number("blockMs", &props.blockMs, 0, 10000, "milliseconds to compute one block")
+      .number("tokenMs", &props.tokenMs, 0, 10000, "milliseconds between tokens")
+      .number("linkMs", &props.linkMs, 0, 10000, "milliseconds to pull one block")
+      .number("loadMs", &loadMs, 0, 600000, "milliseconds to load weights")
+#endif
+      .number("keepMost", &keepMost, 1, 10000000, "blocks it keeps at most")
+      .number("threads", &threads, 1, 64, "threads in the pool")
+      .flag("chatty", &chatty, "log more");
+  if (auto code = reader.read(count, words)) return *code;
+#ifdef TT_STORE
+  props.kind = "store";
+#else
+  if (props.kind != "language" && props.kind != "app") return failStart(fault(Code::badProps, "kind", "must be language or app"));
+  if (props.kind == "language" && props.model.empty()) return failStart(fault(Code::badProps, "model", "must be given"));
+#endif
+  props.slots = static_cast<int>(slots);
+  props.keepMost = static_cast<std::size_t>(keepMost);
+  props.loadMs = static_cast<int>(loadMs);
+  startLog(props.kind == "store" ? "store" : "worker", props.name, chatty);
+
+  asio::io_context context;
+  std::random_device device;
+  KeeperNode keeper(props, std::to_string(device()) + std::to_string(device()));
+  WebCalls calls;
+  OpenAnswers answers;
+  Host host(keeper, context, 5ms);
+  host.carry = [&](const std::string& to, Message&& message) {
+    if (auto* chunk = std::get_if<WorkerChunk>(&message)) {
+      auto answer = answers.find(to);
+      if (answer && !answer->line(writeWorkerChunk(*chunk)))
+        asio::post(context, [&, to, orderId = chunk->orderId] {
+          answers.remove(to);
+          host.take(to, WorkerDrop{orderId});
+        });
+    } else if (auto* end = std::get_if<WorkerEnd>(&message)) {
+      auto answer = answers.remove(to);
+      if (!answer) return;
+      if (end->outcome == static_cast<int>(Outcome::denied))
+        answer->finish(codeStatus(static_cast<Code>(end->code)), writeWorkerEnd(*end));
+      else
+        answer->endStream(writeWorkerEnd(*end));
+    } else if (auto* report = std::get_if<Report>(&message)) {
+      if (auto answer = answers.remove(to)) answer->finish(200, writeReport(*report));
+    } else if (auto* control = std::get_if<ControlReply>(&message)) {
+      if (auto answer = answers.remove(to)) answer->finish(codeStatus(static_cast<Code>(control->code)), writeControlReply(*control));
+    } else if (auto* pulled = std::get_if<PullReply>(&message)) {
+      if (auto answer = answers.remove(to)) answer->finish(200, writeBlocks(pulled->hashes, pulled->origins));
+    } else if (auto* pull = std::get_if<PullAsk>(&message)) {
+      WebCall call;
+      call.method = "POST";
+      call.url = "http://" + to + "/v1/blocks/pull";
+      call.body = writeBlocks(pull->hashes, {});
+      call.wholeWait = 2s;
+      calls.start(std::move(call), [&, pullId = pull->pullId](const WebResult& result) {
+        if (!result.reached || result.status != 200) return;
+        if (auto blocks = readBlocks(result.body)) host.take("source", PullReply{pullId, blocks.value().hashes, blocks.value().origins});
+      });
+    } else if (auto* stored = std::get_if<StoreMsg>(&message)) {
+      WebCall call;
+      call.method = "POST";
+      call.url = "http://" + to + "/v1/blocks";
+      call.body = writeBlocks(stored->hashes, stored->origins);
+      call.wholeWait = 2s;
+      calls.start(std::move(call), {});
+    }
+  };
+
+  WebServer server(context, props.address, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+    auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
+    auto pass = [&](const Message& message) {
+      std::string name = answers.add(answer);
+      host.take(name, message);
+    };
+    std::string way = ask.method + " " + ask.path;
+    if (way == "POST /v1/orders") {
+      auto order = readWorkerOrder(ask.body);
+      if (!order) return deny(order.error());
+      return pass(order.value());
+    }
+    if (way == "GET /v1/reports") {
+      ReportAsk report;
+      report.after = std::strtoull(ask.query["after"].c_str(), nullptr, 10);
+      report.incarnation = ask.query["incarnation"];
+      report.whole = ask.query.count("whole") > 0;
+      return pass(report);
+    }
+    if (way == "POST /v1/control") {
+      auto control = readControl(ask.body);
+      if (!control) return deny(control.error());
+      return pass(control.value());
+    }
+    if (way == "POST /v1/blocks/pull") {
+      auto blocks = readBlocks(ask.body);
+      if (!blocks) return deny(blocks.error());
+      return pass(PullAsk{"pull", blocks.value().hashes});
+    }
+    if (way == "POST /v1/blocks") {
+      auto blocks = readBlocks(ask.body);
+      if (!blocks) return deny(blocks.error());
+      host.take("peer", blocks.value());
+      return answer->finish(200, "{}");
+    }
+    if (way == "GET /v1/runs") {
+      JsonObject body;
+      host.with([&](Desk&) {
+        JsonArray rows;
+        for (const auto& run : keeper.runs()) {
+          JsonObject row;
+          row["orderId"] = Json(run.orderId);
+          row["weights"] = Json(run.weights);
+          row["tenant"] = Json(run.tenant);
+          row["source"] = Json(run.source);
+          row["move"] = Json(run.move);
+          row["outcome"] = Json(run.outcome);
+          row["local"] = jsonNumber(run.local);
+          row["fetched"] = jsonNumber(run.fetched);
+          row["computed"] = jsonNumber(run.computed);
+          rows.push_back(Json(row));
+        }
+        body["runs"] = Json(rows);
+        body["crossWeights"] = jsonNumber(static_cast<double>(keeper.crossWeights));
+        JsonObject tenants;
+        for (const auto& [pair, number] : keeper.crossTenants) tenants[pair] = jsonNumber(static_cast<double>(number));
+        body["crossTenants"] = Json(tenants);
+      });
+      return answer->finish(200, Json(body).serialize());
+    }
+    if (way == "POST /v1/faults") {
+      auto read = readObject(ask.body, {"lagMs", "loseEvents", "forgetEvents", "stalled", "loadFails", "silentReports", "linkMs", "forget", "crash"});
+      if (!read) return deny(read.error());
+      Json body(read.value());
+      if (flagOr(body, "crash", false)) std::_Exit(9);
+      host.with([&](Desk& desk) {
+        keeper.faults.lagMs = static_cast<int>(numberOr(body, "lagMs", keeper.faults.lagMs));
+        keeper.faults.loseEvents = static_cast<int>(numberOr(body, "loseEvents", keeper.faults.loseEvents));
+        keeper.faults.forgetEvents = static_cast<int>(numberOr(body, "forgetEvents", keeper.faults.forgetEvents));
+        keeper.faults.stalled = flagOr(body, "stalled", keeper.faults.stalled);
+        keeper.faults.loadFails = flagOr(body, "loadFails", keeper.faults.loadFails);
+        keeper.faults.silentReports = flagOr(body, "silentReports", keeper.faults.silentReports);
+        keeper.faults.linkMs = static_cast<double>(numberOr(body, "linkMs", static_cast<std::int64_t>(keeper.faults.linkMs)));
+        if (flagOr(body, "forget", false)) keeper.forget(desk, true);
+      });
+      return answer->finish(200, "{}");
+    }
+    deny(fault(Code::unknownPath, ask.path));
+  });
+  if (auto done = server.open(); !done) return failStart(done.error());
+  host.start();
+  logInfo("Serving at " + props.address + ".");
+  runPool(context, static_cast<std::size_t>(threads), [&] {
+    server.close();
+    host.stop();
+  });
+  return 0;
+}
--- /dev/null
+++ b/src/main_loadgen.cpp
@@ -0,0 +1,244 @@
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "process.hpp"
+
+using namespace tt;
+
+namespace {
+
+struct Kind {
+  std::string name, route, model;
+  double rate{1};
+  std::size_t sharedBytes{0}, ownBytes{200};
+  int prefixes{1}, tokens{16};
+  bool repeatable{false};
+  std::vector<std::string> keys;
+};
+struct Tally {
+  std::int64_t sent{0}, done{0}, local{0}, fetched{0}, computed{0}, tries{0}, unfinished{0}, torn{0};
+  std::vector<double> firstMs, wholeMs;
+  std::map<std::string, std::int64_t> verdicts;
+};
+struct Shot {
+  std::size_t kind{0};
+  Moment due{};
+  std::string key, body, proxy;
+};
+
+Result<std::vector<Kind>> readKinds(const std::string& text) {
+  auto read = readObject(text, {"kinds"});
+  if (!read) return read.error();
+  auto rows = read.value().find("kinds");
+  if (rows == read.value().end() || !rows->second.is<JsonArray>()) return fault(Code::missingField, "kinds");
+  std::vector<Kind> kinds;
+  for (const auto& row : rows->second.get<JsonArray>()) {
+    Kind kind;
+    kind.name = textOr(row, "name");
+    kind.route = textOr(row, "route");
+    kind.model = textOr(row, "model");
+    if (kind.name.empty() || kind.route.empty() || kind.model.empty()) return fault(Code::missingField, "kinds", "name, route and model");
+    if (auto rate = row.get<JsonObject>().find("rate"); rate != row.get<JsonObject>().end() && rate->second.is<double>()) kind.rate = rate->second.get<double>();
+    kind.sharedBytes = static_cast<std::size_t>(numberOr(row, "sharedBytes", 0));
+    kind.ownBytes = static_cast<std::size_t>(numberOr(row, "ownBytes", 200));
+    kind.prefixes = static_cast<int>(std::max<std::int64_t>(1, numberOr(row, "prefixes", 1)));
+    kind.tokens = static_cast<int>(numberOr(row, "tokens", 16));
+    kind.repeatable = flagOr(row, "repeatable", false);
+    auto keys = textsField(row.get<JsonObject>(), "keys");
+    if (!keys) return keys.error();
+    kind.keys = keys.value();
+    kinds.push_back(kind);
+  }
+  return kinds;
+}
+
+std::string words(const std::string& seed, std::size_t bytes) {
+  std::string text;
+  for (std::uint64_t at = 0; text.size() < bytes; ++at) text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
+  text.resize(bytes);
+  return text;
+}
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  std::string kindsFile, jsonFile;
+  std::vector<std::string> proxies;
+  double seconds = 20, seed = 1, scale = 1, everySecond = 0;
+  Props reader("trouttally-loadgen", "Sends a deployment's kinds of order at their intended times and measures what comes back");
+  reader.addresses("proxies", &proxies, "callers' addresses of the proxies").text("kinds", &kindsFile, "JSON file with the kinds of order", true).number("seconds", &seconds, 0.1, 36000, "how long to send").number("scale", &scale, 0.001, 1000, "times the file's rates").number("seed", &seed, 0, 1e15, "seed for the order of things").number("everySecond", &everySecond, 0, 1, "1 prints a line each second").text("json", &jsonFile, "also write the figures to this file");
+  if (auto code = reader.read(count, arguments)) return *code;
+  if (proxies.empty()) return failStart(fault(Code::badProps, "proxies", "must be given"));
+  std::ifstream source(kindsFile);
+  if (!source) return failStart(fault(Code::badProps, "kinds", "cannot read " + kindsFile));
+  std::stringstream bytes;
+  bytes << source.rdbuf();
+  auto read = readKinds(bytes.str());
+  if (!read) return failStart(fault(Code::badProps, "kinds", read.error().subject + ": " + read.error().text));
+  const auto& kinds = read.value();
+
+  // Every send time is fixed beforehand, so a slow answer delays no later order and hides no wait.
+  std::mt19937_64 dice(static_cast<std::uint64_t>(seed));
+  std::vector<Shot> shots;
+  Moment start = Clock::now() + 200ms;
+  std::vector<std::vector<std::string>> shared(kinds.size());
+  for (std::size_t at = 0; at < kinds.size(); ++at) {
+    const auto& kind = kinds[at];
+    for (int number = 0; number < kind.prefixes; ++number) shared[at].push_back(words(kind.name + std::to_string(number), kind.sharedBytes));
+    std::exponential_distribution<double> gap(kind.rate * scale);
+    for (double when = gap(dice); when < seconds; when += gap(dice)) {
+      Shot shot;
+      shot.kind = at;
+      shot.due = start + std::chrono::duration_cast<Span>(std::chrono::duration<double>(when));
+      std::size_t keyNumber = dice() % kind.keys.size();
+      shot.key = kind.keys[keyNumber];
+      shot.proxy = proxies[dice() % proxies.size()];
+      JsonObject body;
+      body["route"] = Json(kind.route);
+      body["model"] = Json(kind.model);
+      body["maxTokens"] = jsonNumber(kind.tokens);
+      body["repeatable"] = Json(kind.repeatable);
+      JsonArray parts;
+      if (kind.sharedBytes) parts.push_back(Json(shared[at][dice() % shared[at].size()]));
+      parts.push_back(Json(words("own" + std::to_string(dice()), kind.ownBytes)));
+      body["parts"] = Json(parts);
+      shot.body = Json(body).serialize();
+      shots.push_back(std::move(shot));
+    }
+  }
+  std::sort(shots.begin(), shots.end(), [](const Shot& one, const Shot& other) { return one.due < other.due; });
+
+  std::mutex lock;
+  std::vector<Tally> tallies(kinds.size());
+  std::map<int, std::pair<std::int64_t, std::vector<double>>> seconds_;
+  std::map<int, std::int64_t> failedAt;
+  std::atomic<std::int64_t> open{0};
+  WebCalls calls;
+  for (const auto& shot : shots) {
+    std::this_thread::sleep_until(shot.due);
+    WebCall call;
+    call.method = "POST";
+    call.url = "http://" + shot.proxy + "/v1/orders";
+    call.bearer = shot.key;
+    call.body = shot.body;
+    call.wholeWait = 30s;
+    struct Seen {
+      bool first{false}, last{false};
+    };
+    auto seen = std::make_shared<Seen>();
+    ++open;
+    {
+      std::lock_guard<std::mutex> guard(lock);
+      ++tallies[shot.kind].sent;
+    }
+    auto count_ = [&, kind = shot.kind, due = shot.due, seen](const Json& verdict) {
+      seen->last = true;
+      auto& tally = tallies[kind];
+      std::string word = textOr(verdict, "verdict");
+      ++tally.verdicts[word + " " + std::to_string(numberOr(verdict, "code", 0)) + " " + textOr(verdict, "name")];
+      tally.tries += std::max<std::int64_t>(0, numberOr(verdict, "tries", 0) - 1);
+      int second = static_cast<int>(inMs(due - start) / 1000);
+      if (word == "done") {
+        ++tally.done;
+        ++seconds_[second].first;
+        tally.wholeMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - due).count());
+        const auto& fields = verdict.get<JsonObject>();
+        if (auto blocks = fields.find("blocks"); blocks != fields.end()) {
+          tally.local += numberOr(blocks->second, "local", 0);
+          tally.fetched += numberOr(blocks->second, "fetched", 0);
+          tally.computed += numberOr(blocks->second, "computed", 0);
+        }
+      } else {
+        ++failedAt[second];
+      }
+    };
+    calls.start(
+        std::move(call),
+        [&, kind = shot.kind, seen, count_](const WebResult& result) {
+          std::lock_guard<std::mutex> guard(lock);
+          if (!seen->last) {
+            auto body = readJson(result.body);
+            if (body && body.value().is<JsonObject>() && !textOr(body.value(), "verdict").empty()) {
+              count_(body.value());
+            } else {
+              ++(seen->first ? tallies[kind].torn : tallies[kind].unfinished);
+              ++tallies[kind].verdicts[result.nothingSent ? "no connection" : seen->first ? "stream torn" : "no verdict"];
+            }
+          }
+          --open;
+        },
+        [&, kind = shot.kind, due = shot.due, seen, count_](const std::string& line) {
+          auto body = readJson(line);
+          if (!body || !body.value().is<JsonObject>()) return;
+          std::lock_guard<std::mutex> guard(lock);
+          if (!textOr(body.value(), "verdict").empty()) return count_(body.value());
+          if (seen->first) return;
+          seen->first = true;
+          double firstMs = std::chrono::duration<double, std::milli>(Clock::now() - due).count();
+          tallies[kind].firstMs.push_back(firstMs);
+          seconds_[static_cast<int>(inMs(due - start) / 1000)].second.push_back(firstMs);
+        });
+  }
+  for (int round = 0; round < 350 && open > 0; ++round) std::this_thread::sleep_for(100ms);
+
+  std::lock_guard<std::mutex> guard(lock);
+  JsonObject whole;
+  std::cout << std::fixed << std::setprecision(1);
+  std::cout << "kind        sent   rate/s   done  ttft p50  ttft p99  whole p50  local%  fetched%  computed%  retry%\n";
+  Tally all;
+  for (std::size_t at = 0; at <= kinds.size(); ++at) {
+    const Tally& tally = at < kinds.size() ? tallies[at] : all;
+    std::string name = at < kinds.size() ? kinds[at].name : "all";
+    double blocks = std::max(1.0, static_cast<double>(tally.local + tally.fetched + tally.computed));
+    double sent = std::max(1.0, static_cast<double>(tally.sent));
+    std::cout << std::left << std::setw(10) << name << std::right << std::setw(6) << tally.sent << std::setw(9) << static_cast<double>(tally.sent) / seconds << std::setw(7) << tally.done
+              << std::setw(10) << quantile(tally.firstMs, 0.5) << std::setw(10) << quantile(tally.firstMs, 0.99) << std::setw(11) << quantile(tally.wholeMs, 0.5) << std::setw(8)
+              << 100.0 * static_cast<double>(tally.local) / blocks << std::setw(10) << 100.0 * static_cast<double>(tally.fetched) / blocks << std::setw(11)
+              << 100.0 * static_cast<double>(tally.computed) / blocks << std::setw(8) << 100.0 * static_cast<double>(tally.tries) / sent << "\n";
+    JsonObject row;
+    row["sent"] = jsonNumber(static_cast<double>(tally.sent));
+    row["done"] = jsonNumber(static_cast<double>(tally.done));
+    row["firstMsP50"] = jsonNumber(quantile(tally.firstMs, 0.5));
+    row["firstMsP99"] = jsonNumber(quantile(tally.firstMs, 0.99));
+    row["wholeMsP50"] = jsonNumber(quantile(tally.wholeMs, 0.5));
+    row["blocksLocal"] = jsonNumber(static_cast<double>(tally.local));
+    row["blocksFetched"] = jsonNumber(static_cast<double>(tally.fetched));
+    row["blocksComputed"] = jsonNumber(static_cast<double>(tally.computed));
+    row["retries"] = jsonNumber(static_cast<double>(tally.tries));
+    row["torn"] = jsonNumber(static_cast<double>(tally.torn));
+    JsonObject verdicts;
+    for (const auto& [word, number] : tally.verdicts) verdicts[word] = jsonNumber(static_cast<double>(number));
+    row["verdicts"] = Json(verdicts);
+    whole[name] = Json(row);
+    if (at == kinds.size()) continue;
+    all.sent += tally.sent;
+    all.done += tally.done;
+    all.local += tally.local;
+    all.fetched += tally.fetched;
+    all.computed += tally.computed;
+    all.tries += tally.tries;
+    all.torn += tally.torn;
+    all.firstMs.insert(all.firstMs.end(), tally.firstMs.begin(), tally.firstMs.end());
+    all.wholeMs.insert(all.wholeMs.end(), tally.wholeMs.begin(), tally.wholeMs.end());
+    for (const auto& [word, number] : tally.verdicts) all.verdicts[word] += number;
+  }
+  for (const auto& [word, number] : all.verdicts) std::cout << "verdict   " << std::setw(7) << number << "  " << word << "\n";
+  if (open > 0) std::cout << "open at the end: " << open << "\n";
+  if (everySecond > 0) {
+    std::cout << "second   done  not done  ttft p50  ttft p99\n";
+    for (int second = 0; second < static_cast<int>(seconds); ++second)
+      std::cout << std::setw(6) << second << std::setw(7) << seconds_[second].first << std::setw(10) << failedAt[second] << std::setw(10) << quantile(seconds_[second].second, 0.5) << std::setw(10)
+                << quantile(seconds_[second].second, 0.99) << "\n";
+  }
+  if (!jsonFile.empty()) std::ofstream(jsonFile) << Json(whole).serialize(true);
+  return 0;
+}
--- /dev/null
+++ b/src/main_platform.cpp
@@ -0,0 +1,65 @@
+#include <fstream>
+#include <sstream>
+
+#include "contract.hpp"
+#include "process.hpp"
+#include "standin.hpp"
+
+using namespace tt;
+
+int main(int count, char** words) {
+  std::string name = "platform", address, listFile;
+  double threads = 1;
+  Props reader("trouttally-platform", "A stand-in platform that lists machines and marks those that leave");
+  reader.text("name", &name, "this machine's name").address("address", &address, "where it is reached over HTTP").text("list", &listFile, "JSON file with the first list of machines").number("threads", &threads, 1, 64, "threads in the pool");
+  if (auto code = reader.read(count, words)) return *code;
+  startLog("platform", name, false);
+  // A later run must not count from below an earlier one.
+  auto since = std::chrono::system_clock::now().time_since_epoch();
+  PlatformNode platform(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count()));
+  if (!listFile.empty()) {
+    std::ifstream source(listFile);
+    std::stringstream bytes;
+    bytes << source.rdbuf();
+    auto list = readMachines(bytes.str());
+    if (!list) return failStart(fault(Code::badProps, "list", list.error().subject + ": " + list.error().text));
+    for (const auto& machine : list.value().machines) platform.set(machine);
+  }
+  asio::io_context context;
+  Host host(platform, context, 1s);
+  host.carry = [](const std::string&, Message&&) {};
+  WebServer server(context, address, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+    auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
+    if (ask.path != "/v1/machines") return deny(fault(Code::unknownPath, ask.path));
+    if (ask.method == "GET") {
+      MachinesReply reply;
+      host.with([&](Desk&) {
+        reply.stamp = platform.current();
+        for (const auto& [machineName, machine] : platform.machines()) reply.machines.push_back(machine);
+      });
+      return answer->finish(200, writeMachines(reply));
+    }
+    auto read = readJson(ask.body);
+    if (!read) return deny(read.error());
+    if (ask.method == "POST") {
+      auto machine = readMachine(read.value());
+      if (!machine) return deny(machine.error());
+      host.with([&](Desk&) { platform.set(machine.value()); });
+    } else if (ask.method == "PATCH") {
+      host.with([&](Desk&) { platform.mark(textOr(read.value(), "name"), flagOr(read.value(), "leaving", true)); });
+    } else if (ask.method == "DELETE") {
+      host.with([&](Desk&) { platform.remove(textOr(read.value(), "name")); });
+    } else {
+      return deny(fault(Code::unknownPath, ask.method));
+    }
+    answer->finish(200, "{}");
+  });
+  if (auto done = server.open(); !done) return failStart(done.error());
+  host.start();
+  logInfo("Serving at " + address + ".");
+  runPool(context, static_cast<std::size_t>(threads), [&] {
+    server.close();
+    host.stop();
+  });
+  return 0;
+}
--- /dev/null
+++ b/src/main_proxy.cpp
@@ -0,0 +1,176 @@
+#include "contract.hpp"
+#include "edge.hpp"
+#include "process.hpp"
+
+using namespace tt;
+
+namespace {
+// Calls to workers that are under way, by the order's send id.
+class WorkerCalls {
+ public:
+  // The call starts under the lock, so that it cannot end before it is listed.
+  void start(const std::string& sendId, const std::function<std::uint64_t()>& startCall) {
+    std::lock_guard<std::mutex> guard(lock);
+    rows[sendId] = startCall();
+  }
+  std::optional<std::uint64_t> remove(const std::string& sendId) {
+    std::lock_guard<std::mutex> guard(lock);
+    auto found = rows.find(sendId);
+    if (found == rows.end()) return std::nullopt;
+    auto callId = found->second;
+    rows.erase(found);
+    return callId;
+  }
+
+ private:
+  std::mutex lock;
+  std::map<std::string, std::uint64_t> rows;
+};
+}  // namespace
+
+int main(int count, char** words) {
+  EdgeProps props;
+  std::string callerAddress, operatorKeyHash;
+  double threads = 3, pendingMost = 64, blockMs = 4;
+  bool chatty = false;
+  Props reader("trouttally-proxy", "A proxy of the fleet: takes orders from callers, plans them, carries them out");
+  reader.text("name", &props.name, "this machine's name", true)
+      .address("address", &props.address, "where the agent reaches this process")
+      .text("locality", &props.locality, "this machine's locality", true)
+      .address("agentAddress", &props.agentAddress, "the agent beside this proxy")
+      .address("callerAddress", &callerAddress, "where callers reach this proxy")
+      .text("operatorKeyHash", &operatorKeyHash, "SHA-256 of the operator key, for reading what is in force")
+      .flag("fetching", &props.fetching, "fetch prefixes from peers and the store")
+      .number("pendingMost", &pendingMost, 1, 100000, "orders that may be pending here")
+      .number("blockMs", &blockMs, 0.01, 10000, "milliseconds a worker needs for one block")
+      .number("threads", &threads, 1, 64, "threads in the pool")
+      .flag("chatty", &chatty, "log more");
+  if (auto code = reader.read(count, words)) return *code;
+  props.pendingMost = static_cast<std::size_t>(pendingMost);
+  props.blockMs = blockMs;
+  startLog("proxy", props.name, chatty);
+
+  asio::io_context context;
+  Edge edge(props);
+  WebCalls calls;
+  OpenAnswers answers;
+  WorkerCalls workerCalls;
+  Host host(edge, context, 10ms);
+  Hub hub(context, props.address, [&](const std::string& from, Message message) { host.take(from, message); });
+
+  host.carry = [&](const std::string& to, Message&& message) {
+    if (auto* order = std::get_if<WorkerOrder>(&message)) {
+      WebCall call;
+      call.method = "POST";
+      call.url = "http://" + to + "/v1/orders";
+      call.body = writeWorkerOrder(*order);
+      call.onceOnly = true;
+      call.wholeWait = 120s;
+      std::string sendId = order->orderId;
+      auto ended = std::make_shared<bool>(false);
+      auto startCall = [&, call = std::move(call), sendId, ended]() mutable { return calls.start(
+          std::move(call),
+          [&, sendId, ended](const WebResult& result) {
+            workerCalls.remove(sendId);
+            if (*ended) return;
+            WorkerEnd end{sendId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0};
+            if (result.nothingSent)
+              end.outcome = static_cast<int>(Outcome::brokenUnsent);
+            else if (result.reached && (result.status == 409 || result.status == 503 || result.status == 400))
+              end.outcome = static_cast<int>(Outcome::denied);
+            host.take("worker", end);
+          },
+          [&, sendId, ended](const std::string& line) {
+            if (*ended) return;
+            auto read = readWorkerLine(sendId, line);
+            if (auto* chunk = std::get_if<WorkerChunk>(&read)) {
+              host.take("worker", *chunk);
+            } else if (auto* end = std::get_if<WorkerEnd>(&read)) {
+              *ended = true;
+              host.take("worker", *end);
+            }
+          }); };
+      workerCalls.start(sendId, startCall);
+    } else if (auto* gone = std::get_if<WorkerDrop>(&message)) {
+      if (auto callId = workerCalls.remove(gone->orderId)) calls.drop(*callId);
+    } else if (auto* chunk = std::get_if<CallerChunk>(&message)) {
+      auto answer = answers.find(chunk->orderId);
+      if (answer && !answer->line(writeChunk(*chunk)))
+        asio::post(context, [&, orderId = chunk->orderId] {
+          if (answers.remove(orderId)) host.take("caller", CallerGone{orderId});
+        });
+    } else if (auto* verdict = std::get_if<CallerVerdict>(&message)) {
+      auto answer = answers.remove(verdict->orderId);
+      if (!answer) return;
+      int status = codeStatus(static_cast<Code>(verdict->code));
+      if (answer->streaming() || verdict->verdict == "done")
+        answer->endStream(writeVerdict(*verdict));
+      else
+        answer->finish(status, writeVerdict(*verdict), verdict->retryAfterMs);
+    } else {
+      hub.send(to, message);
+    }
+  };
+
+  WebServer server(context, callerAddress, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+    auto deny = [&](const Fault& trouble) {
+      CallerVerdict verdict;
+      verdict.verdict = "not run";
+      verdict.code = static_cast<int>(trouble.code);
+      verdict.subject = trouble.subject;
+      verdict.text = trouble.text;
+      answer->finish(codeStatus(trouble.code), writeVerdict(verdict));
+    };
+    if (ask.path == "/v1/orders" && ask.method == "POST") {
+      auto order = readCallerOrder(ask.body);
+      if (!order) return deny(order.error());
+      order.value().key = ask.bearer;
+      // Unlike any other proxy's, and any earlier run's of this one.
+      order.value().orderId = props.name + "/" + std::to_string(inNs(Clock::now())) + "/" + answers.freshName().substr(5);
+      answers.addAs(order.value().orderId, answer);
+      return host.take("caller", order.value());
+    }
+    if (ask.method == "GET" && ask.path == "/v1/counters") {
+      JsonObject rows;
+      host.with([&](Desk&) {
+        for (const auto& [kind, number] : edge.journal.counts()) rows[kind] = jsonNumber(static_cast<double>(number));
+      });
+      return answer->finish(200, Json(rows).serialize());
+    }
+    if (ask.method == "GET" && ask.path == "/v1/condition") {
+      std::string text;
+      host.with([&](Desk& desk) { text = edge.condition(desk.now); });
+      return answer->finish(200, text);
+    }
+    if (ask.method == "GET" && ask.path == "/v1/blueprint") {
+      if (operatorKeyHash.empty() || sha256Hex(ask.bearer) != operatorKeyHash) return deny(fault(Code::operatorDenied, "authorization"));
+      std::string text;
+      host.with([&](Desk& desk) {
+        const auto& view = edge.blueprint();
+        text = "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) +
+               ",\"fresh\":" + (edge.fresh(desk.now) ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
+      });
+      return answer->finish(200, text);
+    }
+    deny(fault(Code::unknownPath, ask.path));
+  });
+
+  if (auto done = hub.listen(); !done) return failStart(done.error());
+  if (auto done = server.open(); !done) return failStart(done.error());
+  host.start();
+  logInfo("Serving callers at " + callerAddress + ".");
+  runPool(context, static_cast<std::size_t>(threads), [&] {
+    // No new orders; those under way get up to ten seconds.
+    host.with([&](Desk&) { edge.stop(); });
+    for (int round = 0; round < 200; ++round) {
+      std::size_t open = 0;
+      host.with([&](Desk&) { open = edge.openOrders(); });
+      if (open == 0) break;
+      std::this_thread::sleep_for(50ms);
+    }
+    server.close();
+    hub.stop();
+    host.stop();
+  });
+  return 0;
+}
--- /dev/null
+++ b/src/messages.hpp
@@ -0,0 +1,142 @@
+#pragma once
+#include <boost/preprocessor/seq/for_each.hpp>
+#include <boost/preprocessor/tuple/elem.hpp>
+
+#include "base.hpp"
+
+namespace tt {
+
+using Strings = std::vector<std::string>;
+using Hashes = std::vector<BlockHash>;
+using Count = std::uint64_t;
+
+#define TT_FIELD(r, data, pair) BOOST_PP_TUPLE_ELEM(2, 0, pair) BOOST_PP_TUPLE_ELEM(2, 1, pair){};
+#define TT_STOW(r, data, pair) stow(archive, BOOST_PP_TUPLE_ELEM(2, 1, pair));
+#define TT_STRUCT(Name, fields)                      \
+  struct Name {                                      \
+    BOOST_PP_SEQ_FOR_EACH(TT_FIELD, _, fields)       \
+    template <class Archive>                         \
+    void serialize(Archive& archive, unsigned) {     \
+      BOOST_PP_SEQ_FOR_EACH(TT_STOW, _, fields)      \
+    }                                                \
+  };
+
+template <class Archive, class T>
+void stow(Archive& archive, T& value);
+
+// Things that messages carry.
+TT_STRUCT(Entry, ((Count, index))((Count, term))((int, kind))((std::string, body))((std::string, changeId)))
+TT_STRUCT(Member, ((std::string, id))((std::string, name))((std::string, address))((std::string, locality))((bool, votes)))
+TT_STRUCT(Machine, ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))((bool, leaving)))
+TT_STRUCT(CellMark, ((std::string, locality))((Count, term))((Count, sequence)))
+TT_STRUCT(WorkerView,
+          ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))
+          ((std::string, weights))((std::string, model))((int, running))((int, slots))((bool, held))((bool, alive))
+          ((bool, confirmed))((Count, kept))((Count, reportSequence))((std::string, summary)))
+TT_STRUCT(LinkSpeed, ((std::string, source))((std::string, target))((double, blocksPerSecond)))
+TT_STRUCT(KeptEvent, ((Count, sequence))((int, kind))((Hashes, hashes)))
+TT_STRUCT(Capture,
+          ((Count, index))((Count, term))((Count, revision))((std::string, blueprint))((std::vector<Member>, members))
+          ((Strings, changeIds))((std::vector<Count>, changeRevisions)))
+
+// Name, then fields. One table makes the structs, the variant and the wire form.
+#define TT_MESSAGES(X)                                                                                              \
+  /* duties */                                                                                                      \
+  X(BallotAsk, ((std::string, duty))((Count, term))((std::string, candidate))((bool, probe))((Count, lastTerm))     \
+                   ((Count, lastIndex)))                                                                            \
+  X(BallotReply, ((std::string, duty))((Count, term))((std::string, voter))((bool, probe))((bool, granted)))        \
+  X(HoldMsg, ((std::string, duty))((Count, term))((std::string, holder))((std::int64_t, sentAt)))                   \
+  X(HoldReply, ((std::string, duty))((Count, term))((std::string, voter))((std::int64_t, sentAt))((bool, granted))) \
+  /* the agreed log */                                                                                              \
+  X(AppendMsg, ((Count, term))((std::string, leader))((Count, prevIndex))((Count, prevTerm))((Count, commit))       \
+                   ((std::vector<Entry>, entries)))                                                                 \
+  X(AppendReply, ((Count, term))((std::string, voter))((bool, matched))((Count, index)))                            \
+  X(CaptureMsg, ((Count, term))((std::string, leader))((Capture, capture)))                                         \
+  X(HelloAsk, ((Member, self))((bool, formed)))                                                                     \
+  X(HelloReply, ((Member, self))((bool, formed))((std::vector<Member>, members)))                                   \
+  X(FormMsg, ((std::vector<Member>, members)))                                                                      \
+  X(JoinAsk, ((Member, self)))                                                                                      \
+  X(ChangeAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))               \
+                   ((std::string, changeId)))                                                                       \
+  X(ChangeReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))((Count, revision))\
+                     ((Count, index)))                                                                              \
+  /* news */                                                                                                        \
+  X(EndsAsk, ((Count, askId))((std::string, agent))((std::string, locality))((Count, applied))                      \
+                 ((std::vector<CellMark>, cells))((bool, fresh)))                                                   \
+  X(EndsReply, ((Count, askId))((std::string, core))((Count, term))((bool, leads))((Count, lastIndex))              \
+                   ((Count, commit))((std::vector<Member>, members))((Strings, watch)))                             \
+  X(NewsAsk, ((std::string, agent))((Count, applied))((std::vector<CellMark>, cells)))                              \
+  X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Capture>, captures)))                    \
+  X(CellNews, ((std::string, locality))((Count, term))((Count, sequence))((std::string, holder))                    \
+                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links)))                            \
+  X(MarksMsg, ((Count, stamp))((std::string, core))((std::vector<Machine>, machines)))                              \
+  X(FeedAsk, ((std::int64_t, sentAt))((Count, applied))((std::vector<CellMark>, cells)))                            \
+  X(FeedReply, ((std::int64_t, sentAt))((std::int64_t, age))((Count, needed))((bool, known)))                       \
+  /* kept blocks */                                                                                                 \
+  X(LookupMsg, ((std::string, lookupId))((std::string, locality))((std::string, keeper))((std::string, weights))    \
+                   ((Hashes, hashes))((std::string, replyTo)))                                                      \
+  X(LookupReply, ((std::string, lookupId))((std::string, keeper))((std::vector<int>, hits)))                        \
+  X(WatchMsg, ((std::string, moveId))((std::string, locality))((std::string, source))((std::string, target))        \
+                  ((Hashes, hashes))((std::int64_t, deadlineMs))((std::string, replyTo)))                           \
+  X(TransferDone, ((std::string, moveId))((bool, success)))                                                         \
+  /* back ends: HTTP and JSON on real machines, these structs in sim */                                             \
+  X(WorkerOrder, ((std::string, orderId))((std::string, model))((std::string, weights))((std::string, cacheSalt))   \
+                     ((Strings, parts))((Hashes, hashes))((int, maxTokens))((bool, moves))((std::string, transferId))\
+                     ((std::string, sourceAddress))((std::string, tenant))((bool, app))((std::string, params)))                            \
+  X(WorkerDrop, ((std::string, orderId)))                                                                           \
+  X(WorkerChunk, ((std::string, orderId))((std::string, text)))                                                     \
+  X(WorkerEnd, ((std::string, orderId))((int, outcome))((int, code))((int, local))((int, fetched))((int, computed)))\
+  X(ReportAsk, ((Count, after))((std::string, incarnation))((bool, whole)))                                         \
+  X(Report, ((std::string, worker))((std::string, incarnation))((std::string, weights))((std::string, model))       \
+                ((int, running))((int, slots))((Count, sequence))((std::vector<KeptEvent>, events))((bool, whole))  \
+                ((Hashes, kept))((bool, draining))((Count, term)))                                                  \
+  X(ControlAsk, ((Count, term))((std::string, holder))((std::string, action))((std::string, model))                 \
+                    ((std::string, weights)))                                                                       \
+  X(ControlReply, ((std::string, worker))((Count, term))((int, code)))                                              \
+  X(PullAsk, ((std::string, pullId))((Hashes, hashes)))                                                             \
+  X(PullReply, ((std::string, pullId))((Hashes, hashes))((Strings, origins)))                                       \
+  X(StoreMsg, ((Hashes, hashes))((Strings, origins)))                                                               \
+  X(MachinesAsk, ((Count, stamp)))                                                                                  \
+  X(MachinesReply, ((Count, stamp))((std::vector<Machine>, machines)))                                              \
+  /* callers and operators */                                                                                       \
+  X(CallerOrder, ((std::string, orderId))((std::string, key))((std::string, route))((std::string, model))           \
+                     ((Strings, parts))((bool, repeatable))((int, maxTokens))((std::string, tenant))                \
+                     ((Strings, modes))((std::string, params)))                                                                            \
+  X(CallerGone, ((std::string, orderId)))                                                                           \
+  X(CallerChunk, ((std::string, orderId))((std::string, text)))                                                     \
+  X(CallerVerdict, ((std::string, orderId))((std::string, verdict))((int, code))((std::string, subject))            \
+                       ((std::string, text))((int, retryAfterMs))((int, tries))((int, local))((int, fetched))       \
+                       ((int, computed))((std::string, worker)))                                                    \
+  X(OperatorAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
+                     ((std::string, changeId)))                                                                     \
+  X(OperatorReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
+                       ((Count, revision))((Count, reached)))
+
+#define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
+TT_MESSAGES(TT_MESSAGE_STRUCT)
+#undef TT_MESSAGE_STRUCT
+
+#define TT_MESSAGE_NAME(Name, fields) , Name
+using Message = std::variant<std::monostate TT_MESSAGES(TT_MESSAGE_NAME)>;
+#undef TT_MESSAGE_NAME
+
+/// The name of what a message is.
+const char* messageName(const Message& message);
+/// A message as one frame's bytes.
+std::string encodeMessage(const Message& message);
+/// A frame's bytes as a message; a malformed frame is a fault, and costs memory in step with its size only.
+Result<Message> decodeMessage(std::string_view frame);
+/// A capture as bytes, for the ring.
+std::string encodeCapture(const Capture& capture);
+Result<Capture> decodeCapture(std::string_view bytes);
+std::string encodeEntry(const Entry& entry);
+Result<Entry> decodeEntry(std::string_view bytes);
+
+// How a worker's order ended.
+enum class Outcome : int { done = 0, denied = 1, brokenUnsent = 2, broken = 3, failed = 4, silent = 5 };
+// What an entry in the log is.
+enum class EntryKind : int { empty = 0, change = 1, members = 2, whole = 3 };
+// What happened to kept blocks.
+enum class KeptKind : int { stored = 0, removed = 1, cleared = 2 };
+
+}  // namespace tt
--- /dev/null
+++ b/src/standin.cpp
@@ -0,0 +1,310 @@
+#include "standin.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr std::size_t eventsMost = 512;
+constexpr std::size_t recordsMost = 20000;
+constexpr Span pullWait = 2s;
+Span spanOf(double ms) { return std::chrono::duration_cast<Span>(std::chrono::duration<double, std::milli>(ms)); }
+std::string originOf(const std::string& weights, const std::string& tenant) { return weights + "/" + tenant; }
+}  // namespace
+
+KeeperNode::KeeperNode(KeeperProps keeperProps, std::string incarnationMark)
+    : given(std::move(keeperProps)), incarnation(std::move(incarnationMark)), currentWeights(given.weights) {}
+
+RunRecord* KeeperNode::recordOf(const Run& run) {
+  return run.record >= recordBase && run.record - recordBase < records.size() ? &records[run.record - recordBase] : nullptr;
+}
+
+void KeeperNode::tell(Desk& desk, KeptKind kind, const Hashes& hashes) {
+  if (hashes.empty() && kind != KeptKind::cleared) return;
+  if (faults.forgetEvents && static_cast<int>(desk.roll(100)) < faults.forgetEvents) return;
+  Told told{KeptEvent{++sequence, static_cast<int>(kind), hashes}, desk.now, false};
+  told.lost = faults.loseEvents && static_cast<int>(desk.roll(100)) < faults.loseEvents;
+  events.push_back(std::move(told));
+  if (events.size() > eventsMost) events.pop_front();
+}
+
+void KeeperNode::keep(Desk& desk, const Hashes& hashes, const Strings& origins) {
+  Hashes fresh;
+  for (std::size_t at = 0; at < hashes.size(); ++at) {
+    auto found = kept.find(hashes[at]);
+    if (found != kept.end()) {
+      byUse.splice(byUse.end(), byUse, found->second.place);
+      continue;
+    }
+    byUse.push_back(hashes[at]);
+    kept[hashes[at]] = Kept{at < origins.size() ? origins[at] : std::string(), std::prev(byUse.end())};
+    fresh.push_back(hashes[at]);
+  }
+  tell(desk, KeptKind::stored, fresh);
+  Hashes gone;
+  while (kept.size() > given.keepMost) {
+    gone.push_back(byUse.front());
+    kept.erase(byUse.front());
+    byUse.pop_front();
+  }
+  tell(desk, KeptKind::removed, gone);
+}
+
+void KeeperNode::drop(Desk& desk, const Hashes& hashes) {
+  Hashes gone;
+  for (const auto& hash : hashes) {
+    auto found = kept.find(hash);
+    if (found == kept.end()) continue;
+    byUse.erase(found->second.place);
+    kept.erase(found);
+    gone.push_back(hash);
+  }
+  tell(desk, KeptKind::removed, gone);
+}
+
+void KeeperNode::forget(Desk& desk, bool saying) {
+  kept.clear();
+  byUse.clear();
+  if (saying) tell(desk, KeptKind::cleared, {});
+}
+
+void KeeperNode::end(Desk& desk, const std::string& orderId, Outcome outcome, Code code, const char* word) {
+  auto found = running.find(orderId);
+  if (found == running.end()) return;
+  WorkerEnd said{orderId, static_cast<int>(outcome), static_cast<int>(code), 0, 0, 0};
+  if (auto* record = recordOf(found->second)) {
+    record->outcome = word;
+    said.local = record->local;
+    said.fetched = record->fetched;
+    said.computed = record->computed;
+  }
+  desk.send(found->second.from, said);
+  running.erase(found);
+}
+
+void KeeperNode::onOrder(Desk& desk, const std::string& from, const WorkerOrder& ask) {
+  auto deny = [&](Code code) {
+    desk.note("worker denied", ask.orderId, static_cast<int>(code));
+    desk.send(from, WorkerEnd{ask.orderId, static_cast<int>(Outcome::denied), static_cast<int>(code), 0, 0, 0});
+  };
+  if (drains || loadDue != Moment{}) return deny(Code::workerDraining);
+  if (given.kind == "language" && (ask.app || ask.model != given.model || ask.weights != currentWeights))
+    return deny(Code::weightsMismatch);
+  if (given.kind == "app" && !ask.app) return deny(Code::weightsMismatch);
+  if (static_cast<int>(running.size()) >= given.slots) return deny(Code::workerFull);
+  Run run;
+  run.ask = ask;
+  run.from = from;
+  run.record = recordBase + records.size();
+  RunRecord record;
+  record.orderId = ask.orderId;
+  record.weights = currentWeights;
+  record.tenant = ask.tenant;
+  record.source = ask.sourceAddress;
+  record.move = ask.moves;
+  records.push_back(record);
+  if (records.size() > recordsMost) {
+    records.pop_front();
+    ++recordBase;
+  }
+  desk.note(ask.moves ? "move ran" : "ran", ask.orderId);
+  auto& placed = running[ask.orderId] = std::move(run);
+  if (!ask.sourceAddress.empty()) {
+    Hashes wanted;
+    for (const auto& hash : ask.hashes)
+      if (!kept.count(hash)) wanted.push_back(hash);
+    if (!wanted.empty()) {
+      placed.phase = Run::Phase::pulling;
+      placed.due = desk.now + pullWait;
+      desk.send(ask.sourceAddress, PullAsk{ask.orderId, wanted});
+      return;
+    }
+  }
+  begin(desk, placed);
+}
+
+void KeeperNode::begin(Desk& desk, Run& run) {
+  auto* record = recordOf(run);
+  std::size_t local = 0;
+  std::string mine = originOf(currentWeights, run.ask.tenant);
+  while (local < run.ask.hashes.size()) {
+    auto found = kept.find(run.ask.hashes[local]);
+    if (found == kept.end()) break;
+    // Proof for tests: whose and which weights' blocks this order was given.
+    auto slash = found->second.origin.rfind('/');
+    std::string originWeights = found->second.origin.substr(0, slash);
+    std::string originTenant = found->second.origin.substr(slash + 1);
+    if (originWeights != currentWeights) {
+      ++crossWeights;
+      desk.note("cross weights", run.ask.orderId + " " + originWeights + " " + currentWeights);
+    }
+    if (originTenant != run.ask.tenant && !run.ask.moves) {
+      ++crossTenants[originTenant + ">" + run.ask.tenant];
+      desk.note("cross tenant", originTenant + ">" + run.ask.tenant);
+    }
+    ++local;
+  }
+  std::size_t computed = run.ask.hashes.size() - local;
+  if (record) {
+    record->local = static_cast<int>(local) - record->fetched;
+    record->computed = static_cast<int>(computed);
+  }
+  run.phase = Run::Phase::computing;
+  // An order without blocks (a short prompt, or the application's) still takes a moment.
+  run.due = desk.now + spanOf(given.kind == "app" ? 5 : 5 + static_cast<double>(computed) * given.blockMs);
+}
+
+void KeeperNode::onReport(Desk& desk, const std::string& from, const ReportAsk& ask) {
+  if (faults.silentReports) return;
+  Report report;
+  report.worker = given.name;
+  report.incarnation = incarnation;
+  report.weights = currentWeights;
+  report.model = given.model;
+  report.running = static_cast<int>(running.size());
+  report.slots = given.slots;
+  report.draining = drains;
+  report.term = highestTerm;
+  Moment horizon = desk.now - std::chrono::milliseconds(faults.lagMs);
+  report.sequence = sequence;
+  while (report.sequence > 0 && !events.empty() && report.sequence >= events.front().event.sequence &&
+         events[report.sequence - events.front().event.sequence].at > horizon)
+    --report.sequence;
+  bool reaches = ask.incarnation == incarnation && (events.empty() ? ask.after == sequence : ask.after + 1 >= events.front().event.sequence);
+  if (ask.whole || !reaches) {
+    report.whole = true;
+    report.sequence = sequence;
+    for (const auto& [hash, row] : kept) report.kept.push_back(hash);
+    std::sort(report.kept.begin(), report.kept.end());
+  } else {
+    for (const auto& told : events)
+      if (told.event.sequence > ask.after && told.event.sequence <= report.sequence && !told.lost)
+        report.events.push_back(told.event);
+  }
+  desk.send(from, report);
+}
+
+void KeeperNode::onControl(Desk& desk, const std::string& from, const ControlAsk& ask) {
+  if (ask.term < highestTerm) {
+    desk.note("command denied", given.name + " " + ask.holder, static_cast<std::int64_t>(ask.term));
+    desk.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::termOld)});
+    return;
+  }
+  highestTerm = ask.term;
+  desk.note("command taken", given.name + " " + ask.holder + " " + ask.action, static_cast<std::int64_t>(ask.term));
+  if (ask.action == "drain") {
+    drains = true;
+  } else if (ask.action == "load") {
+    drains = true;
+    if (loadDue == Moment{} || loadingWeights != ask.weights) {
+      if (currentWeights != ask.weights) {
+        Strings open;
+        for (const auto& [orderId, run] : running) open.push_back(orderId);
+        for (const auto& orderId : open) end(desk, orderId, Outcome::broken, Code::workerDraining, "cut by load");
+        loadingWeights = ask.weights;
+        loadDue = desk.now + std::chrono::milliseconds(given.loadMs);
+      }
+    }
+  } else if (ask.action == "admit") {
+    if (loadDue == Moment{} && currentWeights == ask.weights) drains = false;
+  }
+  desk.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::done)});
+}
+
+void KeeperNode::tick(Desk& desk) {
+  if (loadDue != Moment{} && desk.now >= loadDue && !faults.loadFails) {
+    currentWeights = loadingWeights;
+    loadDue = Moment{};
+    forget(desk, true);
+    desk.note("weights loaded", given.name + " " + currentWeights);
+  }
+  if (faults.stalled) return;
+  Strings ids;
+  for (const auto& [orderId, run] : running) ids.push_back(orderId);
+  for (const auto& orderId : ids) {
+    auto found = running.find(orderId);
+    if (found == running.end()) continue;
+    auto& run = found->second;
+    if (desk.now < run.due) continue;
+    if (run.phase == Run::Phase::pulling) {
+      begin(desk, run);
+    } else if (run.phase == Run::Phase::waiting) {
+      keep(desk, run.pulled, run.origins);
+      if (auto* record = recordOf(run)) record->fetched = static_cast<int>(run.pulled.size());
+      pulledBlocks += static_cast<std::int64_t>(run.pulled.size());
+      begin(desk, run);
+    } else if (run.phase == Run::Phase::computing) {
+      Strings origins(run.ask.hashes.size(), originOf(currentWeights, run.ask.tenant));
+      keep(desk, run.ask.hashes, origins);
+      if (!given.storeAddress.empty() && !run.ask.hashes.empty()) desk.send(given.storeAddress, StoreMsg{run.ask.hashes, origins});
+      run.phase = Run::Phase::talking;
+      run.due = desk.now;
+    }
+    if (run.phase == Run::Phase::talking) {
+      while (run.said < run.ask.maxTokens && desk.now >= run.due) {
+        ++run.said;
+        if (auto* record = recordOf(run)) record->tokens = run.said;
+        desk.send(run.from, WorkerChunk{orderId, given.name + ":" + std::to_string(run.said) + " "});
+        run.due += spanOf(given.tokenMs);
+      }
+      if (run.said >= run.ask.maxTokens) end(desk, orderId, Outcome::done, Code::done, "done");
+    }
+  }
+}
+
+void KeeperNode::take(Desk& desk, const std::string& from, const Message& message) {
+  if (auto* order = std::get_if<WorkerOrder>(&message)) {
+    onOrder(desk, from, *order);
+  } else if (auto* gone = std::get_if<WorkerDrop>(&message)) {
+    auto found = running.find(gone->orderId);
+    if (found == running.end()) return;
+    if (auto* record = recordOf(found->second)) record->outcome = "dropped";
+    desk.note("worker freed", gone->orderId);
+    running.erase(found);
+  } else if (auto* report = std::get_if<ReportAsk>(&message)) {
+    onReport(desk, from, *report);
+  } else if (auto* control = std::get_if<ControlAsk>(&message)) {
+    onControl(desk, from, *control);
+  } else if (auto* pull = std::get_if<PullAsk>(&message)) {
+    PullReply reply{pull->pullId, {}, {}};
+    for (const auto& hash : pull->hashes)
+      if (auto found = kept.find(hash); found != kept.end()) {
+        reply.hashes.push_back(hash);
+        reply.origins.push_back(found->second.origin);
+      }
+    desk.send(from, reply);
+  } else if (auto* reply = std::get_if<PullReply>(&message)) {
+    auto found = running.find(reply->pullId);
+    if (found == running.end() || found->second.phase != Run::Phase::pulling) return;
+    auto& run = found->second;
+    run.pulled = reply->hashes;
+    run.origins = reply->origins;
+    run.phase = Run::Phase::waiting;
+    double linkMs = faults.linkMs > 0 ? faults.linkMs : given.linkMs;
+    run.due = desk.now + spanOf(static_cast<double>(run.pulled.size()) * linkMs);
+    desk.note("pulled", reply->pullId, static_cast<std::int64_t>(run.pulled.size()));
+  } else if (auto* stored = std::get_if<StoreMsg>(&message)) {
+    keep(desk, stored->hashes, stored->origins);
+  }
+}
+
+void PlatformNode::take(Desk& desk, const std::string& from, const Message& message) {
+  if (!std::holds_alternative<MachinesAsk>(message)) return;
+  MachinesReply reply{stamp, {}};
+  for (const auto& [name, machine] : rows) reply.machines.push_back(machine);
+  desk.send(from, reply);
+}
+void PlatformNode::set(const Machine& machine) {
+  rows[machine.name] = machine;
+  ++stamp;
+}
+void PlatformNode::mark(const std::string& name, bool leaving) {
+  auto found = rows.find(name);
+  if (found == rows.end() || found->second.leaving == leaving) return;
+  found->second.leaving = leaving;
+  ++stamp;
+}
+void PlatformNode::remove(const std::string& name) {
+  if (rows.erase(name)) ++stamp;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/standin.hpp
@@ -0,0 +1,116 @@
+#pragma once
+#include <list>
+
+#include "desk.hpp"
+
+namespace tt {
+
+struct KeeperProps {
+  std::string name, address, kind{"language"}, model, weights, storeAddress;
+  int slots{8};
+  double blockMs{4}, tokenMs{20}, linkMs{0.2};
+  std::size_t keepMost{4000};
+  int loadMs{1500};
+};
+
+/// What a stand-in can be told to do wrong.
+struct KeeperFaults {
+  int lagMs{0};
+  int loseEvents{0};    // per cent of events that leave a gap
+  int forgetEvents{0};  // per cent of events that leave no trace at all
+  bool stalled{false};
+  bool loadFails{false};
+  bool silentReports{false};
+  double linkMs{0};
+};
+
+/// One order as a stand-in ran it, kept so that tests can prove what ran how often.
+struct RunRecord {
+  std::string orderId, weights, tenant, source;
+  bool move{false};
+  int local{0}, fetched{0}, computed{0}, tokens{0};
+  std::string outcome{"running"};
+};
+
+/// Stands in for a language worker, the application worker or the store, as docs/backends.md describes them.
+class KeeperNode : public Node {
+ public:
+  KeeperNode(KeeperProps keeperProps, std::string incarnationMark);
+  void take(Desk& desk, const std::string& from, const Message& message) override;
+  void tick(Desk& desk) override;
+  KeeperFaults faults;
+  const std::deque<RunRecord>& runs() const { return records; }
+  const KeeperProps& props() const { return given; }
+  const std::string& weights() const { return currentWeights; }
+  bool draining() const { return drains; }
+  std::size_t keptCount() const { return kept.size(); }
+  bool keeps(const BlockHash& hash) const { return kept.count(hash) > 0; }
+  /// Forgets every block, with or without saying so.
+  void forget(Desk& desk, bool saying);
+  void evict(Desk& desk, const Hashes& hashes) { drop(desk, hashes); }
+  std::int64_t crossWeights{0};
+  std::map<std::string, std::int64_t> crossTenants;
+  /// Blocks pulled that were beyond the prompt that a move named.
+  std::int64_t pulledBlocks{0};
+
+ private:
+  struct Kept {
+    std::string origin;
+    std::list<BlockHash>::iterator place;
+  };
+  struct Run {
+    WorkerOrder ask;
+    std::string from;
+    std::size_t record;
+    enum class Phase { pulling, waiting, computing, talking } phase{Phase::computing};
+    Moment due{};
+    Hashes pulled;
+    Strings origins;
+    int said{0};
+  };
+  KeeperProps given;
+  std::string incarnation, currentWeights, loadingWeights, loadingModel;
+  bool drains{false};
+  Moment loadDue{};
+  std::unordered_map<BlockHash, Kept, BlockHashKey> kept;
+  std::list<BlockHash> byUse;
+  struct Told {
+    KeptEvent event;
+    Moment at;
+    bool lost{false};
+  };
+  std::deque<Told> events;
+  std::uint64_t sequence{0}, highestTerm{0}, recordBase{0};
+  std::map<std::string, Run> running;
+  std::deque<RunRecord> records;
+  std::string lastHolder;
+
+  void tell(Desk& desk, KeptKind kind, const Hashes& hashes);
+  void keep(Desk& desk, const Hashes& hashes, const Strings& origins);
+  void drop(Desk& desk, const Hashes& hashes);
+  void begin(Desk& desk, Run& run);
+  void end(Desk& desk, const std::string& orderId, Outcome outcome, Code code, const char* word);
+  void onOrder(Desk& desk, const std::string& from, const WorkerOrder& ask);
+  void onReport(Desk& desk, const std::string& from, const ReportAsk& ask);
+  void onControl(Desk& desk, const std::string& from, const ControlAsk& ask);
+  RunRecord* recordOf(const Run& run);
+};
+
+/// Stands in for the platform: lists machines and marks those that leave.
+class PlatformNode : public Node {
+ public:
+  explicit PlatformNode(std::uint64_t firstStamp) : stamp(firstStamp) {}
+  void take(Desk& desk, const std::string& from, const Message& message) override;
+  void tick(Desk&) override {}
+  void set(const Machine& machine);
+  void mark(const std::string& name, bool leaving);
+  void remove(const std::string& name);
+  const std::map<std::string, Machine>& machines() const { return rows; }
+  std::uint64_t current() const { return stamp; }
+
+ private:
+  std::map<std::string, Machine> rows;
+  std::uint64_t stamp;
+};
+
+}  // namespace tt
