--- /dev/null
+++ b/src/web.hpp
@@ -0,0 +1,94 @@
+#pragma once
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "host.hpp"
+#include "json.hpp"
+
+namespace tt {
+
+/// One HTTP request as a handler sees it.
+struct WebAsk {
+  std::string method, path, body, bearer;
+  std::map<std::string, std::string> query;
+};
+/// An HTTP exchange being answered, in one go or as a stream of lines. Safe to use from any thread.
+class WebAnswer {
+ public:
+  virtual ~WebAnswer() = default;
+  virtual void finish(int status, const std::string& body, int retryAfterMs = 0) = 0;
+  /// Sends one line of a stream; whether the other side still seems to be there.
+  virtual bool line(const std::string& text) = 0;
+  virtual void endStream(const std::string& lastLine) = 0;
+  virtual bool streaming() const = 0;
+};
+using WebHandler = std::function<void(WebAsk, std::shared_ptr<WebAnswer>)>;
+
+/// An HTTP/1.1 server on RESTinio.
+class WebServer {
+ public:
+  WebServer(asio::io_context& context, const std::string& address, WebHandler handler);
+  ~WebServer();
+  Result<void> open();
+  void close();
+  struct Inner;
+
+ private:
+  std::unique_ptr<Inner> inner;
+};
+
+/// One HTTP call as libcurl makes it.
+struct WebCall {
+  std::string method{"GET"}, url, body, bearer;
+  Span connectWait{1s}, wholeWait{0};
+  bool onceOnly{false};  // a new connection, never sent a second time by the library
+};
+struct WebResult {
+  bool reached{false};   // a whole HTTP answer came
+  bool nothingSent{false};
+  int status{0};
+  int retryAfterMs{0};
+  std::string body, trouble;
+};
+/// Makes HTTP calls through libcurl on one thread.
+class WebCalls {
+ public:
+  using OnLine = std::function<void(const std::string& line)>;
+  using OnDone = std::function<void(const WebResult& result)>;
+  WebCalls();
+  ~WebCalls();
+  /// Starts a call. Lines of a 200 answer are handed over as they come if onLine is given, else the body comes whole.
+  std::uint64_t start(WebCall call, OnDone onDone, OnLine onLine = {});
+  void drop(std::uint64_t callId);
+
+ private:
+  struct Inner;
+  std::unique_ptr<Inner> inner;
+};
+
+/// A call made and waited for, for tools.
+WebResult callAndWait(WebCalls& calls, WebCall call);
+
+/// Exchanges that wait for the logic's answer, by the name the logic knows them under.
+class OpenAnswers {
+ public:
+  std::string add(std::shared_ptr<WebAnswer> answer);
+  /// A fresh name that no other exchange here has had.
+  std::string freshName();
+  void addAs(const std::string& name, std::shared_ptr<WebAnswer> answer);
+  std::shared_ptr<WebAnswer> find(const std::string& name);
+  std::shared_ptr<WebAnswer> remove(const std::string& name);
+  std::size_t count();
+
+ private:
+  std::mutex lock;
+  std::uint64_t lastNumber{0};
+  std::map<std::string, std::shared_ptr<WebAnswer>> rows;
+};
+
+std::string faultBody(const Fault& fault);
+
+}  // namespace tt
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,158 @@
+#include <boost/archive/binary_iarchive.hpp>
+#include <boost/archive/binary_oarchive.hpp>
+#include <streambuf>
+
+#include "messages.hpp"
+
+namespace tt {
+namespace {
+
+class FrameSource : public std::streambuf {
+ public:
+  explicit FrameSource(std::string_view frame) {
+    char* start = const_cast<char*>(frame.data());
+    setg(start, start, start + frame.size());
+  }
+  std::size_t left() const { return static_cast<std::size_t>(egptr() - gptr()); }
+};
+class FrameSink : public std::streambuf {
+ public:
+  std::string bytes;
+
+ protected:
+  int overflow(int letter) override {
+    bytes.push_back(static_cast<char>(letter));
+    return letter;
+  }
+  std::streamsize xsputn(const char* start, std::streamsize count) override {
+    bytes.append(start, static_cast<std::size_t>(count));
+    return count;
+  }
+};
+
+using Packer = boost::archive::binary_oarchive;
+using Unpacker = boost::archive::binary_iarchive;
+constexpr auto archiveFlags = boost::archive::no_header | boost::archive::no_codecvt | boost::archive::no_tracking;
+
+template <class T>
+struct IsRow : std::false_type {};
+template <class T>
+struct IsRow<std::vector<T>> : std::true_type {};
+
+}  // namespace
+
+// A count read from a frame is never trusted: rows grow one by one and text in small steps, so that
+// a lying count meets the frame's end, where the archive itself gives up.
+template <class Archive, class T>
+void stow(Archive& archive, T& value) {
+  constexpr bool loading = Archive::is_loading::value;
+  if constexpr (std::is_same_v<T, std::string>) {
+    std::uint32_t size = static_cast<std::uint32_t>(value.size());
+    archive & size;
+    if constexpr (loading) {
+      value.clear();
+      while (value.size() < size) {
+        std::size_t start = value.size();
+        std::size_t step = std::min<std::size_t>(size - start, 4096);
+        value.resize(start + step);
+        archive.load_binary(value.data() + start, step);
+      }
+    } else {
+      archive.save_binary(value.data(), value.size());
+    }
+  } else if constexpr (IsRow<T>::value) {
+    std::uint32_t size = static_cast<std::uint32_t>(value.size());
+    archive & size;
+    if constexpr (loading) {
+      value.clear();
+      for (std::uint32_t at = 0; at < size; ++at) {
+        value.emplace_back();
+        stow(archive, value.back());
+      }
+    } else {
+      for (auto& item : value) stow(archive, item);
+    }
+  } else if constexpr (std::is_same_v<T, BlockHash>) {
+    archive & value.high;
+    archive & value.low;
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    if constexpr (std::is_same_v<T, bool>) {
+      std::uint8_t byte = value ? 1 : 0;
+      archive & byte;
+      value = byte != 0;
+    } else {
+      archive & value;
+    }
+  } else {
+    value.serialize(archive, 0);
+  }
+}
+
+namespace {
+template <class T>
+std::string pack(const T& value, std::uint16_t kind) {
+  FrameSink sink;
+  {
+    Packer packer(sink, archiveFlags);
+    packer & kind;
+    stow(packer, const_cast<T&>(value));
+  }
+  return std::move(sink.bytes);
+}
+template <class T>
+Result<T> unpack(std::string_view bytes) {
+  try {
+    FrameSource source(bytes);
+    Unpacker unpacker(source, archiveFlags);
+    std::uint16_t kind = 0;
+    unpacker & kind;
+    T value{};
+    stow(unpacker, value);
+    if (source.left() != 0) return fault(Code::badFrame, "length");
+    return value;
+  } catch (const std::exception&) {
+    return fault(Code::badFrame, "end");
+  }
+}
+template <std::size_t at = 1>
+Result<Message> unpackKind(std::uint16_t kind, std::string_view frame) {
+  if constexpr (at < std::variant_size_v<Message>) {
+    if (kind != at) return unpackKind<at + 1>(kind, frame);
+    auto value = unpack<std::variant_alternative_t<at, Message>>(frame);
+    if (!value) return value.error();
+    return Message(std::move(value).value());
+  } else {
+    return fault(Code::badFrame, "kind");
+  }
+}
+constexpr const char* messageNames[] = {"none"
+#define TT_MESSAGE_TEXT(Name, fields) , #Name
+                                        TT_MESSAGES(TT_MESSAGE_TEXT)};
+}  // namespace
+
+const char* messageName(const Message& message) { return messageNames[message.index()]; }
+
+std::string encodeMessage(const Message& message) {
+  return std::visit(
+      [&](const auto& value) -> std::string {
+        if constexpr (std::is_same_v<std::decay_t<decltype(value)>, std::monostate>)
+          return {};
+        else
+          return pack(value, static_cast<std::uint16_t>(message.index()));
+      },
+      message);
+}
+
+Result<Message> decodeMessage(std::string_view frame) {
+  if (frame.size() < 2) return fault(Code::badFrame, "length");
+  std::uint16_t kind = static_cast<std::uint16_t>(static_cast<unsigned char>(frame[0]) |
+                                                  (static_cast<unsigned char>(frame[1]) << 8));
+  return unpackKind<>(kind, frame);
+}
+
+std::string encodeCapture(const Capture& capture) { return pack(capture, 0); }
+Result<Capture> decodeCapture(std::string_view bytes) { return unpack<Capture>(bytes); }
+std::string encodeEntry(const Entry& entry) { return pack(entry, 0); }
+Result<Entry> decodeEntry(std::string_view bytes) { return unpack<Entry>(bytes); }
+
+}  // namespace tt
--- /dev/null
+++ b/tests/parts.cpp
@@ -0,0 +1,210 @@
+#include <criterion/criterion.h>
+
+#include <cstring>
+
+#include "blueprint.hpp"
+#include "cell.hpp"
+#include "chart.hpp"
+#include "contract.hpp"
+#include "edge.hpp"
+#include "ring.hpp"
+
+using namespace tt;
+
+namespace {
+class MemoryFiles : public RingFiles {
+ public:
+  explicit MemoryFiles(int files = 4, std::size_t bytes = 16384) : rows(static_cast<std::size_t>(files), std::string(bytes, '\0')) {}
+  Result<std::string> readAll(int file) override { return rows[static_cast<std::size_t>(file)]; }
+  Result<void> write(int file, std::size_t offset, std::string_view bytes) override {
+    rows[static_cast<std::size_t>(file)].replace(offset, bytes.size(), bytes);
+    return boost::outcome_v2::success();
+  }
+  Result<void> sync(int) override { return boost::outcome_v2::success(); }
+  int count() const override { return static_cast<int>(rows.size()); }
+  std::size_t size() const override { return rows[0].size(); }
+  std::vector<std::string> rows;
+};
+Entry entryAt(std::uint64_t index) { return Entry{index, 1, 1, "body " + std::to_string(index), {}}; }
+}  // namespace
+
+Test(ring, keeps_what_was_synced_over_many_turns) {
+  MemoryFiles files;
+  {
+    auto ring = Ring::open(files);
+    cr_assert(bool(ring));
+    cr_assert(bool(ring.value()->append({identityRecord("core-x"), voteRecord("accord", Vote{3, "core-y"})})));
+    for (std::uint64_t index = 1; index <= 2000; ++index) {
+      cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
+      if (index % 50 == 0) {
+        Capture capture;
+        capture.index = index - 10;
+        cr_assert(bool(ring.value()->append({captureRecord(capture)})));
+      }
+    }
+    cr_assert_gt(ring.value()->generation(), 8u, "the ring must have gone round");
+  }
+  auto again = Ring::open(files);
+  cr_assert(bool(again));
+  cr_assert_eq(again.value()->held().identity, "core-x");
+  cr_assert_eq(again.value()->held().votes.at("accord").term, 3u);
+  cr_assert_eq(again.value()->held().capture->index, 1990u);
+  cr_assert_eq(again.value()->held().entries.back().index, 2000u);
+  cr_assert_eq(again.value()->held().entries.size(), 10u);
+}
+
+Test(ring, drops_a_torn_end_and_tells_damage_from_it) {
+  MemoryFiles files;
+  auto ring = Ring::open(files);
+  cr_assert(bool(ring.value()->append({identityRecord("core-x")})));
+  for (std::uint64_t index = 1; index <= 20; ++index) cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
+  MemoryFiles torn = files;
+  std::size_t file = 0;
+  for (std::size_t at = 0; at < torn.rows.size(); ++at)
+    if (torn.rows[at].find("body 20") != std::string::npos) file = at;
+  torn.rows[file][torn.rows[file].find("body 20") + 3] ^= 1;
+  auto opened = Ring::open(torn);
+  cr_assert(bool(opened), "a torn end is no damage");
+  cr_assert(opened.value()->tornEnd());
+  cr_assert_eq(opened.value()->held().entries.back().index, 19u);
+  cr_assert(bool(opened.value()->append({entryRecord(entryAt(20))})));
+  cr_assert_eq(Ring::open(torn).value()->held().entries.back().index, 20u);
+
+  MemoryFiles damaged = files;
+  damaged.rows[file][damaged.rows[file].find("body 7") + 3] ^= 1;
+  cr_assert_not(bool(Ring::open(damaged)), "sound records behind an unsound one are damage");
+}
+
+Test(wire, every_frame_cut_short_or_bent_is_a_fault_or_a_message) {
+  NewsMsg news{7, {entryAt(5), entryAt(6)}, {}};
+  std::string frame = encodeMessage(news);
+  auto read = decodeMessage(frame);
+  cr_assert(bool(read));
+  cr_assert_eq(std::get<NewsMsg>(read.value()).entries[1].body, "body 6");
+  for (std::size_t size = 0; size < frame.size(); ++size) cr_assert_not(bool(decodeMessage(frame.substr(0, size))));
+  cr_assert_not(bool(decodeMessage(frame + "x")));
+  std::mt19937_64 dice(1);
+  int kept = 0;
+  for (int round = 0; round < 20000; ++round) {
+    std::string bent = frame;
+    for (int bend = 0; bend < 3; ++bend) bent[dice() % bent.size()] = static_cast<char>(dice());
+    kept += bool(decodeMessage(bent));
+  }
+  cr_assert_lt(kept, 20000);
+}
+
+Test(policy, first_line_that_fits_wins_and_faults_name_the_line) {
+  auto policy = Policy::read("recompute when hits < 8\nfetch peer when hits >= 8 and speed > 50 # near\nfetch store\n");
+  cr_assert(bool(policy));
+  cr_assert_not(policy.value().fetches({false, 4, 100, 0}));
+  cr_assert(policy.value().fetches({false, 9, 100, 0}));
+  cr_assert_not(policy.value().fetches({false, 9, 10, 0}));
+  cr_assert(policy.value().fetches({true, 9, 10, 0}));
+  auto wrong = Policy::read("fetch peer\nfetch moon\n");
+  cr_assert_not(bool(wrong));
+  cr_assert_eq(wrong.error().subject, "line 2");
+  cr_assert_not(bool(Policy::read("fetch peer when hits >= many")));
+  cr_assert_not(bool(Policy::read("fetch peer when hits >= 3 or speed > 1")));
+}
+
+Test(modes, only_decoder_target_with_kv_source_may_be_combined) {
+  cr_assert(bool(checkModes({})));
+  cr_assert(bool(checkModes({"remote_decoder", "remote_kv_source"})));
+  cr_assert(bool(checkModes({"remote_prefiller"})));
+  cr_assert_eq(checkModes({"remote_prefiller", "remote_kv_source"}).error().code, Code::badMode);
+  cr_assert_eq(checkModes({"remote_prefiller", "remote_decoder"}).error().code, Code::badMode);
+  cr_assert_eq(checkModes({"remote_prefiller", "remote_decoder", "remote_kv_source"}).error().code, Code::badMode);
+  cr_assert_eq(checkModes({"remote_moon"}).error().code, Code::unknownField);
+}
+
+Test(blocks, hashes_chain_and_are_kept_apart_by_salt) {
+  std::vector<std::string> parts{std::string(1000, 'a'), "tail"};
+  auto hashes = hashPrompt(parts, cacheSalt("m", "w1", "shared"));
+  cr_assert_eq(hashes.size(), 7u);
+  for (std::size_t blocks = 0; blocks <= hashes.size(); ++blocks) {
+    auto cut = hashPrompt(cutPrompt(parts, blocks), cacheSalt("m", "w1", "shared"));
+    cr_assert_eq(cut.size(), blocks);
+    for (std::size_t at = 0; at < blocks; ++at) cr_assert(cut[at] == hashes[at]);
+  }
+  cr_assert_not(hashPrompt(parts, cacheSalt("m", "w2", "shared"))[0] == hashes[0]);
+  cr_assert_not(hashPrompt(parts, cacheSalt("m", "w1", "own:a"))[0] == hashes[0]);
+  cr_assert_not(cacheSalt("a", "bc", "d") == cacheSalt("ab", "c", "d"));
+  cr_assert_not(layPrompt({"a", "b"}) == layPrompt({"a\x1e" "b"}));
+}
+
+Test(blueprint, changes_are_checked_whole_and_faults_name_the_field) {
+  Blueprint view;
+  std::uint64_t index = 0;
+  auto take = [&](const std::string& text, bool whole) {
+    auto patch = view.preparePatch(text, whole);
+    if (patch) view.apply(Entry{++index, 1, 1, patch.value(), "c" + std::to_string(index)});
+    return patch;
+  };
+  cr_assert(bool(take(R"({"weights":{"w1":{"model":"m"}},"models":{"m":{"weights":"w1"}},"tenants":{"t":{}},)"
+                      R"("keys":{"k":{"tenant":"t","secret":"abcdefgh"}},"policies":{"p":"fetch peer"},)"
+                      R"("routes":{"r":{"model":"m","policy":"p","tenants":["t"]}}})", true)));
+  cr_assert(view.findKey(sha256Hex("abcdefgh")).has_value());
+  cr_assert(view.text().find("abcdefgh") == std::string::npos, "keys are kept hashed");
+  cr_assert_eq(take(R"({"tenants":{"t":null}})", false).error().subject, "keys.k.tenant");
+  cr_assert_eq(take(R"({"routes":{"r":{"model":"x"}}})", false).error().subject, "routes.r.model");
+  cr_assert_eq(take(R"({"routes":{"r":{"modle":"x"}}})", false).error().subject, "routes.r.modle");
+  cr_assert_eq(take(R"({"policies":{"p":"fetch peer\nfetch moon"}})", false).error().subject, "policies.p");
+  cr_assert_eq(view.revision(), 1u, "nothing of a denied change may stick");
+  cr_assert(bool(take(R"({"keys":{"k":null}})", false)));
+  cr_assert_not(view.findKey(sha256Hex("abcdefgh")).has_value());
+  Blueprint copy;
+  cr_assert(bool(copy.adopt(view.capture())));
+  cr_assert_eq(copy.text(), view.text());
+  cr_assert_eq(copy.takenAs("c2").value(), 2u);
+}
+
+Test(contract, bent_caller_json_never_gets_through_unseen) {
+  std::string good = R"({"route":"r","model":"m","parts":["a","b"],"repeatable":true,"maxTokens":4})";
+  cr_assert(bool(readCallerOrder(good)));
+  cr_assert_eq(readCallerOrder(R"({"route":"r","model":"m","parts":["a"],"repeat":true})").error().subject, "repeat");
+  cr_assert_eq(readCallerOrder(R"({"route":"r","model":"m","parts":["a",1]})").error().subject, "parts[1]");
+  cr_assert_eq(readCallerOrder(R"({"route":"r","model":"m"})").error().subject, "parts");
+  cr_assert_eq(readCallerOrder("{").error().code, Code::badJson);
+  cr_assert_eq(readCallerOrder(std::string(100000, '[')).error().code, Code::badJson);
+  cr_assert_eq(readCallerOrder(std::string((1 << 20) + 1, ' ')).error().code, Code::tooLarge);
+  std::mt19937_64 dice(2);
+  int denied = 0;
+  for (int round = 0; round < 20000; ++round) {
+    std::string bent = good;
+    bent[dice() % bent.size()] = static_cast<char>(dice());
+    auto read = readCallerOrder(bent);
+    if (!read) {
+      cr_assert_not(read.error().subject.empty());
+      ++denied;
+    }
+  }
+  cr_assert_gt(denied, 1000);
+}
+
+Test(codes, the_table_in_the_docs_is_the_one_in_the_code) {
+  std::string text;
+  if (FILE* file = std::fopen(TT_SOURCE "/docs/codes.md", "r")) {
+    char bytes[4096];
+    while (std::size_t got = std::fread(bytes, 1, sizeof bytes, file)) text.append(bytes, got);
+    std::fclose(file);
+  }
+  cr_assert(text.find(codeTable()) != std::string::npos, "docs/codes.md must hold the table that trouttally-sim --codes prints");
+}
+
+Test(watch, nobody_follows_a_higher_rank_so_no_ring_can_form) {
+  Strings fellows;
+  for (int number = 0; number < 90; ++number) fellows.push_back("127.0.0.1:" + std::to_string(9000 + number));
+  int deepest = 0;
+  for (const auto& fellow : fellows) {
+    std::string at = fellow;
+    int depth = 0;
+    for (auto watch = drawWatch(at, fellows, 3); !watch.empty(); watch = drawWatch(at, fellows, 3)) {
+      cr_assert_lt(rendezvous("rank", watch[0]), rendezvous("rank", at));
+      at = watch[0];
+      ++depth;
+    }
+    deepest = std::max(deepest, depth);
+  }
+  cr_assert_leq(deepest, 12);
+  cr_assert_geq(deepest, 1);
+}
