--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -9,7 +9,6 @@
 constexpr Span shunFor = 2s;
 constexpr Span staleMost = 2500ms;
 constexpr double unmeasuredSpeed = 1000;
-constexpr double retryShare = 0.1;
 constexpr double retryMost = 10;
 constexpr int mostTries = 3;
 constexpr std::size_t leastGain = 4;
@@ -133,7 +132,7 @@
   order->route = *route;
   order->policy = view.policyOf(route->policy);
   order->walk = std::make_unique<ChartWalk<Edge, Desk&, Order&>>("order", deeds(), "pending");
-  retryTokens = std::min(retryMost, retryTokens + retryShare);
+  retryTokens = std::min(retryMost, retryTokens + props.retryShare);
   desk.note("admitted", ask.orderId);
   orders[ask.orderId] = std::move(order);
   pending.push_back(ask.orderId);
@@ -308,6 +307,7 @@
 
 void Edge::settleLookup(Desk& desk, Order& order) {
   auto& plan = order.plan;
+  desk.note("lookup settled", order.ask.orderId, inMs(desk.now - order.lookupAt));
   // Unanswered by now means a miss; only hits that were confirmed count from here on.
   plan.source.reset();
   plan.confirmedHits = 0;
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -13,6 +13,7 @@
   Span firstByteWait{10s};
   Span chunkWait{5s};
   double blockMs{4};
+  double retryShare{0.1};
 };
 
 /// What a proxy means to do with an order, as data, before any of it is done.
--- /dev/null
+++ b/src/scenario.cpp
@@ -0,0 +1,571 @@
+#include "scenario.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+
+namespace tt {
+namespace {
+
+struct Line {
+  int number{0};
+  double at{-1};
+  std::vector<std::string> words;
+  std::string rest;
+};
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+Span secondsOf(double seconds) { return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds)); }
+
+class Runner {
+ public:
+  Runner(const std::string& text, std::optional<std::uint64_t> seed, std::string traced) : traceKind(std::move(traced)) {
+    std::istringstream source(text);
+    std::string row;
+    for (int number = 1; std::getline(source, row); ++number) {
+      if (auto hash = row.find('#'); hash != std::string::npos) row.resize(hash);
+      std::istringstream words(row);
+      Line line;
+      line.number = number;
+      for (std::string word; words >> word;) line.words.push_back(word);
+      if (line.words.empty()) continue;
+      if (line.words[0] == "at") {
+        if (line.words.size() < 3) {
+          wrong(line, "'at SECONDS VERB'");
+          continue;
+        }
+        line.at = std::atof(line.words[1].c_str());
+        auto verb = row.find(line.words[2], row.find(line.words[1]) + line.words[1].size());
+        line.rest = row.substr(verb + line.words[2].size());
+        line.words.erase(line.words.begin(), line.words.begin() + 2);
+        steps.push_back(line);
+      } else if (line.words[0] == "fleet") {
+        setFleet(line);
+      } else if (line.words[0] == "seed") {
+        ownSeed = std::strtoull(line.words.at(1).c_str(), nullptr, 10);
+      } else if (line.words[0] == "until") {
+        until = std::atof(line.words.at(1).c_str());
+      } else if (line.words[0] == "expect") {
+        expects.push_back(line);
+      } else if (line.words[0] == "break") {
+        breaks.push_back(line.words.at(1));
+      } else if (line.words[0] != "title") {
+        wrong(line, "unknown word " + line.words[0]);
+      }
+    }
+    if (seed) ownSeed = *seed;
+    std::stable_sort(steps.begin(), steps.end(), [](const Line& one, const Line& other) { return one.at < other.at; });
+  }
+
+  ScenarioResult run() {
+    ScenarioResult result;
+    result.seed = ownSeed;
+    if (!troubles.empty()) {
+      result.troubles = troubles;
+      return result;
+    }
+    world = std::make_unique<World>(shape, ownSeed);
+    world->trace = traceKind;
+    start = world->now();
+    for (const auto& rule : breaks) world->breakRule(rule);
+    for (const auto& line : steps) {
+      world->runUntil(start + secondsOf(line.at));
+      step(line);
+    }
+    world->runUntil(start + secondsOf(until));
+    world->checkEnd();
+    std::set<std::string> wanted;
+    for (const auto& line : expects)
+      if (line.words.size() > 2 && line.words[1] == "violation") wanted.insert(line.words[2]);
+    std::set<std::string> seen;
+    for (const auto& violation : world->violations) {
+      seen.insert(violation.invariant);
+      if (!wanted.empty()) continue;
+      char stamp[32];
+      std::snprintf(stamp, sizeof stamp, "%.3f", std::chrono::duration<double>(violation.at - start).count());
+      troubles.push_back("must never happen: " + violation.invariant + " at " + stamp + "s: " + violation.text);
+    }
+    for (const auto& name : wanted)
+      if (!seen.count(name)) troubles.push_back("the broken fleet was not caught: " + name);
+    for (const auto& line : expects) check(line);
+    result.figures = figures();
+    result.troubles = troubles;
+    result.passed = troubles.empty();
+    return result;
+  }
+
+ private:
+  FleetShape shape;
+  std::uint64_t ownSeed{1};
+  double until{20};
+  std::vector<Line> steps, expects;
+  std::vector<std::string> breaks, troubles;
+  std::unique_ptr<World> world;
+  std::string traceKind;
+  Moment start;
+
+  void wrong(const Line& line, const std::string& reason) { troubles.push_back("line " + std::to_string(line.number) + ": " + reason); }
+
+  void setFleet(const Line& line) {
+    for (std::size_t at = 1; at + 1 < line.words.size(); at += 2) {
+      const std::string& key = line.words[at];
+      double value = std::atof(line.words[at + 1].c_str());
+      if (key == "edges") shape.edges = static_cast<int>(value);
+      else if (key == "workers") shape.workers = static_cast<int>(value);
+      else if (key == "tenants") shape.tenants = static_cast<int>(value);
+      else if (key == "plan") shape.planRate = value;
+      else if (key == "swap") shape.swapRate = value;
+      else if (key == "reminder") shape.reminderRate = value;
+      else if (key == "app") shape.appRate = value;
+      else if (key == "loadMs") shape.loadMs = static_cast<int>(value);
+      else if (key == "keepMost") shape.keepMost = static_cast<std::size_t>(value);
+      else if (key == "slots") shape.slots = static_cast<int>(value);
+      else if (key == "fetching") shape.fetching = value > 0;
+      else if (key == "localities") {
+        shape.localities.clear();
+        for (int number = 1; number <= static_cast<int>(value); ++number) shape.localities.push_back("ghent-" + std::to_string(number));
+      } else wrong(line, "unknown fleet key " + key);
+    }
+  }
+
+  // A name may be a machine, a duty's holder (@accord, @cell/ghent-1), a group or a locality.
+  std::vector<std::string> named(const std::string& word) {
+    if (word[0] == '@') {
+      std::string holder = world->holderOf(word.substr(1));
+      return holder.empty() ? std::vector<std::string>{} : std::vector<std::string>{holder};
+    }
+    std::vector<std::string> rows;
+    if (word.rfind("locality:", 0) == 0) {
+      for (const auto& name : world->localityMembers(word.substr(9))) rows.push_back(name);
+      return rows;
+    }
+    for (auto [group, prefix] : {std::pair{"cores", "core-"}, {"workers", "worker-"}, {"agents", "agent-"}, {"proxies", "proxy-"}})
+      if (word == group) {
+        for (const auto& name : world->names())
+          if (name.rfind(prefix, 0) == 0) rows.push_back(name);
+        return rows;
+      }
+    if (word.rfind("edge-", 0) == 0) return {"agent-" + word.substr(5), "proxy-" + word.substr(5)};
+    std::stringstream list(word);
+    for (std::string item; std::getline(list, item, ',');) rows.push_back(item);
+    for (const auto& name : rows)
+      if (!world->names().count(name)) {
+        troubles.push_back("no such machine: " + name);
+        return {};
+      }
+    return rows;
+  }
+
+  static bool beside(const std::string& one, const std::string& other) {
+    return one.substr(one.rfind('-') + 1) == other.substr(other.rfind('-') + 1) &&
+           ((one.rfind("agent-", 0) == 0 && other.rfind("proxy-", 0) == 0) || (one.rfind("proxy-", 0) == 0 && other.rfind("agent-", 0) == 0));
+  }
+
+  void step(const Line& line) {
+    const auto& words = line.words;
+    const std::string& verb = words[0];
+    auto word = [&](std::size_t at) { return at < words.size() ? words[at] : std::string(); };
+    auto number = [&](std::size_t at) { return std::atof(word(at).c_str()); };
+    auto each = [&](const std::function<void(const std::string&)>& deed) {
+      for (std::size_t at = 1; at < words.size(); ++at)
+        for (const auto& name : named(words[at])) deed(name);
+    };
+    if (verb == "kill") {
+      each([&](const std::string& name) { world->kill(name); });
+    } else if (verb == "start") {
+      each([&](const std::string& name) { world->start(name); });
+    } else if (verb == "freeze") {
+      for (const auto& name : named(word(1))) world->freeze(name, secondsOf(number(2)));
+    } else if (verb == "freeze-at-command") {
+      for (const auto& name : named(word(1))) world->freeze(name, secondsOf(number(2)), true);
+    } else if (verb == "wipe") {
+      each([&](const std::string& name) { world->wipeDisk(name); });
+    } else if (verb == "move") {
+      each([&](const std::string& name) { world->moveAddress(name); });
+    } else if (verb == "stall" || verb == "unstall") {
+      each([&](const std::string& name) { world->disk(name)->stalled = verb == "stall"; });
+    } else if (verb == "lie") {
+      each([&](const std::string& name) { world->disk(name)->lying = true; });
+    } else if (verb == "slow-disk") {
+      for (const auto& name : named(word(1))) world->disk(name)->syncSpan = secondsOf(number(2) / 1000);
+    } else if (verb == "corrupt") {
+      each([&](const std::string& name) {
+        auto* disk = world->disk(name);
+        // A bit in the middle of the file last written to, with sound records behind it.
+        auto& row = disk->rows[disk->lastFile];
+        row[std::min<std::size_t>(row.size() - 1, disk->lastOffset / 2)] ^= 0x10;
+      });
+    } else if (verb == "cut" || verb == "cut-one") {
+      for (const auto& one : named(word(1)))
+        for (const auto& other : named(word(2)))
+          if (one != other) world->cut(one, other, verb == "cut");
+    } else if (verb == "cut-off") {
+      std::set<std::string> inside;
+      each([&](const std::string& name) { inside.insert(name); });
+      for (const auto& one : inside)
+        for (const auto& other : world->names())
+          if (!inside.count(other) && !beside(one, other)) world->cut(one, other);
+    } else if (verb == "lose") {
+      for (const auto& one : named(word(1)))
+        for (const auto& other : named(word(2)))
+          if (one != other && !beside(one, other)) world->lose(one, other, static_cast<int>(number(3)));
+    } else if (verb == "heal") {
+      world->heal();
+    } else if (verb == "change") {
+      world->change(line.rest, false, {}, -1, 1 + static_cast<int>(world->dice()() % 4));
+    } else if (verb == "change-id" || verb == "lost-answer") {
+      std::istringstream rest(line.rest);
+      std::string id, body;
+      rest >> id;
+      std::getline(rest, body);
+      world->change(body, false, id, -1, 1 + static_cast<int>(world->dice()() % 4), verb == "lost-answer");
+    } else if (verb == "change-if") {
+      std::istringstream rest(line.rest);
+      std::string id, body;
+      std::int64_t revision = 0;
+      rest >> id >> revision;
+      std::getline(rest, body);
+      world->change(body, false, id, revision, 1 + static_cast<int>(world->dice()() % 4));
+    } else if (verb == "storm") {
+      for (int at = 0; at < static_cast<int>(number(1)); ++at)
+        world->change("{\"routes\":{\"r" + std::to_string(at) + "\":{\"model\":\"rooster-llm\",\"policy\":\"p\"}}}", false, {}, -1, 1 + at % 4);
+    } else if (verb == "revoke") {
+      world->revoke(word(1));
+    } else if (verb == "name") {
+      world->nameWeights(word(1));
+    } else if (verb == "mark" || verb == "unmark") {
+      each([&](const std::string& name) { world->mark(name, verb == "mark"); });
+    } else if (verb == "remove") {
+      each([&](const std::string& name) { world->platform().remove(name); });
+    } else if (verb == "load") {
+      world->setLoad(number(1));
+    } else if (verb == "hangups") {
+      world->callerHangUps(static_cast<int>(number(1)));
+    } else if (verb == "fault") {
+      for (const auto& name : named(word(1))) {
+        auto* keeper = world->keeper(name);
+        if (!keeper) continue;
+        auto& faults = keeper->faults;
+        if (word(2) == "lagMs") faults.lagMs = static_cast<int>(number(3));
+        else if (word(2) == "loseEvents") faults.loseEvents = static_cast<int>(number(3));
+        else if (word(2) == "forgetEvents") faults.forgetEvents = static_cast<int>(number(3));
+        else if (word(2) == "stalled") faults.stalled = number(3) > 0;
+        else if (word(2) == "loadFails") faults.loadFails = number(3) > 0;
+        else if (word(2) == "silentReports") faults.silentReports = number(3) > 0;
+        else if (word(2) == "linkMs") faults.linkMs = number(3);
+        else wrong(line, "unknown fault " + word(2));
+      }
+    } else if (verb == "forget") {
+      // Loses every block without a word about it.
+      for (const auto& name : named(word(1)))
+        if (auto* keeper = world->keeper(name)) {
+          std::mt19937_64 dice(1);
+          Desk desk{world->now(), dice, keeper->journal, {}, {}};
+          keeper->forget(desk, false);
+        }
+    } else if (verb == "count-bytes") {
+      world->countBytes = true;
+    } else if (verb == "check") {
+      checkNow(line);
+    } else {
+      wrong(line, "unknown verb " + verb);
+    }
+  }
+
+  void failed(const Line& line, const std::string& got) {
+    std::string text;
+    for (const auto& word : line.words) text += word + " ";
+    troubles.push_back("line " + std::to_string(line.number) + ": " + text + "- got " + got);
+  }
+
+  bool compare(const Line& line, double value, std::size_t at) {
+    const auto& words = line.words;
+    if (words.size() < at + 2) {
+      failed(line, "no sign and number to compare with");
+      return false;
+    }
+    double bound = std::atof(words[at + 1].c_str());
+    bool good = words[at] == ">=" ? value >= bound : words[at] == "<=" ? value <= bound : words[at] == "=" && value == bound;
+    if (!good) failed(line, std::to_string(value));
+    return good;
+  }
+
+  void checkNow(const Line& line) {
+    const auto& words = line.words;
+    std::string what = words.size() > 1 ? words[1] : "";
+    if (what == "holders" && words.size() > 4) {
+      compare(line, world->holdersOf(words[2]), 3);
+    } else if (what == "not-holder" && words.size() > 3) {
+      if (world->holderOf(words[2]) == words[3]) failed(line, words[3]);
+    } else if (what == "fresh" && words.size() > 2) {
+      double fresh = 0;
+      for (const auto& name : named(words[2]))
+        if (auto* node = world->agent(name)) fresh += node->fresh(world->localNow(name));
+      compare(line, fresh, 3);
+    } else if (what == "unconfirmed") {
+      double unconfirmed = 0;
+      for (const auto& name : named("cores"))
+        if (auto* node = world->core(name))
+          for (const auto& [locality, cell] : node->cellsByLocality())
+            if (world->holderOf("cell/" + locality) == name) unconfirmed += static_cast<double>(cell->unconfirmedCount());
+      compare(line, unconfirmed, 2);
+    } else if (what == "voters" || what == "members") {
+      double voters = 0;
+      std::string leader = world->holderOf("accord");
+      if (!leader.empty())
+        for (const auto& member : world->core(leader)->agreement().members()) voters += what == "members" || member.votes;
+      compare(line, voters, 2);
+    } else if (what == "index-wrong") {
+      // Blocks that the index has wrong: kept but unknown, or known but not kept.
+      compare(line, static_cast<double>(indexWrong()), 2);
+    } else if (what == "weights" && words.size() > 4) {
+      double on = 0;
+      for (const auto& name : named("workers"))
+        if (auto* keeper = world->keeper(name)) on += keeper->weights() == words[2] && !keeper->draining();
+      compare(line, on, 3);
+    } else if (what == "count" && words.size() > 4) {
+      compare(line, static_cast<double>(world->count(spaced(words[2]))), 3);
+    } else {
+      wrong(line, "unknown check " + what);
+    }
+  }
+
+  std::int64_t indexWrong() {
+    std::int64_t wrongRows = 0;
+    for (const auto& name : named("cores"))
+      if (auto* node = world->core(name))
+        for (const auto& [locality, cell] : node->cellsByLocality()) {
+          if (world->holderOf("cell/" + locality) != name) continue;
+          for (const auto& [keeperName, keeper] : cell->keepers()) {
+            auto* truth = world->keeper(keeperName);
+            if (!truth || !keeper.confirmed) continue;
+            std::int64_t known = 0;
+            for (const auto& hash : keeper.kept) known += truth->keeps(hash);
+            wrongRows += static_cast<std::int64_t>(keeper.kept.size()) - known + static_cast<std::int64_t>(truth->keptCount()) - known;
+          }
+        }
+    return wrongRows;
+  }
+
+  static std::string spaced(std::string text) {
+    std::replace(text.begin(), text.end(), '_', ' ');
+    return text;
+  }
+
+  void check(const Line& line) {
+    const auto& words = line.words;
+    std::string what = words.size() > 1 ? words[1] : "";
+    if (what == "violation") return;
+    if (what == "served" && words.size() >= 8) {
+      // expect served >= 0.95 from 10 to 20 [kind plan]
+      Moment from = start + secondsOf(std::atof(words[5].c_str())), to = start + secondsOf(std::atof(words[7].c_str()));
+      double asked = 0, done = 0;
+      for (const auto& [orderId, order] : world->orders()) {
+        if (order.askedAt < from || order.askedAt >= to || order.gone) continue;
+        if (words.size() > 9 && order.kind != words[9]) continue;
+        ++asked;
+        done += order.verdict == "done";
+      }
+      if (asked < 1) return failed(line, "no orders");
+      compare(line, done / asked, 2);
+    } else if (what == "verdicts" && words.size() >= 5) {
+      // expect verdicts not_run >= 5
+      double number = 0;
+      for (const auto& [orderId, order] : world->orders()) number += order.verdict == spaced(words[2]);
+      compare(line, number, 3);
+    } else if (what == "unended") {
+      double number = 0;
+      for (const auto& [orderId, order] : world->orders()) number += !order.ended && order.askedAt < world->now() - 15s;
+      compare(line, number, 2);
+    } else if (what == "count" && words.size() >= 5) {
+      compare(line, static_cast<double>(world->count(spaced(words[2]))), 3);
+    } else if (what == "acked") {
+      double number = 0;
+      for (const auto& ack : world->acks()) number += ack.acked && ack.code == static_cast<int>(Code::changeTaken);
+      compare(line, number, 2);
+    } else if (what == "ack-code" && words.size() >= 5) {
+      for (const auto& ack : world->acks())
+        if (ack.changeId == words[2]) return void(compare(line, ack.code, 3));
+      failed(line, "no such change");
+    } else if (what == "same-revision" && words.size() >= 4) {
+      std::set<std::uint64_t> revisions;
+      for (const auto& ack : world->acks())
+        if (ack.changeId == words[2] && ack.acked) revisions.insert(ack.revision);
+      if (revisions.size() != 1) failed(line, std::to_string(revisions.size()) + " revisions");
+    } else if (what == "reach-ms") {
+      double slowest = 0;
+      for (const auto& ack : world->acks())
+        if (ack.acked && ack.code == static_cast<int>(Code::changeTaken))
+          slowest = std::max(slowest, ack.reached ? std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count() : 1e9);
+      compare(line, slowest, 2);
+    } else if (what == "fetched-share") {
+      double fetched = 0, all = 0;
+      for (const auto& [orderId, order] : world->orders()) {
+        fetched += order.fetched;
+        all += order.fetched + order.local + order.computed;
+      }
+      compare(line, all > 0 ? fetched / all : 0, 2);
+    } else {
+      wrong(line, "unknown expectation " + what);
+    }
+  }
+
+  std::string figures() {
+    std::ostringstream out;
+    std::map<std::string, int> verdicts;
+    std::vector<double> first;
+    double fetched = 0, local = 0, computed = 0;
+    for (const auto& [orderId, order] : world->orders()) {
+      ++verdicts[order.ended ? order.verdict : "open"];
+      if (order.firstSeen) first.push_back(order.firstMs);
+      fetched += order.fetched;
+      local += order.local;
+      computed += order.computed;
+    }
+    out << world->orders().size() << " orders:";
+    for (const auto& [word, number] : verdicts) out << " " << word << " " << number << ",";
+    double all = std::max(1.0, fetched + local + computed);
+    char text[160];
+    std::snprintf(text, sizeof text, " ttft p50 %.0f p99 %.0f ms, blocks local %.0f%% fetched %.0f%% computed %.0f%%, retries %lld", quantile(first, 0.5), quantile(first, 0.99),
+                  100 * local / all, 100 * fetched / all, 100 * computed / all, static_cast<long long>(world->count("retry")));
+    out << text;
+    double slowest = 0;
+    for (const auto& ack : world->acks())
+      if (ack.reached) slowest = std::max(slowest, std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count());
+    out << ", slowest reach " << slowest << " ms";
+    if (world->countBytes) {
+      std::uint64_t most = 0;
+      std::string who;
+      for (const auto& [name, bytes] : world->bytesByNode)
+        if (bytes > most) {
+          most = bytes;
+          who = name;
+        }
+      out << "; control bytes " << world->bytesSent << ", most by " << who << " " << most;
+      for (const auto& [kind, row] : world->trafficByKind) out << "\n      " << kind << " " << row.first << " messages " << row.second << " bytes";
+    }
+    return out.str();
+  }
+};
+
+}  // namespace
+
+ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed, const std::string& trace) { return Runner(text, seed, trace).run(); }
+
+std::string randomScenario(std::uint64_t seed) {
+  std::mt19937_64 dice(seed * 7919 + 13);
+  auto roll = [&](std::uint64_t below) { return dice() % below; };
+  auto pick = [&](std::initializer_list<const char*> words) { return std::string(*(words.begin() + roll(words.size()))); };
+  std::ostringstream out;
+  out << "fleet edges 3 workers 5 tenants 4 plan 2 swap 5 reminder 8\nseed " << seed << "\nuntil 50\n";
+  auto core = [&] { return "core-" + std::to_string(1 + roll(4)); };
+  auto edge = [&] { return std::to_string(1 + roll(3)); };
+  auto worker = [&] { return "worker-" + std::to_string(1 + roll(5)); };
+  int faults = 3 + static_cast<int>(roll(6));
+  int weights = 2;
+  double clock = 6;
+  std::string downCore;
+  for (int number = 0; number < faults; ++number) {
+    clock += static_cast<double>(roll(300)) / 100;
+    double end = clock + 0.3 + static_cast<double>(roll(500)) / 100;
+    auto at = [&](double when) -> std::ostringstream& {
+      out << "at " << when << " ";
+      return out;
+    };
+    switch (roll(20)) {
+      case 0: {
+        std::string name = roll(2) ? core() : pick({"@accord", "@cell/ghent-1", "@cell/bruges-1"});
+        at(clock) << "kill " << name << "\n";
+        at(end) << "start cores\n";
+        break;
+      }
+      case 1: {
+        at(clock) << "kill cores\n";
+        at(end) << "start cores\n";
+        break;
+      }
+      case 2: at(clock) << "freeze " << (roll(2) ? core() : std::string("@accord")) << " " << end - clock << "\n"; break;
+      case 3: at(clock) << "freeze-at-command " << pick({"@cell/ghent-1", "@cell/ghent-2", "@cell/antwerp-1"}) << " " << end - clock << "\n"; break;
+      case 4: at(clock) << "cut-off " << core() << "\n"; at(end) << "heal\n"; break;
+      case 5: at(clock) << "cut core-1,core-2 core-3,core-4\n"; at(end) << "heal\n"; break;
+      case 6: at(clock) << "cut-one " << core() << " " << core() << "\n"; at(end) << "heal\n"; break;
+      case 7: at(clock) << "cut-off edge-" << edge() << "\n"; at(end) << "heal\n"; break;
+      case 8: at(clock) << "kill edge-" << edge() << "\n"; at(end) << "start agents proxies\n"; break;
+      case 9: {
+        std::string name = edge();
+        at(clock) << "freeze " << pick({"agent-", "proxy-", "edge-"}) << name << " " << end - clock << "\n";
+        break;
+      }
+      case 10: at(clock) << "kill " << worker() << "\n"; at(end) << "start workers\n"; break;
+      case 11: at(clock) << "freeze " << worker() << " " << end - clock << "\n"; break;
+      case 12: at(clock) << "kill store\n"; at(end) << "start store\n"; break;
+      case 13: at(clock) << "name w" << weights << "\n"; weights = weights == 3 ? 1 : weights + 1; break;
+      case 14: at(clock) << "revoke tenant-" << 1 + roll(4) << "\n"; break;
+      case 15: {
+        std::string name = worker();
+        at(clock) << "mark " << name << "\n";
+        at(end + 6) << "unmark " << name << "\n";
+        break;
+      }
+      case 16: at(clock) << "stall " << core() << "\n"; at(end) << "unstall cores\n"; break;
+      case 17: {
+        at(clock) << "fault " << worker() << " " << pick({"loseEvents 30", "forgetEvents 30", "lagMs 800", "linkMs 30"}) << "\n";
+        at(end) << "fault workers loseEvents 0\n";
+        at(end) << "fault workers forgetEvents 0\n";
+        break;
+      }
+      case 18: at(clock) << "cut-off locality:" << pick({"ghent-1", "ghent-2", "antwerp-1", "bruges-1"}) << "\n"; at(end) << "heal\n"; break;
+      case 19:
+        for (int row = 0; row < 3; ++row) at(clock) << "change {\"routes\":{\"n" << number << row << "\":{\"model\":\"rooster-llm\"}}}\n";
+        at(clock) << "lose cores cores 10\n";
+        at(end) << "heal\n";
+        break;
+    }
+  }
+  // All is well again from here on, and within twelve seconds the fleet must be too.
+  double calm = std::min(36.0, clock + 7);
+  out << "at " << calm << " heal\nat " << calm << " start cores agents proxies workers store\nat " << calm << " unstall cores\n";
+  out << "at " << calm << " hangups 0\n";
+  out << "at 37 change {\"routes\":{\"last\":{\"model\":\"rooster-llm\"}}}\n";
+  out << "at 49 check holders accord = 1\nat 49 check voters = 4\nat 49 check index-wrong <= 400\n";
+  out << "expect unended <= 0\nexpect count verdict_done >= 50\n";
+  return out.str();
+}
+
+std::string reduceScenario(const std::string& text, std::uint64_t seed) {
+  auto sign = [&](const std::string& tried) -> std::string {
+    auto result = runScenario(tried, seed);
+    if (result.passed || result.troubles.empty()) return {};
+    std::string first = result.troubles.front();
+    return first.substr(0, first.find(" at "));
+  };
+  std::string wanted = sign(text);
+  if (wanted.empty()) return text;
+  std::vector<std::string> lines;
+  std::istringstream source(text);
+  for (std::string line; std::getline(source, line);) lines.push_back(line);
+  auto joined = [](const std::vector<std::string>& rows) {
+    std::string made;
+    for (const auto& row : rows) made += row + "\n";
+    return made;
+  };
+  for (bool shorter = true; shorter;) {
+    shorter = false;
+    for (std::size_t at = 0; at < lines.size(); ++at) {
+      if (lines[at].rfind("at ", 0) != 0) continue;
+      auto tried = lines;
+      tried.erase(tried.begin() + static_cast<std::ptrdiff_t>(at));
+      if (sign(joined(tried)) != wanted) continue;
+      lines = tried;
+      shorter = true;
+      --at;
+    }
+  }
+  return joined(lines);
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/scenario.hpp
@@ -0,0 +1,20 @@
+#pragma once
+#include "sim.hpp"
+
+namespace tt {
+
+/// What a scenario came to.
+struct ScenarioResult {
+  bool passed{false};
+  std::vector<std::string> troubles;
+  std::string figures;
+  std::uint64_t seed{0};
+};
+/// Reads and runs a scenario's text. A seed given here goes before the text's own.
+ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed = std::nullopt, const std::string& trace = {});
+/// Writes a scenario of random faults, the same one for the same seed.
+std::string randomScenario(std::uint64_t seed);
+/// Takes lines away from a failing scenario for as long as it keeps failing in the same way.
+std::string reduceScenario(const std::string& text, std::uint64_t seed);
+
+}  // namespace tt
--- /dev/null
+++ b/src/sim.cpp
@@ -0,0 +1,878 @@
+#include "sim.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+const Moment dayStart = Moment(std::chrono::hours(100));
+std::string baseOrder(const std::string& sendId) { return sendId.substr(0, sendId.rfind('.')); }
+int numberOf(const std::string& name) { return std::atoi(name.substr(name.rfind('-') + 1).c_str()); }
+bool starts(const std::string& text, const char* start) { return text.rfind(start, 0) == 0; }
+std::string longText(const std::string& seed, std::size_t bytes) {
+  std::string text;
+  for (std::uint64_t at = 0; text.size() < bytes; ++at) text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
+  text.resize(bytes);
+  return text;
+}
+}  // namespace
+
+const std::vector<std::string>& invariantNames() {
+  static const std::vector<std::string> names{"runs-twice",   "not-run-but-ran", "stitched",      "other-weights",
+                                              "other-tenant", "fetch-beyond",    "lookup-late",   "change-ignored",
+                                              "change-back",  "revoked-works",   "leaving-used",  "weights-late",
+                                              "too-many-retries", "acked-lost",  "two-holders"};
+  return names;
+}
+
+Result<void> SimDisk::write(int file, std::size_t offset, std::string_view bytes) {
+  lastFile = static_cast<std::size_t>(file);
+  lastOffset = offset;
+  lastSize = bytes.size();
+  if (!lying) rows[lastFile].replace(offset, bytes.size(), bytes);
+  return boost::outcome_v2::success();
+}
+
+struct World::Actor {
+  std::string name, address, locality;
+  std::unique_ptr<Node> node;
+  std::unique_ptr<SimDisk> disk;
+  std::unique_ptr<Ring> ring;
+  std::vector<Desk::Save> saves, syncing;
+  bool alive{false}, syncBusy{false}, freezeAtCommand{false};
+  Span freezeSpan{};
+  Moment frozenUntil{}, oldestSave{};
+  std::uint64_t life{0};
+  Span offset{};
+  double drift{1};
+  Span tickEvery{20ms};
+  std::vector<std::function<void()>> held;
+  std::vector<std::pair<std::string, Message>> heldSends;
+  KeeperFaults faults;
+  std::string weights;
+  Moment local(Moment world) const {
+    auto since = std::chrono::duration<double, std::nano>(world - dayStart) * drift;
+    return dayStart + offset + std::chrono::duration_cast<Span>(since);
+  }
+};
+
+World::World(FleetShape fleetShape, std::uint64_t seed) : shape(std::move(fleetShape)), random(seed), clock(dayStart) {
+  auto add = [&](const std::string& name, Span tickEvery) {
+    auto actor = std::make_unique<Actor>();
+    actor->name = name;
+    // Every machine's steady clock starts somewhere else and runs a little fast or slow.
+    actor->offset = std::chrono::seconds(random() % 100000);
+    actor->drift = 1 + (static_cast<double>(random() % 2001) - 1000) / 1e6;
+    actor->tickEvery = tickEvery;
+    actor->locality = localityOf(name);
+    actor->address = addressOf(name);
+    nameByAddress[actor->address] = name;
+    actors[name] = std::move(actor);
+  };
+  add("platform", 1s);
+  add("store", 5ms);
+  add("app", 5ms);
+  for (int number = 1; number <= shape.workers; ++number) add("worker-" + std::to_string(number), 5ms);
+  for (int number = 1; number <= shape.cores; ++number) {
+    add("core-" + std::to_string(number), 20ms);
+    actors["core-" + std::to_string(number)]->disk = std::make_unique<SimDisk>();
+  }
+  for (int number = 1; number <= shape.edges; ++number) {
+    add("agent-" + std::to_string(number), 20ms);
+    add("proxy-" + std::to_string(number), 10ms);
+  }
+  std::vector<std::string> all;
+  for (const auto& [name, actor] : actors) all.push_back(name);
+  start("platform");
+  auto& list = platform();
+  for (int number = 1; number <= shape.workers; ++number) {
+    std::string name = "worker-" + std::to_string(number);
+    list.set(Machine{name, addressOf(name), localityOf(name), "language", false});
+  }
+  list.set(Machine{"store", addressOf("store"), localityOf("store"), "store", false});
+  list.set(Machine{"app", addressOf("app"), localityOf("app"), "app", false});
+  for (const auto& name : all)
+    if (name != "platform") later(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
+  for (int number = 1; number <= shape.tenants; ++number) isolated["tenant-" + std::to_string(number)] = number % 2 == 0;
+  later(500ms, [this] { change(firstBlueprint(), true, "first", -1, 1); });
+  sendLoad("plan", shape.planRate);
+  sendLoad("swap", shape.swapRate);
+  sendLoad("reminder", shape.reminderRate);
+  sendLoad("app", shape.appRate);
+}
+
+World::~World() = default;
+
+Moment World::localNow(const std::string& name) const { return actors.at(name)->local(clock); }
+
+std::string World::firstBlueprint() const {
+  std::string text = R"({"weights":{"w1":{"model":"rooster-llm"},"w2":{"model":"rooster-llm"},"w3":{"model":"rooster-llm"}},)"
+                     R"("models":{"rooster-llm":{"weights":"w1"}},"policies":{"p":"fetch peer when hits >= 4 and speed >= 100 and busyness < 0.95\nfetch store when hits >= 4 and speed >= 100"},)"
+                     R"("routes":{"plan":{"model":"rooster-llm","policy":"p"},"swap":{"model":"rooster-llm","policy":"p"},"reminder":{"model":"rooster-llm"},"app":{"model":"rooster-llm","kind":"app"}},"tenants":{)";
+  std::string keys;
+  for (int number = 1; number <= shape.tenants; ++number) {
+    std::string tenant = "tenant-" + std::to_string(number);
+    bool apart = number % 2 == 0 && !broken.count("other-tenant");
+    text += (number > 1 ? ",\"" : "\"") + tenant + "\":{\"isolated\":" + (apart ? "true" : "false") + "}";
+    keys += (number > 1 ? ",\"" : "\"") + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant + "-secret\"}";
+  }
+  return text + "},\"keys\":{" + keys + "}}";
+}
+
+void World::later(Span span, std::function<void()> deed) { dues.push(Due{clock + span, ++dueCount, std::move(deed)}); }
+
+std::string World::addressOf(const std::string& name) const {
+  auto moved = addressMoves.find(name);
+  int shift = moved == addressMoves.end() ? 0 : moved->second;
+  if (starts(name, "core-")) return "10.0." + std::to_string(shift) + "." + std::to_string(numberOf(name)) + ":7000";
+  if (starts(name, "agent-")) return "10.1.0." + std::to_string(numberOf(name)) + ":7000";
+  if (starts(name, "proxy-")) return "10.1.0." + std::to_string(numberOf(name)) + ":7001";
+  if (starts(name, "worker-")) return "10.2.0." + std::to_string(numberOf(name)) + ":8000";
+  return name == "platform" ? "10.3.0.1:9000" : name == "store" ? "10.3.0.2:9000" : "10.3.0.3:9000";
+}
+
+std::string World::localityOf(const std::string& name) const {
+  if (name == "store" || name == "app" || name == "platform") return shape.localities[0];
+  return shape.localities[static_cast<std::size_t>(numberOf(name) - 1) % shape.localities.size()];
+}
+
+std::set<std::string> World::names() const {
+  std::set<std::string> rows;
+  for (const auto& [name, actor] : actors) rows.insert(name);
+  return rows;
+}
+
+std::set<std::string> World::localityMembers(const std::string& locality) const {
+  std::set<std::string> rows;
+  for (const auto& [name, actor] : actors)
+    if (actor->locality == locality && name != "platform") rows.insert(name);
+  return rows;
+}
+
+void World::make(const std::string& name) {
+  auto& actor = *actors.at(name);
+  Moment now = actor.local(clock);
+  if (starts(name, "core-")) {
+    auto opened = Ring::open(*actor.disk);
+    if (!opened) {
+      ++counts["ring damaged"];
+      (void)Ring::wipe(*actor.disk);
+      opened = Ring::open(*actor.disk);
+    }
+    if (!opened) {
+      violate("acked-lost", name + " cannot open its ring");
+      return;
+    }
+    actor.ring = std::move(opened).value();
+    CoreProps props;
+    props.name = name;
+    props.address = actor.address;
+    props.locality = actor.locality;
+    props.platformAddress = addressOf("platform");
+    props.localities = shape.localities;
+    props.recordRoom = actor.ring->room() / 2;
+    for (int number = 1; number <= shape.cores; ++number) {
+      std::string other = "core-" + std::to_string(number);
+      if (other != name) props.seeds.push_back(actors.at(other)->address);
+    }
+    actor.node = std::make_unique<Core>(props, actor.ring->held(), random, now);
+  } else if (starts(name, "agent-")) {
+    AgentProps props{name, actor.address, actor.locality, {}};
+    for (int at = 0; at < std::min(3, shape.cores); ++at)
+      props.seeds.push_back(actors.at("core-" + std::to_string((numberOf(name) + at) % shape.cores + 1))->address);
+    actor.node = std::make_unique<Agent>(props);
+  } else if (starts(name, "proxy-")) {
+    EdgeProps props;
+    props.name = name + "." + std::to_string(actor.life);
+    props.address = actor.address;
+    props.locality = actor.locality;
+    props.agentAddress = addressOf("agent-" + std::to_string(numberOf(name)));
+    props.fetching = shape.fetching;
+    props.firstByteWait = 6s;
+    props.chunkWait = 3s;
+    if (broken.count("too-many-retries")) props.retryShare = 3;
+    actor.node = std::make_unique<Edge>(props);
+  } else if (name == "platform") {
+    actor.node = std::make_unique<PlatformNode>(1);
+  } else {
+    KeeperProps props;
+    props.name = name;
+    props.address = actor.address;
+    props.slots = shape.slots;
+    props.loadMs = shape.loadMs;
+    props.keepMost = shape.keepMost;
+    if (starts(name, "worker-")) {
+      props.model = modelName;
+      props.weights = actor.weights.empty() ? "w1" : actor.weights;
+      props.storeAddress = addressOf("store");
+    } else if (name == "store") {
+      props.kind = "store";
+      props.keepMost = 4000;
+    } else {
+      props.kind = "app";
+      props.slots = 32;
+    }
+    auto keeperNode = std::make_unique<KeeperNode>(props, "life" + std::to_string(actor.life));
+    keeperNode->faults = actor.faults;
+    actor.node = std::move(keeperNode);
+  }
+  actor.node->journal.appended.connect([this, name](const Event& event) { watch(name, event); });
+}
+
+void World::start(const std::string& name) {
+  if (starts(name, "edge-")) {
+    start("agent-" + name.substr(5));
+    start("proxy-" + name.substr(5));
+    return;
+  }
+  auto& actor = *actors.at(name);
+  if (actor.alive) return;
+  ++actor.life;
+  actor.alive = true;
+  actor.frozenUntil = Moment{};
+  actor.saves.clear();
+  actor.syncing.clear();
+  actor.syncBusy = false;
+  actor.oldestSave = Moment{};
+  make(name);
+  scheduleTick(name, actor.life);
+}
+
+void World::kill(const std::string& name) {
+  if (starts(name, "edge-")) {
+    kill("agent-" + name.substr(5));
+    kill("proxy-" + name.substr(5));
+    return;
+  }
+  auto& actor = *actors.at(name);
+  if (!actor.alive) return;
+  actor.alive = false;
+  ++actor.life;
+  actor.held.clear();
+  actor.heldSends.clear();
+  if (actor.ring && !actor.syncing.empty() && !actor.disk->stalled) {
+    // A write under way when the power goes may be whole, torn or not there.
+    std::uint64_t fate = random() % 3;
+    if (fate > 0) {
+      std::vector<Record> records;
+      for (const auto& save : actor.syncing) records.push_back(save.record);
+      (void)actor.ring->append(records);
+      if (fate == 2 && actor.disk->lastSize > 8) {
+        std::size_t kept = random() % actor.disk->lastSize;
+        auto& row = actor.disk->rows[actor.disk->lastFile];
+        for (std::size_t at = actor.disk->lastOffset + kept; at < actor.disk->lastOffset + actor.disk->lastSize; ++at) row[at] = '\0';
+      }
+    }
+  }
+  actor.ring.reset();
+  // Far ends of its HTTP exchanges see them break.
+  for (auto row = streams.begin(); row != streams.end();) {
+    if (row->second.worker == name) {
+      std::string orderId = row->first, proxy = row->second.proxy;
+      later(2ms, [this, orderId, proxy] {
+        auto& end = *actors.at(proxy);
+        if (end.alive)
+          give(end, "worker", WorkerEnd{orderId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0});
+      });
+      row = streams.erase(row);
+    } else if (row->second.proxy == name) {
+      std::string orderId = row->first, worker = row->second.worker;
+      later(2ms, [this, orderId, worker] {
+        auto& end = *actors.at(worker);
+        if (end.alive) give(end, "gone", WorkerDrop{orderId});
+      });
+      row = streams.erase(row);
+    } else {
+      ++row;
+    }
+  }
+  if (starts(name, "proxy-"))
+    for (auto& [orderId, order] : orderRows)
+      if (!order.ended && starts(orderId, (name + "/").c_str())) {
+        order.ended = true;
+        order.endedAt = clock;
+        order.verdict = "connection lost";
+      }
+}
+
+void World::freeze(const std::string& name, Span span, bool atCommand) {
+  if (starts(name, "edge-")) {
+    freeze("agent-" + name.substr(5), span);
+    freeze("proxy-" + name.substr(5), span);
+    return;
+  }
+  auto& actor = *actors.at(name);
+  if (!actor.alive) return;
+  if (atCommand) {
+    actor.freezeAtCommand = true;
+    actor.freezeSpan = span;
+    return;
+  }
+  actor.frozenUntil = clock + span;
+  std::uint64_t life = actor.life;
+  later(span, [this, name, life] {
+    auto& woken = *actors.at(name);
+    if (woken.life != life || !woken.alive) return;
+    // What had been decided before the freeze leaves first; then what waited at the door is taken.
+    auto sends = std::move(woken.heldSends);
+    woken.heldSends.clear();
+    release(woken, std::move(sends));
+    auto held = std::move(woken.held);
+    woken.held.clear();
+    for (auto& deed : held) deed();
+  });
+}
+
+void World::wipeDisk(const std::string& name) {
+  auto& actor = *actors.at(name);
+  actor.disk = std::make_unique<SimDisk>();
+}
+
+void World::moveAddress(const std::string& name) {
+  ++addressMoves[name];
+  auto& actor = *actors.at(name);
+  actor.address = addressOf(name);
+  nameByAddress[actor.address] = name;
+}
+
+SimDisk* World::disk(const std::string& name) { return actors.at(name)->disk.get(); }
+KeeperNode* World::keeper(const std::string& name) { return dynamic_cast<KeeperNode*>(actors.at(name)->node.get()); }
+PlatformNode& World::platform() { return *static_cast<PlatformNode*>(actors.at("platform")->node.get()); }
+Core* World::core(const std::string& name) {
+  auto& actor = *actors.at(name);
+  return actor.alive ? dynamic_cast<Core*>(actor.node.get()) : nullptr;
+}
+Edge* World::edge(const std::string& name) { return dynamic_cast<Edge*>(actors.at(name)->node.get()); }
+Agent* World::agent(const std::string& name) { return dynamic_cast<Agent*>(actors.at(name)->node.get()); }
+
+void World::cut(const std::string& one, const std::string& other, bool bothWays) {
+  cuts.insert({one, other});
+  if (bothWays) cuts.insert({other, one});
+}
+void World::lose(const std::string& one, const std::string& other, int perCent) { losses[{one, other}] = perCent; }
+void World::heal() {
+  cuts.clear();
+  losses.clear();
+}
+
+bool World::linked(const std::string& one, const std::string& other) const { return !cuts.count({one, other}); }
+
+void World::scheduleTick(const std::string& name, std::uint64_t life) {
+  auto& actor = *actors.at(name);
+  later(actor.tickEvery, [this, name, life] {
+    auto& due = *actors.at(name);
+    if (due.life != life || !due.alive) return;
+    if (clock < due.frozenUntil) {
+      due.held.push_back([this, name, life] { scheduleTick(name, life); });
+      return;
+    }
+    drive(due, [&](Desk& desk) {
+      if (auto* coreNode = dynamic_cast<Core*>(due.node.get()))
+        coreNode->diskWaits(due.oldestSave == Moment{} ? Span(0) : clock - due.oldestSave);
+      due.node->tick(desk);
+    });
+    scheduleTick(name, life);
+  });
+}
+
+void World::drive(Actor& actor, const std::function<void(Desk&)>& deed) {
+  Desk desk{actor.local(clock), random, actor.node->journal, {}, {}};
+  deed(desk);
+  if (!desk.saves.empty()) {
+    if (actor.oldestSave == Moment{}) actor.oldestSave = clock;
+    for (auto& save : desk.saves) actor.saves.push_back(std::move(save));
+    startSync(actor);
+  }
+  if (actor.freezeAtCommand) {
+    bool commands = false;
+    for (const auto& [to, message] : desk.sends) commands = commands || std::holds_alternative<ControlAsk>(message);
+    if (commands) {
+      actor.freezeAtCommand = false;
+      actor.heldSends = std::move(desk.sends);
+      freeze(actor.name, actor.freezeSpan);
+      return;
+    }
+  }
+  release(actor, std::move(desk.sends));
+}
+
+void World::release(Actor& actor, std::vector<std::pair<std::string, Message>> sends) {
+  for (auto& [to, message] : sends) post(actor, to, std::move(message));
+}
+
+void World::startSync(Actor& actor) {
+  if (actor.syncBusy || actor.saves.empty() || !actor.ring) return;
+  actor.syncBusy = true;
+  actor.syncing = std::move(actor.saves);
+  actor.saves.clear();
+  actor.oldestSave = clock;
+  std::string name = actor.name;
+  std::uint64_t life = actor.life;
+  auto finish = std::make_shared<std::function<void()>>();
+  *finish = [this, name, life, finish] {
+    auto& due = *actors.at(name);
+    if (due.life != life || !due.alive) return;
+    if (due.disk->stalled) return later(50ms, *finish);
+    if (clock < due.frozenUntil) {
+      due.held.push_back(*finish);
+      return;
+    }
+    std::vector<Record> records;
+    for (const auto& save : due.syncing) records.push_back(save.record);
+    if (!due.ring->append(records)) violate("acked-lost", name + " could not write its ring");
+    auto done = std::move(due.syncing);
+    due.syncing.clear();
+    due.syncBusy = false;
+    due.oldestSave = due.saves.empty() ? Moment{} : clock;
+    drive(due, [&](Desk& desk) {
+      for (auto& save : done)
+        if (save.then) save.then(desk);
+    });
+    startSync(due);
+  };
+  later(actor.disk->syncSpan + std::chrono::microseconds(random() % 2000), *finish);
+}
+
+bool World::tamper(Actor& from, const std::string& to, Message& message) {
+  (void)to;
+  if (broken.empty()) return true;
+  if (broken.count("runs-twice"))
+    if (auto* order = std::get_if<WorkerOrder>(&message); order && !order->moves && random() % 20 == 0) {
+      // The same order again, to any worker, as a retry that nobody may make would do.
+      Message again = *order;
+      std::string worker = "worker-" + std::to_string(1 + random() % static_cast<std::uint64_t>(shape.workers));
+      later(50ms, [this, worker, again] {
+        auto& actor = *actors.at(worker);
+        if (actor.alive) give(actor, "again", again);
+      });
+    }
+  if (broken.count("fetch-beyond"))
+    if (auto* order = std::get_if<WorkerOrder>(&message); order && order->moves) {
+      // The move as it would be without the cut: all of the prompt that anyone ever kept.
+      std::set<BlockHash> known(order->hashes.begin(), order->hashes.end());
+      auto* source = keeper(nameByAddress[order->sourceAddress]);
+      for (int extra = 0; extra < 4; ++extra) {
+        BlockHash made{random(), random()};
+        drive(*actors.at(nameByAddress[order->sourceAddress]), [&](Desk& desk) { source->take(desk, "x", StoreMsg{{made}, {"w1/tenant-1"}}); });
+        order->hashes.push_back(made);
+      }
+    }
+  if (broken.count("other-weights"))
+    if (auto* pulled = std::get_if<PullReply>(&message))
+      for (auto& origin : pulled->origins) origin = "w0" + origin.substr(origin.find('/'));
+  if (broken.count("change-ignored") || broken.count("revoked-works")) {
+    // An agent that believes itself fresh whatever it has applied.
+    if (auto* ends = std::get_if<EndsReply>(&message); ends && clock > dayStart + 6s) {
+      ends->commit = std::min<Count>(ends->commit, 3);
+      ends->lastIndex = std::min<Count>(ends->lastIndex, 3);
+    }
+    if (std::holds_alternative<NewsMsg>(message) && clock > dayStart + 6s && starts(from.name, "core-")) return false;
+  }
+  if (broken.count("leaving-used") && (std::holds_alternative<MachinesReply>(message) && clock > dayStart + 6s)) return false;
+  if (broken.count("weights-late") && std::holds_alternative<ControlAsk>(message)) return false;
+  if (broken.count("two-holders"))
+    if (auto* control = std::get_if<ControlAsk>(&message)) control->holder += random() % 2 ? "" : "-twin";
+  if (broken.count("lookup-late"))
+    if (auto* lookup = std::get_if<LookupReply>(&message)) lookup->lookupId += "x";
+  return true;
+}
+
+void World::post(Actor& from, const std::string& to, Message message) {
+  if (!tamper(from, to, message)) return;
+  if (to == "caller") {
+    toCaller(from.name, message);
+    return;
+  }
+  if (to == "operator") {
+    if (auto* reply = std::get_if<OperatorReply>(&message)) operatorAnswer(*reply);
+    return;
+  }
+  auto found = nameByAddress.find(to);
+  if (found == nameByAddress.end()) return;
+  std::string toName = found->second;
+  auto& target = *actors.at(toName);
+  bool beside = from.address.substr(0, from.address.find(':')) == to.substr(0, to.find(':'));
+  bool up = linked(from.name, toName) && target.address == to;
+  ++messagesSent;
+  if (countBytes && !beside && (starts(from.name, "core-") || starts(from.name, "agent-"))) {
+    std::size_t size = encodeMessage(message).size();
+    bytesSent += size;
+    auto& row = trafficByKind[messageName(message)];
+    ++row.first;
+    row.second += size;
+    bytesByNode[from.name] += size;
+  }
+  if (auto* order = std::get_if<WorkerOrder>(&message)) {
+    // An HTTP request either never leaves (nobody there, or no way there) or is then under way.
+    std::string proxy = from.name, sendId = order->orderId;
+    std::uint64_t life = from.life;
+    if (!up || !target.alive) {
+      later(up ? 2ms : 1000ms, [this, proxy, sendId, life] {
+        auto& actor = *actors.at(proxy);
+        if (actor.alive && actor.life == life)
+          give(actor, "worker", WorkerEnd{sendId, static_cast<int>(Outcome::brokenUnsent), static_cast<int>(Code::workerBroke), 0, 0, 0});
+      });
+      return;
+    }
+    streams[sendId] = Stream{from.name, toName};
+  }
+  // A stream is TCP: once a piece is lost, nothing behind it arrives either.
+  auto piece = std::visit(
+      [](const auto& value) -> std::string {
+        using T = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<T, WorkerChunk> || std::is_same_v<T, WorkerEnd>) return value.orderId;
+        return {};
+      },
+      message);
+  auto stream = piece.empty() ? streams.end() : streams.find(piece);
+  if (stream != streams.end()) {
+    if (!up) stream->second.torn = true;
+    if (stream->second.torn) return;
+  }
+  if (!up) return;
+  if (auto loss = losses.find({from.name, toName}); loss != losses.end() && static_cast<int>(random() % 100) < loss->second) return;
+  if (auto* gone = std::get_if<WorkerDrop>(&message)) streams.erase(gone->orderId);
+  Span delay = beside ? Span(100us) : std::chrono::microseconds(from.locality == target.locality ? 300 + random() % 400 : 1000 + random() % 2500);
+  auto& last = lastArrival[{from.name, toName}];
+  Moment at = std::max(clock + delay, last + 1us);
+  last = at;
+  std::string fromAddress = from.address;
+  std::uint64_t life = target.life;
+  dues.push(Due{at, ++dueCount, [this, fromAddress, toName, life, message = std::move(message)]() mutable {
+                  arrive(fromAddress, toName, life, std::move(message));
+                }});
+}
+
+void World::arrive(const std::string& from, const std::string& toName, std::uint64_t life, Message message) {
+  auto& target = *actors.at(toName);
+  if (!target.alive || target.life != life) return;
+  if (auto* end = std::get_if<WorkerEnd>(&message)) {
+    // An HTTP answer only reaches the proxy whose request is still open.
+    if (broken.count("not-run-but-ran") && end->outcome == static_cast<int>(Outcome::done) && random() % 10 == 0) end->outcome = static_cast<int>(Outcome::denied);
+    streams.erase(end->orderId);
+  }
+  if (auto* chunk = std::get_if<WorkerChunk>(&message); chunk && broken.count("stitched") && random() % 50 == 0) return;
+  give(target, from, message);
+}
+
+void World::give(Actor& actor, const std::string& from, const Message& message) {
+  if (clock < actor.frozenUntil) {
+    std::string name = actor.name;
+    std::uint64_t life = actor.life;
+    actor.held.push_back([this, name, life, from, message] {
+      auto& woken = *actors.at(name);
+      if (woken.alive && woken.life == life) give(woken, from, message);
+    });
+    return;
+  }
+  drive(actor, [&](Desk& desk) { actor.node->take(desk, from, message); });
+}
+
+void World::runUntil(Moment until) {
+  while (!dues.empty() && dues.top().at <= until) {
+    Due due = dues.top();
+    dues.pop();
+    clock = due.at;
+    due.deed();
+  }
+  clock = until;
+}
+
+void World::violate(const std::string& invariant, const std::string& text) {
+  if (violations.size() < 50) violations.push_back({invariant, text, clock});
+}
+
+void World::sendLoad(const std::string& kind, double rate) {
+  if (rate <= 0) return;
+  std::exponential_distribution<double> gap(rate * std::max(loadScale, 0.001));
+  later(std::chrono::duration_cast<Span>(std::chrono::duration<double>(gap(random))), [this, kind, rate] {
+    if (clock > dayStart + 4s && loadScale > 0.001) sendOrder(kind);
+    sendLoad(kind, rate);
+  });
+}
+
+void World::sendOrder(const std::string& kind) {
+  int number = 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.edges));
+  std::string proxy = "proxy-" + std::to_string(number);
+  auto& actor = *actors.at(proxy);
+  std::string tenant = "tenant-" + std::to_string(1 + random() % static_cast<std::uint64_t>(shape.tenants));
+  CallerOrder order;
+  order.orderId = proxy + "/" + std::to_string(++orderCount);
+  order.key = tenant + "-secret";
+  order.route = kind;
+  order.model = modelName;
+  // All tenants send the very same prompts, so that blocks would be shared wherever they may.
+  std::string prefix = "prefix " + kind + std::to_string(random() % 4);
+  if (kind == "plan") order.parts = {longText(prefix, 40 * blockBytes), longText(std::to_string(orderCount), 200)};
+  if (kind == "swap") order.parts = {longText(prefix, 16 * blockBytes), longText(std::to_string(orderCount), 150)};
+  if (kind == "reminder") order.parts = {longText(prefix, 3 * blockBytes), std::to_string(orderCount)};
+  if (kind == "app") order.parts = {std::to_string(orderCount)};
+  order.maxTokens = kind == "plan" ? 20 : kind == "swap" ? 10 : 4;
+  order.repeatable = kind == "plan" || kind == "app";
+  auto& row = orderRows[order.orderId];
+  row.askedAt = clock;
+  row.kind = kind;
+  row.key = tenant;
+  row.repeatable = order.repeatable;
+  row.maxTokens = order.maxTokens;
+  if (!actor.alive) {
+    row.ended = true;
+    row.endedAt = clock;
+    row.verdict = "no connection";
+    return;
+  }
+  std::string orderId = order.orderId;
+  if (hangUpShare && static_cast<int>(random() % 100) < hangUpShare)
+    later(std::chrono::milliseconds(random() % 600), [this, proxy, orderId] {
+      auto& gone = orderRows[orderId];
+      auto& there = *actors.at(proxy);
+      if (gone.ended || !there.alive) return;
+      gone.gone = gone.ended = true;
+      gone.endedAt = clock;
+      gone.verdict = "hung up";
+      give(there, "caller", CallerGone{orderId});
+    });
+  give(actor, "caller", order);
+}
+
+void World::toCaller(const std::string& proxy, const Message& message) {
+  if (auto* chunk = std::get_if<CallerChunk>(&message)) {
+    auto& order = orderRows[chunk->orderId];
+    if (order.gone) return;
+    if (order.ended) return violate("stitched", chunk->orderId + " spoke after its verdict");
+    if (!order.firstSeen) {
+      order.firstSeen = true;
+      order.firstMs = std::chrono::duration<double, std::milli>(clock - order.askedAt).count();
+      order.worker = chunk->text.substr(0, chunk->text.find(':'));
+    }
+    ++order.said;
+    if (chunk->text != order.worker + ":" + std::to_string(order.said) + " ") violate("stitched", chunk->orderId + " got " + chunk->text + "as piece " + std::to_string(order.said));
+    auto revoked = revokedAt.find(order.key);
+    if (revoked != revokedAt.end() && clock > revoked->second + 5s) violate("revoked-works", chunk->orderId + " still streams");
+  } else if (auto* verdict = std::get_if<CallerVerdict>(&message)) {
+    auto& order = orderRows[verdict->orderId];
+    if (order.gone) return;
+    if (order.ended) return violate("stitched", verdict->orderId + " got two verdicts");
+    order.ended = true;
+    order.endedAt = clock;
+    order.verdict = verdict->verdict;
+    order.code = verdict->code;
+    order.local = verdict->local;
+    order.fetched = verdict->fetched;
+    order.computed = verdict->computed;
+    if (verdict->verdict == "done" && order.said != order.maxTokens)
+      violate("stitched", verdict->orderId + " looks complete with " + std::to_string(order.said) + " of " + std::to_string(order.maxTokens));
+    if (verdict->verdict == "not run" && order.runs > 0) violate("not-run-but-ran", verdict->orderId + " had run");
+    (void)proxy;
+  }
+}
+
+void World::watch(const std::string& name, const Event& event) {
+  ++counts[event.kind];
+  if (event.kind == "ran") {
+    std::string orderId = baseOrder(event.subject);
+    auto found = orderRows.find(orderId);
+    if (found != orderRows.end()) {
+      auto& order = found->second;
+      ++order.runs;
+      if (order.runs > 1 && !order.repeatable) violate("runs-twice", orderId + " at " + name);
+      if (order.ended && order.verdict == "not run") violate("not-run-but-ran", orderId + " ran later at " + name);
+    }
+    auto leaving = leavingAt.find(name);
+    if (leaving != leavingAt.end() && clock > leaving->second + 3s) violate("leaving-used", name + " got " + orderId);
+    if (!weightsNamed.empty() && starts(name, "worker-") && clock > weightsNamed.back().second + 25s &&
+        keeper(name)->weights() != weightsNamed.back().first)
+      violate("weights-late", orderId + " ran under " + keeper(name)->weights() + " at " + name);
+  } else if (event.kind == "cross weights") {
+    violate("other-weights", name + " " + event.subject);
+  } else if (event.kind == "cross tenant") {
+    auto sign = event.subject.find('>');
+    if (isolated[event.subject.substr(0, sign)] || isolated[event.subject.substr(sign + 1)]) violate("other-tenant", name + " " + event.subject);
+  } else if (event.kind == "move sent") {
+    moveSizes[event.subject.substr(0, event.subject.find(' '))] = event.number;
+  } else if (event.kind == "pulled") {
+    auto size = moveSizes.find(event.subject);
+    if (size == moveSizes.end() || event.number > size->second) violate("fetch-beyond", name + " pulled " + std::to_string(event.number) + " for " + event.subject);
+  } else if (event.kind == "lookup settled") {
+    // Ten milliseconds are the tick's; a frozen proxy's wait is not the lookup's.
+    if (event.number > 230 && clock >= actors.at(name)->frozenUntil + 300ms) violate("lookup-late", event.subject + " waited " + std::to_string(event.number) + "ms");
+  } else if (event.kind == "admitted") {
+    ++admitted;
+    auto* at = edge(name);
+    std::uint64_t index = at->blueprint().index();
+    for (const auto& ack : ackRows)
+      if (ack.acked && ack.code == static_cast<int>(Code::changeTaken) && clock > ack.at + 2s && index < ack.index)
+        violate("change-ignored", name + " admits under " + std::to_string(index) + ", acked " + std::to_string(ack.index));
+    auto& last = admittedIndex[name + "/" + std::to_string(actors.at(name)->life)];
+    if (index < last) violate("change-back", name);
+    last = index;
+    auto& order = orderRows[event.subject];
+    auto revoked = revokedAt.find(order.key);
+    if (revoked != revokedAt.end() && clock > revoked->second + 5s) violate("revoked-works", event.subject + " was admitted at " + name);
+  } else if (event.kind == "retry") {
+    ++retries;
+  } else if (event.kind == "command taken") {
+    // Subject: worker holder action; number: term.
+    auto space = event.subject.find(' ');
+    std::string holder = event.subject.substr(space + 1, event.subject.rfind(' ') - space - 1);
+    auto& last = commandBy[name + "/" + std::to_string(actors.at(name)->life)];
+    auto term = static_cast<std::uint64_t>(event.number);
+    if (term < last.first || (term == last.first && holder != last.second && !last.second.empty()))
+      violate("two-holders", name + " took term " + std::to_string(term) + " of " + holder + " after " + std::to_string(last.first) + " of " + last.second);
+    last = {term, holder};
+  } else if (event.kind == "weights loaded") {
+    actors.at(name)->weights = event.subject.substr(event.subject.find(' ') + 1);
+  }
+  if (!trace.empty() && (trace == "*" || event.kind.find(trace) != std::string::npos))
+    std::fprintf(stderr, "%8.3f %s %s %s %lld\n", std::chrono::duration<double>(clock - dayStart).count(), name.c_str(), event.kind.c_str(), event.subject.c_str(),
+                 static_cast<long long>(event.number));
+}
+
+void World::change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer) {
+  std::string askId = "ask-" + std::to_string(++askCount);
+  std::string id = changeId.empty() ? "change-" + std::to_string(++changeCount) : changeId;
+  AckRow row;
+  row.changeId = id;
+  row.askedAt = clock;
+  ackByAsk[askId] = ackRows.size();
+  ackRows.push_back(row);
+  std::size_t at = ackByAsk[askId];
+  if (loseAnswer) lostAnswers.insert(askId);
+  // An operator's script: asks one core, and the next one when no answer comes or it is told to come back.
+  auto ask = std::make_shared<std::function<void(int)>>();
+  *ask = [this, askId, body, whole, id, ifRevision, at, ask](int number) {
+    if (ackRows[at].acked || clock > ackRows[at].askedAt + 40s) return;
+    auto& actor = *actors.at("core-" + std::to_string((number - 1) % shape.cores + 1));
+    if (actor.alive) {
+      std::uint64_t life = actor.life;
+      std::string name = actor.name;
+      later(1ms, [this, name, life, askId, body, whole, id, ifRevision] {
+        auto& there = *actors.at(name);
+        if (there.alive && there.life == life) give(there, "operator", OperatorAsk{askId, body, whole, ifRevision, id});
+      });
+    }
+    later(1500ms, [ask, number] { (*ask)(number + 1); });
+  };
+  (*ask)(coreNumber);
+}
+
+void World::operatorAnswer(const OperatorReply& reply) {
+  auto found = ackByAsk.find(reply.askId);
+  if (found == ackByAsk.end()) return;
+  auto& ack = ackRows[found->second];
+  auto code = static_cast<Code>(reply.code);
+  if (ack.acked || code == Code::notLeading || code == Code::changeUnsure || code == Code::changesFull) return;
+  if (lostAnswers.erase(reply.askId)) return;
+  ack.acked = true;
+  ack.code = reply.code;
+  ack.at = clock;
+  ack.revision = reply.revision;
+  if (code != Code::changeTaken) return;
+  for (const auto& [name, actor] : actors)
+    if (auto* node = core(name))
+      for (const auto& entry : node->agreement().entries())
+        if (entry.changeId == ack.changeId) ack.index = entry.index;
+  if (starts(ack.changeId, "revoke ")) revokedAt[ack.changeId.substr(7)] = clock;
+  if (starts(ack.changeId, "weights ")) {
+    std::string weights = ack.changeId.substr(8, ack.changeId.rfind('/') - 8);
+    weightsNamed.emplace_back(weights, clock);
+    Moment named = clock;
+    later(25s, [this, weights, named] {
+      if (weightsNamed.back().second != named) return;
+      for (const auto& [name, actor] : actors) {
+        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s) continue;
+        auto* worker = keeper(name);
+        if (worker->faults.loadFails || worker->faults.silentReports) continue;
+        if (worker->weights() != weights) violate("weights-late", name + " holds " + worker->weights());
+      }
+    });
+  }
+  watchReach(found->second);
+}
+
+// How long an acknowledged change takes to be in force at the slowest proxy that runs.
+void World::watchReach(std::size_t at) {
+  auto& ack = ackRows[at];
+  for (const auto& [name, actor] : actors)
+    if (starts(name, "proxy-") && actor->alive && clock >= actor->frozenUntil && edge(name)->blueprint().index() < ack.index) {
+      if (clock < ack.at + 10s) later(5ms, [this, at] { watchReach(at); });
+      return;
+    }
+  ack.reached = true;
+  ack.reachedAll = clock;
+}
+
+void World::nameWeights(const std::string& weights) {
+  change(R"({"models":{"rooster-llm":{"weights":")" + weights + "\"}}}", false, "weights " + weights + "/" + std::to_string(++changeCount), -1,
+         1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+}
+
+void World::revoke(const std::string& tenant) {
+  change("{\"keys\":{\"" + tenant + "-key\":null}}", false, "revoke " + tenant, -1, 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+}
+
+void World::mark(const std::string& worker, bool leaving) {
+  platform().mark(worker, leaving);
+  if (leaving)
+    leavingAt[worker] = clock;
+  else
+    leavingAt.erase(worker);
+}
+
+std::int64_t World::count(const std::string& kind) const {
+  auto found = counts.find(kind);
+  return found == counts.end() ? 0 : found->second;
+}
+std::int64_t World::countAt(const std::string& name, const std::string& kind) const {
+  const auto& rows = actors.at(name)->node->journal.counts();
+  auto found = rows.find(kind);
+  return found == rows.end() ? 0 : found->second;
+}
+
+int World::holdersOf(const std::string& duty) const {
+  int holders = 0;
+  for (const auto& [name, actor] : actors) {
+    if (!actor->alive) continue;
+    auto* node = dynamic_cast<Core*>(actor->node.get());
+    if (!node) continue;
+    Moment now = actor->local(clock);
+    if (duty == "accord") {
+      holders += node->agreement().leads(now);
+      continue;
+    }
+    for (const auto& [locality, cell] : node->cellsByLocality())
+      if ("cell/" + locality == duty) holders += cell->ballot.holds(now);
+  }
+  return holders;
+}
+
+std::string World::holderOf(const std::string& duty) const {
+  for (const auto& [name, actor] : actors) {
+    if (!actor->alive) continue;
+    auto* node = dynamic_cast<Core*>(actor->node.get());
+    if (!node) continue;
+    Moment now = actor->local(clock);
+    if (duty == "accord" && node->agreement().leads(now)) return name;
+    for (const auto& [locality, cell] : node->cellsByLocality())
+      if ("cell/" + locality == duty && cell->ballot.holds(now)) return name;
+  }
+  return {};
+}
+
+void World::checkEnd() {
+  for (const auto& ack : ackRows) {
+    if (!ack.acked || ack.code != static_cast<int>(Code::changeTaken)) continue;
+    bool held = false;
+    for (const auto& [name, actor] : actors)
+      if (auto* node = core(name)) held = held || node->agreement().blueprint().takenAs(ack.changeId).has_value();
+    if (!held) violate("acked-lost", ack.changeId + " is in no core's blueprint");
+    for (const auto& [name, actor] : actors) {
+      auto* node = core(name);
+      if (!node || !node->agreement().formed() || clock < actor->frozenUntil + 5s) continue;
+      if (node->agreement().leads(actor->local(clock)) && !node->agreement().blueprint().takenAs(ack.changeId))
+        violate("acked-lost", ack.changeId + " is unknown to the leader " + name);
+    }
+  }
+  if (admitted >= 50 && retries * 5 > admitted) violate("too-many-retries", std::to_string(retries) + " retries of " + std::to_string(admitted) + " orders");
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/sim.hpp
@@ -0,0 +1,183 @@
+#pragma once
+#include <queue>
+
+#include "agent.hpp"
+#include "core.hpp"
+#include "edge.hpp"
+#include "ring.hpp"
+#include "standin.hpp"
+
+namespace tt {
+
+/// The sim's disk: what was synced outlives a crash; what was under way may be whole, torn or gone.
+class SimDisk : public RingFiles {
+ public:
+  SimDisk() : rows(4, std::string(128 * 1024, '\0')) {}
+  Result<std::string> readAll(int file) override { return rows[static_cast<std::size_t>(file)]; }
+  Result<void> write(int file, std::size_t offset, std::string_view bytes) override;
+  Result<void> sync(int) override { return boost::outcome_v2::success(); }
+  int count() const override { return static_cast<int>(rows.size()); }
+  std::size_t size() const override { return rows[0].size(); }
+  std::vector<std::string> rows;
+  std::size_t lastFile{0}, lastOffset{0}, lastSize{0};
+  Span syncSpan{2ms};
+  bool stalled{false}, lying{false};
+};
+
+/// What a fleet in the sim is made of.
+struct FleetShape {
+  int cores{4}, edges{4}, workers{8}, tenants{4};
+  std::vector<std::string> localities{"ghent-1", "ghent-2", "antwerp-1", "bruges-1"};
+  double planRate{3}, swapRate{8}, reminderRate{12}, appRate{1};
+  int loadMs{1500};
+  std::size_t keepMost{600};
+  bool fetching{true};
+  int slots{8};
+};
+
+/// One line that must never come true, broken.
+struct Violation {
+  std::string invariant, text;
+  Moment at;
+};
+
+/// A fleet on simulated time: the same logic as the real processes, with its network, disks and clocks made up.
+class World {
+ public:
+  World(FleetShape fleetShape, std::uint64_t seed);
+  ~World();
+  void runUntil(Moment until);
+  Moment now() const { return clock; }
+  /// What the machine's own steady clock shows.
+  Moment localNow(const std::string& name) const;
+  std::mt19937_64& dice() { return random; }
+
+  // What scenarios do. A name is core-1, agent-2, proxy-2, worker-3, app, store, platform; edge-2 is agent-2 and proxy-2.
+  void kill(const std::string& name);
+  void start(const std::string& name);
+  void freeze(const std::string& name, Span span, bool atCommand = false);
+  void wipeDisk(const std::string& name);
+  void moveAddress(const std::string& name);
+  SimDisk* disk(const std::string& name);
+  KeeperNode* keeper(const std::string& name);
+  PlatformNode& platform();
+  void cut(const std::string& one, const std::string& other, bool bothWays = true);
+  void lose(const std::string& one, const std::string& other, int perCent);
+  void heal();
+  void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer = false);
+  void nameWeights(const std::string& weights);
+  void revoke(const std::string& tenant);
+  void mark(const std::string& worker, bool leaving);
+  void setLoad(double scale) { loadScale = scale; }
+  void callerHangUps(int perCent) { hangUpShare = perCent; }
+  /// Breaks the fleet on purpose, so that an invariant must be seen to fail.
+  void breakRule(const std::string& rule) { broken.insert(rule); }
+  std::set<std::string> names() const;
+  std::set<std::string> localityMembers(const std::string& locality) const;
+
+  // What came of it.
+  std::vector<Violation> violations;
+  struct OrderRow {
+    Moment askedAt, endedAt;
+    std::string kind, verdict, key, worker;
+    bool repeatable{false}, ended{false}, firstSeen{false}, gone{false};
+    int maxTokens{0}, said{0}, runs{0}, code{0};
+    double firstMs{0};
+    int local{0}, fetched{0}, computed{0};
+  };
+  const std::map<std::string, OrderRow>& orders() const { return orderRows; }
+  std::int64_t count(const std::string& kind) const;
+  std::int64_t countAt(const std::string& name, const std::string& kind) const;
+  struct AckRow {
+    std::string changeId;
+    int code{0};
+    std::uint64_t index{0}, revision{0};
+    Moment askedAt, at, reachedAll;
+    bool acked{false}, reached{false};
+  };
+  const std::vector<AckRow>& acks() const { return ackRows; }
+  std::string holderOf(const std::string& duty) const;
+  int holdersOf(const std::string& duty) const;
+  Core* core(const std::string& name);
+  Edge* edge(const std::string& name);
+  Agent* agent(const std::string& name);
+  /// Looks at what only shows at the end: nothing acknowledged may be lost, and repeat tries stay few.
+  void checkEnd();
+  std::uint64_t messagesSent{0}, bytesSent{0};
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> trafficByKind;
+  std::map<std::string, std::uint64_t> bytesByNode;
+  bool countBytes{false};
+  std::string trace;
+
+ private:
+  struct Actor;
+  struct Due {
+    Moment at;
+    std::uint64_t sequence;
+    std::function<void()> deed;
+    bool operator<(const Due& other) const {
+      return at != other.at ? at > other.at : sequence > other.sequence;
+    }
+  };
+  struct Stream {
+    std::string proxy, worker;
+    bool torn{false};
+  };
+  FleetShape shape;
+  std::mt19937_64 random;
+  Moment clock;
+  std::uint64_t dueCount{0};
+  std::priority_queue<Due> dues;
+  std::map<std::string, std::unique_ptr<Actor>> actors;
+  std::map<std::string, std::string> nameByAddress;
+  std::map<std::pair<std::string, std::string>, Moment> lastArrival;
+  std::set<std::pair<std::string, std::string>> cuts;
+  std::map<std::pair<std::string, std::string>, int> losses;
+  std::map<std::string, Stream> streams;
+  std::map<std::string, OrderRow> orderRows;
+  std::map<std::string, std::string> keyOfOrder;
+  std::vector<AckRow> ackRows;
+  std::map<std::string, std::size_t> ackByAsk;
+  std::set<std::string> lostAnswers;
+  std::set<std::string> broken;
+  std::map<std::string, Moment> revokedAt, leavingAt;
+  std::map<std::string, std::uint64_t> admittedIndex;
+  std::map<std::string, std::pair<std::uint64_t, std::string>> commandBy;
+  std::map<std::string, std::int64_t> moveSizes;
+  std::map<std::string, bool> isolated;
+  std::vector<std::pair<std::string, Moment>> weightsNamed;
+  std::uint64_t orderCount{0}, askCount{0}, changeCount{0};
+  double loadScale{1};
+  int hangUpShare{0};
+  std::string modelName{"rooster-llm"};
+  std::int64_t retries{0}, admitted{0};
+  std::map<std::string, std::int64_t> counts;
+  std::map<std::string, int> addressMoves;
+
+  void later(Span span, std::function<void()> deed);
+  void make(const std::string& name);
+  void scheduleTick(const std::string& name, std::uint64_t life);
+  void drive(Actor& actor, const std::function<void(Desk&)>& deed);
+  void release(Actor& actor, std::vector<std::pair<std::string, Message>> sends);
+  void post(Actor& from, const std::string& to, Message message);
+  void arrive(const std::string& from, const std::string& toName, std::uint64_t life, Message message);
+  void give(Actor& actor, const std::string& from, const Message& message);
+  void startSync(Actor& actor);
+  bool linked(const std::string& one, const std::string& other) const;
+  void toCaller(const std::string& proxy, const Message& message);
+  void sendLoad(const std::string& kind, double rate);
+  void sendOrder(const std::string& kind);
+  void watch(const std::string& name, const Event& event);
+  void violate(const std::string& invariant, const std::string& text);
+  std::string addressOf(const std::string& name) const;
+  std::string localityOf(const std::string& name) const;
+  void operatorAnswer(const OperatorReply& reply);
+  std::string firstBlueprint() const;
+  bool tamper(Actor& from, const std::string& to, Message& message);
+  void watchReach(std::size_t ack);
+};
+
+/// All invariants' names, in the order of the brief.
+const std::vector<std::string>& invariantNames();
+
+}  // namespace tt
