--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -224,9 +224,13 @@
 void Cell::release(Desk& desk, const std::string& worker) {
   newsDue = true;
   publishedAt = Moment{};
+  rollouts[worker].failed = false;
   desk.note("weights in use", worker + " " + rollouts[worker].weights);
 }
-void Cell::giveUp(Desk& desk, const std::string& worker) { desk.note("weights failed", worker); }
+void Cell::giveUp(Desk& desk, const std::string& worker) {
+  rollouts[worker].failed = true;
+  desk.note("weights failed", worker);
+}
 
 std::string Cell::rolloutState(const std::string& worker) const {
   auto found = rollouts.find(worker);
@@ -253,13 +257,18 @@
 }
 
 void Cell::moveRollouts(Desk& desk, const Blueprint& blueprint) {
-  std::map<std::string, int> workers, busy;
+  std::map<std::string, int> workers, busy, failures, successes;
   for (const auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known || keeper.machine.leaving) continue;
     if (desk.now - keeper.heardAt > goneAfter) continue;
     ++workers[keeper.last.model];
     auto rollout = rollouts.find(name);
-    if (rollout != rollouts.end() && !rollout->second.walk->in("serving")) ++busy[keeper.last.model];
+    // One that failed to load is out anyway; were it counted, it would hold up the rest for ever.
+    if (rollout != rollouts.end() && rollout->second.failed)
+      ++failures[keeper.last.model];
+    else if (rollout != rollouts.end() && !rollout->second.walk->in("serving"))
+      ++busy[keeper.last.model];
+    if (blueprint.weightsOf(keeper.last.model) == keeper.last.weights) ++successes[keeper.last.model];
   }
   for (auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known) continue;
@@ -284,6 +293,8 @@
       // A third of the model's workers in this cell at a time; one without any weights serves nobody, so it never waits.
       int room = std::max(1, (workers[report.model] + 2) / 3);
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
+      // Weights that two workers could not load and none could are likely bad: the others keep what they have.
+      if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
       ++busy[report.model];
       rollout.weights = *wanted;
       rollout.model = report.model;
@@ -292,6 +303,7 @@
     }
     bool again = desk.now - rollout.sentAt >= commandAgain;
     if (rollout.weights != *wanted) {
+      rollout.failed = false;
       rollout.weights = *wanted;
       rollout.model = report.model;
       happen("wanted");
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -46,6 +46,7 @@
     std::string weights, model;
     Moment since{}, sentAt{}, readyAt{};
     std::uint64_t markSequence{0};
+    bool failed{false};
     std::unique_ptr<ChartWalk<Cell, Desk&, const std::string&>> walk;
   };
   struct Watch {
--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -25,6 +25,7 @@
 }
 
 Result<void> SimDisk::write(int file, std::size_t offset, std::string_view bytes) {
+  if (full) return fault(Code::diskFault, "write", "no space");
   lastFile = static_cast<std::size_t>(file);
   lastOffset = offset;
   lastSize = bytes.size();
@@ -94,6 +95,7 @@
     if (name != "platform") later(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
   for (int number = 1; number <= shape.tenants; ++number) isolated["tenant-" + std::to_string(number)] = number % 2 == 0;
   later(500ms, [this] { change(firstBlueprint(), true, "first", -1, 1); });
+  watchHolders();
   sendLoad("plan", shape.planRate);
   sendLoad("swap", shape.swapRate);
   sendLoad("reminder", shape.reminderRate);
@@ -419,7 +421,11 @@
     }
     std::vector<Record> records;
     for (const auto& save : due.syncing) records.push_back(save.record);
-    if (!due.ring->append(records)) violate("acked-lost", name + " could not write its ring");
+    if (!due.ring->append(records)) {
+      // As a real core does: one that cannot write ends, rather than vote and agree from memory.
+      ++counts["disk failed"];
+      return kill(name);
+    }
     auto done = std::move(due.syncing);
     due.syncing.clear();
     due.syncBusy = false;
@@ -779,6 +785,7 @@
     if (auto* node = core(name))
       for (const auto& entry : node->agreement().entries())
         if (entry.changeId == ack.changeId) ack.index = entry.index;
+  if (auto deed = ackDeeds.find(ack.changeId); deed != ackDeeds.end()) later(Span(0), deed->second);
   if (starts(ack.changeId, "revoke ")) revokedAt[ack.changeId.substr(7)] = clock;
   if (starts(ack.changeId, "weights ")) {
     std::string weights = ack.changeId.substr(8, ack.changeId.rfind('/') - 8);
@@ -797,6 +804,15 @@
   watchReach(found->second);
 }
 
+// A duty is looked at all the time, not only when something is done under it.
+void World::watchHolders() {
+  std::set<std::string> duties{"accord"};
+  for (const auto& locality : shape.localities) duties.insert("cell/" + locality);
+  for (const auto& duty : duties)
+    if (int holders = holdersOf(duty); holders > 1) violate("two-holders", duty + " is held by " + std::to_string(holders));
+  later(20ms, [this] { watchHolders(); });
+}
+
 // How long an acknowledged change takes to be in force at the slowest proxy that runs.
 void World::watchReach(std::size_t at) {
   auto& ack = ackRows[at];
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -12,7 +12,7 @@
 /// The sim's disk: what was synced outlives a crash; what was under way may be whole, torn or gone.
 class SimDisk : public RingFiles {
  public:
-  SimDisk() : rows(4, std::string(128 * 1024, '\0')) {}
+  SimDisk() : rows(4, std::string(512 * 1024, '\0')) {}
   Result<std::string> readAll(int file) override { return rows[static_cast<std::size_t>(file)]; }
   Result<void> write(int file, std::size_t offset, std::string_view bytes) override;
   Result<void> sync(int) override { return boost::outcome_v2::success(); }
@@ -21,7 +21,7 @@
   std::vector<std::string> rows;
   std::size_t lastFile{0}, lastOffset{0}, lastSize{0};
   Span syncSpan{2ms};
-  bool stalled{false}, lying{false};
+  bool stalled{false}, lying{false}, full{false};
 };
 
 /// What a fleet in the sim is made of.
@@ -66,6 +66,8 @@
   void heal();
   void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer = false);
   void nameWeights(const std::string& weights);
+  /// Does something the moment a change is acknowledged.
+  void onAck(const std::string& changeId, std::function<void()> deed) { ackDeeds[changeId] = std::move(deed); }
   void revoke(const std::string& tenant);
   void mark(const std::string& worker, bool leaving);
   void setLoad(double scale) { loadScale = scale; }
@@ -174,6 +176,8 @@
   void operatorAnswer(const OperatorReply& reply);
   std::string firstBlueprint() const;
   bool tamper(Actor& from, const std::string& to, Message& message);
+  std::map<std::string, std::function<void()>> ackDeeds;
+  void watchHolders();
   void watchReach(std::size_t ack);
 };
 
