Shorter leases: 900 ms, held every 150 ms, promised for 1100 ms

Cause: between a dead accord holder and its successor, entries that two live cores hold may have been agreed, so proxies rightly deny until the successor says; the span was the lease's length.

--- a/src/ballot.hpp
+++ b/src/ballot.hpp
@@ -6,9 +6,9 @@
 
 /// The spans that duties and freshness keep to.
 namespace pace {
-constexpr Span holdEvery = 200ms;
-constexpr Span lease = 1200ms;
-constexpr Span promise = 1500ms;
+constexpr Span holdEvery = 150ms;
+constexpr Span lease = 900ms;
+constexpr Span promise = 1100ms;
 constexpr Span ballotWait = 300ms;
 constexpr Span freshFor = 1500ms;
 }  // namespace pace
