--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,114 @@
+#!/usr/bin/env bash
+# Measures a running fleet of real processes on loopback, with faults, under its deployment's load.
+#   scripts/measure.sh DEPLOYMENT [FOLDER]    starts the fleet, measures, stops it; about two minutes
+# Environment as for fleet.sh; SECONDS_EACH (default 15) for the load runs.
+set -u
+here=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD:-$here/build}
+deployment=${1:?which deployment?}
+folder=${2:-$here/data/measure}
+base=${BASE:-21000}
+each=${SECONDS_EACH:-15}
+fleet() { "$here/scripts/fleet.sh" "$@"; }
+now() { date +%s%N; }
+ms() { echo $((($2 - $1) / 1000000)); }
+rm -rf "$folder"
+fleet start "$deployment" "$folder" || exit 1
+eval "$(fleet where "$folder")"
+. "$here/deployments/$deployment/fleet.env"
+. "$folder/overrides"
+tenant=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | head -1)
+route=$(sed -n 's/.*"route": "\([a-z-]*\)".*/\1/p' "$here/deployments/$deployment/kinds.json" | sed -n 3p)
+ctl() { "$build/trouttally-ctl" "$@"; }
+load() { "$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" "$@"; }
+revisions() { # the lowest revision in force at any proxy
+  local number lowest=999999999 got
+  for number in $(seq "$EDGES"); do
+    got=$(curl -s -m 1 -H "Authorization: Bearer $TROUTTALLY_OPERATOR_KEY" "127.0.0.1:$((base + 400 + number))/v1/blueprint" | sed -n 's/^{"revision":\([0-9]*\),.*"fresh":true.*/\1/p')
+    [ "${got:-0}" -lt "$lowest" ] && lowest=${got:-0}
+  done
+  echo "$lowest"
+}
+status() { # what an order at proxy $1 with key $2 gets
+  curl -s -m 3 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $2" "127.0.0.1:$((base + 400 + $1))/v1/orders" \
+    -d "{\"route\":\"$route\",\"model\":\"$MODEL\",\"parts\":[\"x\"],\"maxTokens\":1}"
+}
+served() { local number; for number in $(seq "$EDGES"); do [ "$(status "$number" "$tenant-secret-1")" = 200 ] || return 1; done; }
+holder() { ctl fleet | sed -n "s|^duty     $1 \(core-[0-9]\)-.*|\1|p"; }
+
+sleep 2
+echo "== $deployment: warm-up"; load --seconds "$each" --seed 1
+echo "== $deployment: steady"; load --seconds "$each" --seed 2
+
+load --seconds 75 --seed 3 --everySecond 1 >"$folder/under-faults.txt" &
+loadPid=$!
+began=$(now)
+sleep 3
+worst=0
+for round in 1 2 3 4 5; do
+  before=$(now)
+  revision=$(echo "{\"routes\":{\"measured-$round\":{\"model\":\"$MODEL\"}}}" | ctl patch - | sed -n 's/.*"revision":\([0-9]*\).*/\1/p')
+  acked=$(now)
+  while [ "$(revisions)" -lt "${revision:-0}" ]; do sleep 0.02; done
+  all=$(now)
+  took=$(ms "$acked" "$all")
+  [ "$took" -gt "$worst" ] && worst=$took
+  echo "change $round: acknowledged after $(ms "$before" "$acked") ms, seen in force at every proxy $took ms later at most"
+done
+victim=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | sed -n 2p)
+echo "{\"keys\":{\"spare\":{\"tenant\":\"$victim\",\"secret\":\"spare-secret-1\"}}}" | ctl patch - >/dev/null
+sleep 0.5
+echo '{"keys":{"spare":null}}' | ctl patch - >/dev/null
+acked=$(now); last=$acked
+for round in $(seq 12); do
+  for number in $(seq "$EDGES"); do [ "$(status "$number" spare-secret-1)" = 200 ] && last=$(now); done
+done
+echo "revoked key: last accepted $(ms "$acked" "$last") ms after the acknowledgement"
+curl -s -X PATCH "127.0.0.1:$base/v1/machines" -d '{"name":"worker-7","leaving":true}' >/dev/null
+marked=$(now); runsBefore=-1; lastRun=$marked
+for round in $(seq 40); do
+  runs=$(curl -s "127.0.0.1:$((base + 507))/v1/runs" | grep -o orderId | wc -l)
+  [ "$runs" != "$runsBefore" ] && lastRun=$(now)
+  runsBefore=$runs
+  sleep 0.1
+done
+echo "leaving worker: last new order seen $(ms "$marked" "$lastRun") ms after the mark"
+curl -s -X PATCH "127.0.0.1:$base/v1/machines" -d '{"name":"worker-7","leaving":false}' >/dev/null
+sleep 1
+echo "at $(ms "$began" "$(now)") ms: weights named"
+echo "{\"models\":{\"$MODEL\":{\"weights\":\"$MODEL-w2\"}}}" | ctl patch - >/dev/null
+named=$(now)
+while [ "$(ctl fleet | grep -c "weights $MODEL-w2 .*serving")" -lt "$WORKERS" ] && [ "$(ms "$named" "$(now)")" -lt 40000 ]; do sleep 0.2; done
+echo "new weights: in use at all $WORKERS workers $(ms "$named" "$(now)") ms after naming"
+leader=$(holder accord)
+echo "at $(ms "$began" "$(now)") ms: $leader, which holds the accord, is killed"
+killed=$(now)
+fleet signal "$leader" KILL "$folder"
+until echo "{\"routes\":{\"after-kill\":{\"model\":\"$MODEL\"}}}" | ctl patch - --change-id after-kill >/dev/null 2>&1; do sleep 0.1; done
+echo "a change is taken again $(ms "$killed" "$(now)") ms after the kill"
+sleep 3
+fleet run "$leader" "$folder"
+sleep 4
+echo "at $(ms "$began" "$(now)") ms: two edges, three workers and the store are killed"
+for name in agent-1 proxy-1 agent-2 proxy-2 worker-1 worker-2 worker-3 store; do fleet signal $name KILL "$folder"; done
+sleep 3
+for name in agent-1 proxy-1 agent-2 proxy-2 worker-1 worker-2 worker-3 store; do fleet run $name "$folder"; done
+back=$(now)
+until served; do sleep 0.1; done
+echo "every proxy serves again $(ms "$back" "$(now)") ms after their restart"
+wait "$loadPid"
+cat "$folder/under-faults.txt"
+echo "== closing fault: everything but the platform is killed and started again"
+for file in "$folder"/pids/*; do name=$(basename "$file"); [ "$name" != platform ] && kill -KILL "$(cat "$file")"; done
+sleep 0.5
+for file in "$folder"/pids/*; do name=$(basename "$file"); [ "$name" != platform ] && fleet run "$name" "$folder"; done
+back=$(now)
+until served; do sleep 0.1; [ "$(ms "$back" "$(now)")" -gt 60000 ] && break; done
+echo "every proxy serves again $(ms "$back" "$(now)") ms after the restart"
+ctl get | grep -c after-kill | sed 's/^/acknowledged change still there: /'
+cross=0
+for number in $(seq "$WORKERS"); do
+  cross=$((cross + $(curl -s "127.0.0.1:$((base + 500 + number))/v1/runs" | sed -n 's/.*"crossWeights":\([0-9]*\).*/\1/p')))
+done
+echo "blocks used under other weights: $cross"
+fleet stop "$folder"
