Workers that die before the first byte, mid-stream and before the verdict, each brought about

Slow readers get a failed verdict at the end of what they have, so that their stream is closed and never looks whole; before, it stayed open until a timer.

--- a/src/main_proxy.cpp
+++ b/src/main_proxy.cpp
@@ -101,7 +101,16 @@
       auto answer = answers.find(chunk->orderId);
       if (answer && !answer->line(writeChunk(*chunk)))
         asio::post(context, [&, orderId = chunk->orderId] {
-          if (answers.remove(orderId)) host.take("caller", CallerGone{orderId});
+          auto gone = answers.remove(orderId);
+          if (!gone) return;
+          host.take("caller", CallerGone{orderId});
+          // One that only reads too slowly is told, so that what it has does not look whole.
+          CallerVerdict verdict;
+          verdict.orderId = orderId;
+          verdict.verdict = "failed";
+          verdict.code = static_cast<int>(Code::callerGone);
+          verdict.text = "The caller went away or read too slowly";
+          gone->endStream(writeVerdict(verdict));
         });
     } else if (auto* verdict = std::get_if<CallerVerdict>(&message)) {
       auto answer = answers.remove(verdict->orderId);
--- a/src/scenario.cpp
+++ b/src/scenario.cpp
@@ -252,6 +252,8 @@
       each([&](const std::string& name) { world->mark(name, verb == "mark"); });
     } else if (verb == "remove") {
       each([&](const std::string& name) { world->platform().remove(name); });
+    } else if (verb == "crash-at") {
+      world->crashAt(word(1), static_cast<int>(number(2)));
     } else if (verb == "relocate") {
       // relocate WORKER LOCALITY: the platform now lists it there, if need be in a locality nobody knew.
       for (const auto& name : named(word(1))) {
--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -491,8 +491,30 @@
   return true;
 }
 
+bool World::crashesHere(const Message& message) {
+  std::string phase;
+  if (auto* chunk = std::get_if<WorkerChunk>(&message)) {
+    auto piece = chunk->text.substr(chunk->text.find(':') + 1);
+    phase = piece == "1 " ? "start" : piece == "3 " ? "middle" : "";
+  } else if (auto* end = std::get_if<WorkerEnd>(&message); end && end->outcome == static_cast<int>(Outcome::done)) {
+    if (orderRows.count(baseOrder(end->orderId))) phase = "end";
+  }
+  auto found = crashes.find(phase);
+  if (found == crashes.end() || found->second == 0) return false;
+  --found->second;
+  return true;
+}
+
 void World::post(Actor& from, const std::string& to, Message message) {
   if (!tamper(from, to, message)) return;
+  if (!from.alive) return;
+  if (!crashes.empty() && crashesHere(message)) {
+    // The worker dies before this leaves it, and is back a little later.
+    std::string name = from.name;
+    kill(name);
+    later(500ms, [this, name] { start(name); });
+    return;
+  }
   if (to == "caller") {
     toCaller(from.name, message);
     return;
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -70,6 +70,8 @@
   void onAck(const std::string& changeId, std::function<void()> deed) { ackDeeds[changeId] = std::move(deed); }
   void revoke(const std::string& tenant);
   void mark(const std::string& worker, bool leaving);
+  /// The next few orders that come to a phase (start, middle, end) take their worker down with them.
+  void crashAt(const std::string& phase, int times) { crashes[phase] = times; }
   void setLoad(double scale) { loadScale = scale; }
   void callerHangUps(int perCent) { hangUpShare = perCent; }
   /// Breaks the fleet on purpose, so that an invariant must be seen to fail.
@@ -155,7 +157,8 @@
   std::string modelName{"rooster-llm"};
   std::int64_t retries{0}, admitted{0};
   std::map<std::string, std::int64_t> counts;
-  std::map<std::string, int> addressMoves;
+  std::map<std::string, int> addressMoves, crashes;
+  bool crashesHere(const Message& message);
 
   void later(Span span, std::function<void()> deed);
   void make(const std::string& name);
