Cells with a single worker take turns in a roll-out

Cause: each cell let one worker go at a time, so in a fleet of one worker a cell all went at once. Seen on a real fleet of four workers run under ThreadSanitizer: 14 of 148 orders not run (noWorker) in a roll-out. Ruled out: bad weights, lost commands. ThreadSanitizer on that fleet (4 cores, 3 edges, 4 workers, load, roll-out, callers that hang up, clean stop): no warning.

--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -17,6 +17,7 @@
 constexpr Span loadWait = 8s;
 constexpr Span commandAgain = 500ms;
 constexpr Span retryWait = 3s;
+constexpr Span turnLength = 4500ms;
 constexpr Span speedKept = 30s;
 constexpr std::size_t summaryMost = 8192;
 }  // namespace
@@ -258,6 +259,31 @@
   return true;
 }
 
+// A cell with a single worker of a model would take all of it out at once, and so would its like at the same moment. They
+// go one after another by name; one that does not get done holds the next up for a turn's length only.
+bool Cell::waitsItsTurn(const std::string& model, const std::string& wanted, Moment now) {
+  auto& known = wantedByModel[model];
+  if (known.weights != wanted) known = Wanted{wanted, now};
+  if (!allNews) return false;
+  int before = 0;
+  bool unfinished = false;
+  for (const auto& [locality, news] : *allNews) {
+    if (locality >= place) break;
+    const WorkerView* sole = nullptr;
+    int workers = 0;
+    for (const auto& worker : news.workers)
+      if (worker.kind == "language" && worker.model == model && worker.alive) {
+        ++workers;
+        sole = &worker;
+      }
+    if (workers != 1) continue;
+    ++before;
+    unfinished = unfinished || sole->held || sole->weights != wanted;
+  }
+  // However many cells there are, the last must be done within the time that new weights have.
+  return unfinished && now - known.since < std::min(before, 3) * turnLength;
+}
+
 void Cell::moveRollouts(Desk& desk, const Blueprint& blueprint) {
   std::map<std::string, int> workers, busy, failures, successes;
   for (const auto& [name, keeper] : rows) {
@@ -297,6 +323,7 @@
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
       // Weights that two workers could not load and none could are likely bad: the others keep what they have.
       if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
+      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, desk.now)) continue;
       ++busy[report.model];
       rollout.weights = *wanted;
       rollout.model = report.model;
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -36,6 +36,8 @@
   void agentHas(const std::string& agent, const CellMark& mark, Moment now);
   /// Where fresh news go: the other cores and the agents that follow this core.
   std::function<void(Desk&, const CellNews&)> publish;
+  /// All cells' newest news, so that small cells can take turns.
+  const std::map<std::string, CellNews>* allNews{nullptr};
   const std::string& locality() const { return place; }
   const std::map<std::string, Keeper>& keepers() const { return rows; }
   std::string rolloutState(const std::string& worker) const;
@@ -72,6 +74,11 @@
   Moment publishedAt{}, summariesAt{}, sweptAt{};
   std::string sweptLast;
   bool newsDue{true};
+  struct Wanted {
+    std::string weights;
+    Moment since{};
+  };
+  std::map<std::string, Wanted> wantedByModel;
 
   using RolloutDeeds = ChartWalk<Cell, Desk&, const std::string&>::Deeds;
   using WatchDeeds = ChartWalk<Cell, Desk&, Watch&>::Deeds;
@@ -90,6 +97,7 @@
   void onLookup(Desk& desk, const LookupMsg& ask);
   void askReports(Desk& desk);
   void moveRollouts(Desk& desk, const Blueprint& blueprint);
+  bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
   void moveWatches(Desk& desk);
   void publishNews(Desk& desk);
   void whenHolds(Desk& desk, bool won);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -66,6 +66,7 @@
     cell->ballot.restore(Vote{}, startedAt);
     cell->ballot.setVoters(accord->members());
     cell->setMachines(marks.machines);
+    cell->allNews = &lastNews;
     cell->publish = [this](Desk& desk, const CellNews& news) { keepNews(desk, news, true); };
   }
   return *cell;
