--- a/src/core.cpp
+++ b/src/core.cpp
@@ -20,13 +20,13 @@
 Strings drawWatch(const std::string& agent, const Strings& fellows, std::size_t most) {
   std::uint64_t ownRank = rendezvous("rank", agent);
   std::vector<std::pair<std::uint64_t, std::string>> lower;
-  std::size_t below = 0;
-  for (const auto& fellow : fellows) {
-    if (fellow == agent || rendezvous("rank", fellow) >= ownRank) continue;
-    ++below;
-    lower.emplace_back(rendezvous(agent, fellow), fellow);
-  }
-  if (below < rootRanks) return {};
+  for (const auto& fellow : fellows)
+    if (std::uint64_t rank = rendezvous("rank", fellow); fellow != agent && rank < ownRank) lower.emplace_back(rank, fellow);
+  if (lower.size() < rootRanks) return {};
+  // Only the lower three quarters of those below: each step up the tree takes a share off the rank, so depth is bounded.
+  std::sort(lower.begin(), lower.end());
+  lower.resize(std::max(rootRanks, lower.size() * 3 / 4));
+  for (auto& [weight, fellow] : lower) weight = rendezvous(agent, fellow);
   std::sort(lower.rbegin(), lower.rend());
   Strings drawn;
   for (std::size_t at = 0; at < lower.size() && at < most; ++at) drawn.push_back(lower[at].second);
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -287,6 +287,6 @@
     }
     deepest = std::max(deepest, depth);
   }
-  cr_assert_leq(deepest, 12);
+  cr_assert_leq(deepest, 9, "90 agents: the depth is a logarithm");
   cr_assert_geq(deepest, 1);
 }
