--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -814,12 +814,13 @@
         if (entry.changeId == ack.changeId) ack.index = entry.index;
   if (auto deed = ackDeeds.find(ack.changeId); deed != ackDeeds.end()) later(Span(0), deed->second);
   if (starts(ack.changeId, "revoke ")) revokedAt[ack.changeId.substr(7)] = clock;
-  if (starts(ack.changeId, "weights ")) {
+  // Two names asked for at the same time are in force in the order of the log, not of the answers.
+  if (starts(ack.changeId, "weights ") && ack.index > lastNamedIndex) {
+    lastNamedIndex = ack.index;
     std::string weights = ack.changeId.substr(8, ack.changeId.rfind('/') - 8);
     weightsNamed.emplace_back(weights, clock);
-    Moment named = clock;
-    later(25s, [this, weights, named] {
-      if (weightsNamed.back().second != named) return;
+    later(25s, [this, weights, index = ack.index] {
+      if (lastNamedIndex != index) return;
       for (const auto& [name, actor] : actors) {
         if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s) continue;
         auto* worker = keeper(name);
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -151,7 +151,7 @@
   std::map<std::string, std::int64_t> moveSizes;
   std::map<std::string, bool> isolated;
   std::vector<std::pair<std::string, Moment>> weightsNamed;
-  std::uint64_t orderCount{0}, askCount{0}, changeCount{0};
+  std::uint64_t orderCount{0}, askCount{0}, changeCount{0}, lastNamedIndex{0};
   double loadScale{1};
   int hangUpShare{0};
   std::string modelName{"rooster-llm"};
