--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -229,11 +229,6 @@
 }
 
 void World::start(const std::string& name) {
-  if (starts(name, "edge-")) {
-    start("agent-" + name.substr(5));
-    start("proxy-" + name.substr(5));
-    return;
-  }
   auto& actor = *actors.at(name);
   if (actor.alive) return;
   ++actor.life;
@@ -248,11 +243,6 @@
 }
 
 void World::kill(const std::string& name) {
-  if (starts(name, "edge-")) {
-    kill("agent-" + name.substr(5));
-    kill("proxy-" + name.substr(5));
-    return;
-  }
   auto& actor = *actors.at(name);
   if (!actor.alive) return;
   actor.alive = false;
@@ -305,11 +295,6 @@
 }
 
 void World::freeze(const std::string& name, Span span, bool atCommand) {
-  if (starts(name, "edge-")) {
-    freeze("agent-" + name.substr(5), span);
-    freeze("proxy-" + name.substr(5), span);
-    return;
-  }
   auto& actor = *actors.at(name);
   if (!actor.alive) return;
   if (atCommand) {
@@ -463,7 +448,6 @@
   if (broken.count("fetch-beyond"))
     if (auto* order = std::get_if<WorkerOrder>(&message); order && order->moves) {
       // The move as it would be without the cut: all of the prompt that anyone ever kept.
-      std::set<BlockHash> known(order->hashes.begin(), order->hashes.end());
       auto* source = keeper(nameByAddress[order->sourceAddress]);
       for (int extra = 0; extra < 4; ++extra) {
         BlockHash made{random(), random()};
@@ -516,7 +500,7 @@
     return;
   }
   if (to == "caller") {
-    toCaller(from.name, message);
+    toCaller(message);
     return;
   }
   if (to == "operator") {
@@ -676,7 +660,7 @@
   give(actor, "caller", order);
 }
 
-void World::toCaller(const std::string& proxy, const Message& message) {
+void World::toCaller(const Message& message) {
   if (auto* chunk = std::get_if<CallerChunk>(&message)) {
     auto& order = orderRows[chunk->orderId];
     if (order.gone) return;
@@ -704,7 +688,6 @@
     if (verdict->verdict == "done" && order.said != order.maxTokens)
       violate("stitched", verdict->orderId + " looks complete with " + std::to_string(order.said) + " of " + std::to_string(order.maxTokens));
     if (verdict->verdict == "not run" && order.runs > 0) violate("not-run-but-ran", verdict->orderId + " had run");
-    (void)proxy;
   }
 }
 
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -52,7 +52,7 @@
   Moment localNow(const std::string& name) const;
   std::mt19937_64& dice() { return random; }
 
-  // What scenarios do. A name is core-1, agent-2, proxy-2, worker-3, app, store, platform; edge-2 is agent-2 and proxy-2.
+  // What scenarios do. A name is core-1, agent-2, proxy-2, worker-3, app, store, platform.
   void kill(const std::string& name);
   void start(const std::string& name);
   void freeze(const std::string& name, Span span, bool atCommand = false);
@@ -172,7 +172,7 @@
   void finishSync(const std::string& name, std::uint64_t life);
   void askCore(const OperatorAsk& ask, std::size_t at, int number);
   bool linked(const std::string& one, const std::string& other) const;
-  void toCaller(const std::string& proxy, const Message& message);
+  void toCaller(const Message& message);
   void sendLoad(const std::string& kind, double rate);
   void sendOrder(const std::string& kind);
   void watch(const std::string& name, const Event& event);
