Ballots come to an end on slow disks: the wait counts from the synced vote

Cause: a candidate waited 300 ms from deciding to vote, of which its own sync took most; and one that met a higher term went back to idle with its standing time in the past, so it stood again at once. Four equal candidates kept undoing each other. Ruled out: log ends (all equal), promises (run out), ring damage (none counted).

--- a/src/ballot.cpp
+++ b/src/ballot.cpp
@@ -11,10 +11,11 @@
   return table;
 }
 
-Ballot::Ballot(std::string duty, std::string self, Span waitBeforeStanding)
+Ballot::Ballot(std::string duty, std::string self, Span waitBeforeStanding, Defences defencesGiven)
     : dutyName(std::move(duty)),
       selfId(std::move(self)),
       eagerness(waitBeforeStanding),
+      defences(defencesGiven),
       walk("ballot", deeds(), "idle") {}
 
 void Ballot::restore(const Vote& saved, Moment now) {
@@ -54,6 +55,7 @@
 
 bool Ballot::holds(Moment now) const {
   if (!won() || voters.empty()) return false;
+  if (!defences.stands(Defence::leaseLimits)) return true;
   Moment start = leaseStart(now);
   return start != Moment{} && now < start + pace::lease;
 }
@@ -73,7 +75,7 @@
   }
   if (walk.in("idle")) {
     if (desk.now >= standAt && desk.now >= promisedUntil && voter() && mayStand) walk.happen(*this, "vacant", desk);
-  } else if (desk.now >= askedAt + pace::ballotWait) {
+  } else if (desk.now >= askedAt + pace::ballotWait + (walk.in("asking") ? slowness() : Span(0))) {
     walk.happen(*this, "lapsed", desk);
   }
 }
@@ -91,8 +93,13 @@
   grants.clear();
   vote = Vote{vote.term + 1, selfId};
   std::uint64_t askedTerm = vote.term;
-  desk.save(voteRecord(dutyName, vote), [this, askedTerm](Desk& later) {
+  Moment savedAt = desk.now;
+  // Until the vote is on disk nobody has been asked, so the wait for answers has not begun.
+  askedAt = desk.now + pace::slowDiskMost;
+  desk.save(voteRecord(dutyName, vote), [this, askedTerm, savedAt](Desk& later) {
+    syncSpan = later.now - savedAt;
     if (!walk.in("asking") || vote.term != askedTerm) return;
+    askedAt = later.now;
     grants.insert(selfId);
     auto end = logEnd ? logEnd() : std::make_pair<std::uint64_t, std::uint64_t>(0, 0);
     toOthers(later, BallotAsk{dutyName, vote.term, selfId, false, end.first, end.second});
@@ -121,7 +128,9 @@
 }
 
 void Ballot::waitAgain(Desk& desk) {
-  standAt = desk.now + eagerness + std::chrono::milliseconds(100 + desk.roll(400));
+  // Candidates meet for as long as their votes take to be synced, so the slower disks are, the further apart they try again.
+  auto spread = 400 + 4 * static_cast<std::uint64_t>(inMs(slowness()));
+  standAt = desk.now + eagerness + std::chrono::milliseconds(100 + desk.roll(spread));
 }
 
 void Ballot::sendHolds(Desk& desk) {
@@ -143,7 +152,7 @@
 }
 
 void Ballot::onAsk(Desk& desk, const std::string& from, const BallotAsk& ask) {
-  bool bound = desk.now < promisedUntil && knownHolder != ask.candidate;
+  bool bound = desk.now < promisedUntil && knownHolder != ask.candidate && defences.stands(Defence::promiseBinds);
   bool granted = ask.term > vote.term || (!ask.probe && ask.term == vote.term && (vote.votedFor.empty() || vote.votedFor == ask.candidate));
   if (holds(desk.now) || bound || !voter()) granted = false;
   if (granted && logEnd) {
@@ -156,8 +165,14 @@
   }
   seeTerm(desk, ask.term);
   vote = Vote{ask.term, ask.candidate};
-  standAt = std::max(standAt, desk.now + 2 * pace::ballotWait + eagerness + std::chrono::milliseconds(desk.roll(300)));
-  desk.save(voteRecord(dutyName, vote), [this, from, ask](Desk& later) {
+  standAt = std::max(standAt, desk.now + 2 * pace::ballotWait + slowness() + eagerness + std::chrono::milliseconds(desk.roll(300)));
+  if (!defences.stands(Defence::syncBeforeVote)) {
+    desk.send(from, BallotReply{dutyName, ask.term, selfId, false, true});
+    desk.save(voteRecord(dutyName, vote));
+    return;
+  }
+  desk.save(voteRecord(dutyName, vote), [this, from, ask, savedAt = desk.now](Desk& later) {
+    syncSpan = later.now - savedAt;
     if (vote.term != ask.term || vote.votedFor != ask.candidate) return;
     later.send(from, BallotReply{dutyName, ask.term, selfId, false, true});
   });
--- a/src/ballot.hpp
+++ b/src/ballot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "chart.hpp"
+#include "defences.hpp"
 #include "desk.hpp"
 
 namespace tt {
@@ -10,6 +11,8 @@
 constexpr Span lease = 900ms;
 constexpr Span promise = 1100ms;
 constexpr Span ballotWait = 300ms;
+// How much of its own disk's slowness a ballot waits for, at most.
+constexpr Span slowDiskMost = 700ms;
 constexpr Span freshFor = 1500ms;
 }  // namespace pace
 
@@ -17,7 +20,7 @@
 class Ballot {
  public:
   using LogEnd = std::function<std::pair<std::uint64_t, std::uint64_t>()>;
-  Ballot(std::string dutyName, std::string selfId, Span waitBeforeStanding);
+  Ballot(std::string dutyName, std::string selfId, Span waitBeforeStanding, Defences defencesGiven = {});
   void restore(const Vote& vote, Moment now);
   /// Who votes, by id and address; the quorum is more than half of them.
   void setVoters(const std::vector<Member>& members);
@@ -48,12 +51,16 @@
  private:
   std::string dutyName, selfId;
   Span eagerness;
+  Defences defences;
   Vote vote;
   std::vector<Member> voters;
   std::map<std::string, std::string> addressById;
   std::string knownHolder;
   Moment promisedUntil{}, standAt{}, askedAt{}, heldAt{};
   bool started{false};
+  // How long this core's last vote took to be synced; others' disks are taken to be no faster.
+  Span syncSpan{};
+  Span slowness() const { return std::min(syncSpan, pace::slowDiskMost); }
   std::set<std::string> grants;
   std::map<std::string, Moment> renewals;
   std::uint64_t seenTerm{0};
