Random faults reach further; lists survive the platform; ids say where memory of them ends

Cause: a core knows workers from the platform or a fellow only. Now agents hand the list to a core that has none.

--- a/src/accord.cpp
+++ b/src/accord.cpp
@@ -266,6 +266,8 @@
     waiters.push_back({from, ask.askId, index, *revision});
     return;
   }
+  if (ask.sinceRevision > 0 && head.forgottenRevision() > static_cast<std::uint64_t>(ask.sinceRevision))
+    return answer(Code::changeForgotten, "changeId", {}, head.revision());
   if (waiters.size() >= mostWaiters) return answer(Code::changesFull, "changes", {});
   if (ask.ifRevision >= 0 && static_cast<std::uint64_t>(ask.ifRevision) != head.revision())
     return answer(Code::staleRevision, "ifRevision", {}, head.revision());
--- a/src/blueprint.cpp
+++ b/src/blueprint.cpp
@@ -280,6 +280,10 @@
   return found->second;
 }
 
+std::uint64_t Blueprint::forgottenRevision() const {
+  return changeOrder.size() < changesRemembered ? 0 : changeRevisions.at(changeOrder.front()) - 1;
+}
+
 std::string Blueprint::text() const {
   JsonObject whole;
   for (const auto& [name, items] : sections)
--- a/src/blueprint.hpp
+++ b/src/blueprint.hpp
@@ -36,6 +36,8 @@
   const std::vector<Member>& members() const { return memberRows; }
   /// The revision that a change made, if it is among the last 4096 taken.
   std::optional<std::uint64_t> takenAs(const std::string& changeId) const;
+  /// Changes up to this revision are no longer known by their ids.
+  std::uint64_t forgottenRevision() const;
   std::string text() const;
   std::size_t bytes() const { return weight; }
 
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -227,7 +227,7 @@
       row = asked.erase(row);
       continue;
     } else if (ask.sentAt == Moment{} || desk.now - ask.sentAt >= passAgain) {
-      ChangeAsk change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId};
+      ChangeAsk change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId, ask.ask.sinceRevision};
       if (accord->leads(desk.now)) {
         ask.sentAt = desk.now;
         desk.send(self.address, change);
@@ -341,6 +341,9 @@
   } else if (auto* machines = std::get_if<MachinesReply>(&message)) {
     outlook->offerMarks(machines->machines, fromNs(machines->askedAt));
     takeMarks(desk);
+  } else if (auto* listed = std::get_if<MarksMsg>(&message)) {
+    if (listed->age >= 0) outlook->offerMarks(listed->machines, desk.now - Span(listed->age));
+    takeMarks(desk);
   } else if (auto* ends = std::get_if<EndsReply>(&message)) {
     outlook->take(desk, from, *ends, accord->blueprint());
     takeMarks(desk);
--- a/src/main_core.cpp
+++ b/src/main_core.cpp
@@ -162,14 +162,16 @@
     }
     if (ask.method != "PUT" && ask.method != "PATCH") return deny(fault(Code::unknownPath, ask.method));
     if (ask.body.size() > given.props.recordRoom) return deny(fault(Code::tooLarge, "body"));
-    OperatorAsk change{{}, ask.body, ask.method == "PUT", -1, {}};
+    OperatorAsk change{{}, ask.body, ask.method == "PUT", -1, {}, 0};
     for (const auto& [name, value] : ask.query) {
       if (name == "changeId" && value.size() <= 128) {
         change.changeId = value;
-      } else if (name == "ifRevision" && !value.empty() && value.size() < 16 && value.find_first_not_of("0123456789") == std::string::npos) {
-        change.ifRevision = std::stoll(value);
+      } else if ((name == "ifRevision" || name == "sinceRevision") && !value.empty() && value.size() < 16 &&
+                 value.find_first_not_of("0123456789") == std::string::npos) {
+        (name == "ifRevision" ? change.ifRevision : change.sinceRevision) = std::stoll(value);
       } else {
-        return deny(fault(name == "changeId" || name == "ifRevision" ? Code::badField : Code::unknownField, name));
+        bool known = name == "changeId" || name == "ifRevision" || name == "sinceRevision";
+        return deny(fault(known ? Code::badField : Code::unknownField, name));
       }
     }
     std::string name = answers.add(answer);
--- a/src/main_ctl.cpp
+++ b/src/main_ctl.cpp
@@ -25,7 +25,7 @@
   CLI::App app("Reads and changes what a trouttally fleet has in force", "trouttally-ctl");
   app.set_version_flag("--version", std::string("trouttally-ctl ") + TROUTTALLY_VERSION);
   app.require_subcommand(1);
-  std::string coreList, key, file, changeId, revision, member;
+  std::string coreList, key, file, changeId, sinceRevision, revision, member;
   auto* cores = app.add_option("--cores", coreList, "operator addresses of cores, tried in turn, commas between")->envname("TROUTTALLY_CORES");
   cores->required();
   app.add_option("--key", key, "the operator key")->envname("TROUTTALLY_OPERATOR_KEY")->required();
@@ -35,6 +35,7 @@
   for (auto* verb : {put, patch, manifest}) {
     verb->add_option("file", file, "the file, or - for standard input")->required();
     verb->add_option("--change-id", changeId, "a name under which the change may be sent again without being taken twice");
+    verb->add_option("--since-revision", sinceRevision, "the revision in force when this change id was first sent: a resend that would no longer be known is denied");
     verb->add_option("--if-revision", revision, "take it only if this revision is in force");
   }
   auto* get = app.add_subcommand("get", "Show the blueprint in force");
@@ -74,6 +75,7 @@
       changeId = "ctl-" + std::to_string(device()) + "-" + std::to_string(device());
     }
     path += "?changeId=" + changeId;
+    if (!sinceRevision.empty()) path += "&sinceRevision=" + sinceRevision;
     if (!revision.empty()) path += "&ifRevision=" + revision;
   } else if (condition->parsed() || fleet->parsed()) {
     path = "/v1/condition";
--- a/src/messages.hpp
+++ b/src/messages.hpp
@@ -58,7 +58,7 @@
   X(FormMsg, ((std::vector<Member>, members)))                                                                      \
   X(JoinAsk, ((Member, self)))                                                                                      \
   X(ChangeAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))               \
-                   ((std::string, changeId)))                                                                       \
+                   ((std::string, changeId))((std::int64_t, sinceRevision)))                                        \
   X(ChangeReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))((Count, revision))\
                      ((Count, index))((Count, term)))                                                                              \
   /* news */                                                                                                        \
@@ -112,7 +112,7 @@
                        ((std::string, text))((int, retryAfterMs))((int, tries))((int, local))((int, fetched))       \
                        ((int, computed))((std::string, worker)))                                                    \
   X(OperatorAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
-                     ((std::string, changeId)))                                                                     \
+                     ((std::string, changeId))((std::int64_t, sinceRevision)))                                      \
   X(OperatorReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
                        ((Count, revision))((Count, reached)))
 
--- a/src/outlook.cpp
+++ b/src/outlook.cpp
@@ -43,6 +43,9 @@
       marksAskedAt = std::max(marksAskedAt, listedAt);
     else if (digestOf(reply.machines) == reply.marksDigest)
       offerMarks(reply.machines, listedAt);
+  } else if (!reply.marksKnown && marksKnown()) {
+    // A core that was started while the platform is away gets the list from those who still have it.
+    desk.send(from, MarksMsg{(desk.now - marksAskedAt).count(), machineRows});
   }
   if (!core.heard || askedAt >= core.askedAt) {
     core.askedAt = askedAt;
--- a/src/scenario.cpp
+++ b/src/scenario.cpp
@@ -285,6 +285,10 @@
       each([&](const std::string& name) { world->mark(name, verb == "mark"); });
     } else if (verb == "remove") {
       each([&](const std::string& name) { world->platform().remove(name); });
+    } else if (verb == "list") {
+      each([&](const std::string& name) { world->list(name); });
+    } else if (verb == "restore") {
+      world->restore(word(1));
     } else if (verb == "crash-at") {
       world->crashAt(word(1), static_cast<int>(number(2)));
     } else if (verb == "relocate") {
@@ -546,10 +550,16 @@
   auto roll = [&](std::uint64_t below) { return dice() % below; };
   auto pick = [&](std::initializer_list<const char*> words) { return std::string(*(words.begin() + roll(words.size()))); };
   std::ostringstream out;
-  out << "fleet edges 3 workers 5 tenants 4 plan 2 swap 5 reminder 8\nseed " << seed << "\n";
+  // One in eight has a deployment's shape.
+  bool whole = seed % 8 == 0;
+  std::uint64_t edges = whole ? 9 : 3, workers = whole ? 18 : 5, tenants = whole ? 8 : 4;
+  out << "fleet edges " << edges << " workers " << workers << " tenants " << tenants << (whole ? " plan 5 swap 14 reminder 26" : " plan 2 swap 5 reminder 8")
+      << (roll(5) == 0 ? " tokenMs 200 slots 16" : "") << "\nseed " << seed << "\n";
+  if (roll(2)) out << "at 4 habits " << roll(40) << " " << roll(25) << " " << roll(25) << "\n";
   auto core = [&] { return "core-" + std::to_string(1 + roll(4)); };
-  auto edge = [&] { return std::to_string(1 + roll(3)); };
-  auto worker = [&] { return "worker-" + std::to_string(1 + roll(5)); };
+  auto edge = [&] { return std::to_string(1 + roll(edges)); };
+  auto worker = [&] { return "worker-" + std::to_string(1 + roll(workers)); };
+  std::set<std::uint64_t> revoked;
   int faults = 3 + static_cast<int>(roll(6));
   int weights = 2;
   double clock = 6;
@@ -561,7 +571,7 @@
       out << "at " << when << " ";
       return out;
     };
-    switch (roll(26)) {
+    switch (roll(38)) {
       case 20: {
         // One machine's disk at a time, and time to make good the loss before anything else happens.
         std::string name = core();
@@ -615,7 +625,73 @@
       case 11: at(clock) << "freeze " << worker() << " " << end - clock << "\n"; break;
       case 12: at(clock) << "kill store\n"; at(end) << "start store\n"; break;
       case 13: at(clock) << "name w" << weights << "\n"; weights = weights == 3 ? 1 : weights + 1; break;
-      case 14: at(clock) << "revoke tenant-" << 1 + roll(4) << "\n"; break;
+      case 14: {
+        std::uint64_t tenant = 1 + roll(tenants);
+        if (!revoked.insert(tenant).second) break;
+        at(clock) << "revoke tenant-" << tenant << "\n";
+        // Now and then the same key comes back a little later.
+        if (roll(3) == 0) at(clock + 10) << "restore tenant-" << tenant << "\n";
+        break;
+      }
+      case 26: at(clock) << "kill platform\n"; at(end) << "start platform\n"; break;
+      case 27: {
+        std::string name = worker();
+        at(clock) << "kill platform\n";
+        at(clock + 0.1) << "mark " << name << "\n";
+        at(end) << "start platform\n";
+        at(end + 6) << "unmark " << name << "\n";
+        break;
+      }
+      case 28: at(clock) << "leap " << (roll(2) ? core() : pick({"agent-", "proxy-"}) + edge()) << " " << 1 + roll(100) << "\n"; break;
+      case 29: {
+        // Power and a disk lost the moment something is acknowledged.
+        std::string name = core(), id = "lost" + std::to_string(number);
+        clock += 8;
+        at(clock - 7) << "start cores\n";
+        at(clock) << "on-ack " << id << (roll(2) ? " kill cores\n" : " kill " + name + "\n");
+        at(clock) << "change-id " << id << " {\"routes\":{\"" << id << "\":{\"model\":\"rooster-llm\"}}}\n";
+        at(clock + 2) << "wipe " << name << "\n";
+        at(clock + 2.2) << "start cores\n";
+        clock += 11;
+        break;
+      }
+      case 30: {
+        // A core back at a new address, with its disk or without it.
+        std::string name = core();
+        clock += 8;
+        at(clock - 7) << "start cores\n";
+        end = clock + 0.3 + static_cast<double>(roll(500)) / 100;
+        at(clock) << "kill " << name << "\n";
+        if (roll(2)) at(clock + 0.1) << "wipe " << name << "\n";
+        at(clock + 0.1) << "move " << name << "\n";
+        at(end) << "start " << name << "\n";
+        clock = end + 9;
+        break;
+      }
+      case 31: {
+        std::string name = worker();
+        at(clock) << "remove " << name << "\n";
+        at(end + 4) << "list " << name << "\n";
+        break;
+      }
+      case 32: at(clock) << "crash-at " << pick({"start", "middle", "end"}) << " " << 1 + roll(4) << "\n"; at(end) << "start workers\n"; break;
+      case 33: at(clock) << "freeze-at-sending proxy-" << edge() << " " << end - clock << "\n"; break;
+      case 34: at(clock) << "slow-disk cores " << 20 + roll(200) << "\n"; at(end) << "slow-disk cores 2\n"; break;
+      case 35: at(clock) << "cut proxy-" << edge() << " workers\n"; at(end) << "heal\n"; break;
+      case 36: {
+        std::string name = edge();
+        at(clock) << "cut-one " << (roll(2) ? "agent-" + name + " cores\n" : "cores agent-" + name + "\n");
+        at(end) << "heal\n";
+        break;
+      }
+      case 37: {
+        std::string name = core();
+        at(clock) << "cut " << name << " platform\n";
+        at(clock + 0.1) << "mark " << worker() << "\n";
+        at(end) << "heal\n";
+        at(end + 4) << "unmark workers\n";
+        break;
+      }
       case 15: {
         std::string name = worker();
         at(clock) << "mark " << name << "\n";
@@ -639,8 +715,8 @@
   }
   // All is well again from here on, and within twelve seconds the fleet must be too.
   double calm = std::max(24.0, clock + 7);
-  out << "until " << calm + 26 << "\n";
-  out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm << " start cores agents proxies workers store\nat " << calm << " unstall cores\n";
+  out << "until " << calm + 32 << "\n";
+  out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm << " unmark workers\nat " << calm << " slow-disk cores 2\nat " << calm << " crash-at start 0\nat " << calm << " crash-at middle 0\nat " << calm << " crash-at end 0\nat " << calm << " unstall cores\n";
   out << "at " << calm << " hangups 0\n";
   out << "at " << calm + 13 << " change {\"routes\":{\"last\":{\"model\":\"rooster-llm\"}}}\n";
   out << "at " << calm + 25 << " check holders accord = 1\nat " << calm + 25 << " check voters = 4\nat " << calm + 25 << " check index-wrong <= 400\n";
--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -769,7 +769,7 @@
   ackRows.push_back(row);
   std::size_t at = ackByAsk[askId];
   if (loseAnswer) lostAnswers.insert(askId);
-  askCore(OperatorAsk{askId, body, whole, ifRevision, id}, at, coreNumber);
+  askCore(OperatorAsk{askId, body, whole, ifRevision, id, 0}, at, coreNumber);
 }
 
 // An operator's script: asks one core, and the next one when no answer comes or it is told to come back.
@@ -804,7 +804,7 @@
     later(Span(0), std::move(deed->second));
     ackDeeds.erase(deed);
   }
-  if (starts(ack.changeId, "revoke ")) revokedAt[ack.changeId.substr(7)] = clock;
+  if (starts(ack.changeId, "revoke ") && !restored.count(ack.changeId.substr(7))) revokedAt[ack.changeId.substr(7)] = clock;
   // Two names asked for at the same time are in force in the order of the log, not of the answers.
   if (starts(ack.changeId, "weights ") && ack.index > lastNamedIndex) {
     lastNamedIndex = ack.index;
@@ -943,8 +943,23 @@
   change("{\"keys\":{\"" + tenant + "-key\":null}}", false, "revoke " + tenant, -1, 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
 }
 
+void World::restore(const std::string& tenant) {
+  change("{\"keys\":{\"" + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant + "-secret\"}}}", false, "restore " + tenant, -1,
+         1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+  // From the asking on it may work again.
+  revokedAt.erase(tenant);
+  restored.insert(tenant);
+}
+
+void World::list(const std::string& name) {
+  if (platform().machines().count(name)) return;
+  leavingAt.erase(name);
+  platform().set(Machine{name, addressOf(name), localityOf(name), starts(name, "worker-") ? "language" : name, false});
+}
+
 void World::mark(const std::string& worker, bool leaving) {
   platform().mark(worker, leaving);
+  if (leaving && !platform().machines().count(worker)) return;
   if (leaving)
     leavingAt.try_emplace(worker, clock);
   else
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -72,6 +72,10 @@
   void onNote(const std::string& kind, std::function<void()> deed) { noteDeeds[kind] = std::move(deed); }
   void onAck(const std::string& changeId, std::function<void()> deed) { ackDeeds[changeId] = std::move(deed); }
   void revoke(const std::string& tenant);
+  /// Gives a revoked tenant its old key back.
+  void restore(const std::string& tenant);
+  /// Puts a machine on the platform's list.
+  void list(const std::string& name);
   void mark(const std::string& worker, bool leaving);
   /// The next few orders that come to a phase (start, middle, end) take their worker down with them.
   void crashAt(const std::string& phase, int times) { crashes[phase] = times; }
@@ -170,6 +174,7 @@
   std::deque<std::pair<Moment, std::string>> admittedLately, retriedLately;
   Defences defences;
   Strings lastPlan;
+  std::set<std::string> restored;
   int obeyShare{0}, ignoreShare{0}, moveShare{0};
   std::map<std::string, std::pair<std::uint64_t, std::string>> commandBy;
   std::map<std::string, std::int64_t> moveSizes;
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
 #include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 
 #include "blueprint.hpp"
 #include "cell.hpp"
@@ -290,3 +293,35 @@
   cr_assert_leq(deepest, 9, "90 agents: the depth is a logarithm");
   cr_assert_geq(deepest, 1);
 }
+
+Test(blueprint, says_where_its_memory_of_change_ids_ends) {
+  Blueprint view;
+  auto change = [&](std::uint64_t number) {
+    view.apply(Entry{number, 1, static_cast<int>(EntryKind::change), "{\"weights\":{\"w\":{\"model\":\"m\"}}}", "id-" + std::to_string(number)});
+  };
+  for (std::uint64_t number = 1; number <= 4095; ++number) change(number);
+  cr_assert_eq(view.forgottenRevision(), 0u);
+  for (std::uint64_t number = 4096; number <= 4200; ++number) change(number);
+  cr_assert_eq(view.forgottenRevision(), 4200u - 4096u);
+  cr_assert_not(view.takenAs("id-104").has_value());
+  cr_assert_eq(*view.takenAs("id-105"), 105u);
+  Blueprint again;
+  cr_assert(bool(again.adopt(view.capture())));
+  cr_assert_eq(again.forgottenRevision(), view.forgottenRevision(), "a capture must not make it forget where its memory ends");
+}
+
+Test(clocks, only_the_log_looks_at_a_clock_that_may_jump) {
+  // Leases, freshness and order of lists rest on steady clocks, so that no jump of a wall clock can move them.
+  std::filesystem::path folder = std::filesystem::path(TT_SOURCE) / "src";
+  std::size_t looked = 0;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    std::ifstream source(file.path());
+    std::stringstream text;
+    text << source.rdbuf();
+    ++looked;
+    if (file.path().filename() == "log.cpp") continue;
+    for (const char* word : {"system_clock", "gettimeofday", "time(nullptr)", "CLOCK_REALTIME"})
+      cr_assert_eq(text.str().find(word), std::string::npos, "%s uses %s", file.path().filename().c_str(), word);
+  }
+  cr_assert_gt(looked, 40u);
+}
