Records of real runs and an audit that joins them; links over a cut die after two seconds

Stand-in back ends and the load generator write what they did and saw; trouttally-audit joins both by a mark in the prompt and counts breaches of eleven lines; parts tests plant each breach and see it found, and only it.

Links between own processes set TCP_USER_TIMEOUT: without it a link over a cut is tried again only as the system's pauses allow, which grow with the cut's length. Not reproduced here: loopback has no such cuts.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -49,9 +49,10 @@
       --agentAddress "127.0.0.1:$((base + 100 + number))" --callerAddress "127.0.0.1:$((base + 400 + number))" \
       --operatorKeyHash "$keyHash" --fetching "${FETCHING:-true}" ;;
     worker) launch "$name" trouttally-worker --address "127.0.0.1:$((base + 500 + number))" --model "$MODEL" --weights "$WEIGHTS" \
-      --store "127.0.0.1:$((base + 490))" ;;
+      --store "127.0.0.1:$((base + 490))" --recordFile "$folder/records/$name.json" ;;
     store) launch store trouttally-store --address "127.0.0.1:$((base + 490))" --keepMost 20000 ;;
-    app) launch app trouttally-worker --kind app --slots 32 --address "127.0.0.1:$((base + 491))" ;;
+    app) launch app trouttally-worker --kind app --slots 32 --address "127.0.0.1:$((base + 491))" \
+      --recordFile "$folder/records/app.json" ;;
     *) echo "no such process: $name" >&2; exit 2 ;;
   esac
 }
@@ -76,7 +77,8 @@
   start)
     deployment=${1:?which deployment? (a folder under deployments/)}
     folder=${2:-$here/data/fleet}
-    mkdir -p "$folder/logs" "$folder/pids"
+    mkdir -p "$folder/logs" "$folder/pids" "$folder/records"
+    rm -f "$folder"/records/*
     echo "$deployment" >"$folder/deployment"
     : >"$folder/overrides"
     [ -n "${EDGES:-}" ] && echo "EDGES=$EDGES" >>"$folder/overrides"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Measures a running fleet of real processes on loopback, with faults, under its deployment's load.
-#   scripts/measure.sh DEPLOYMENT [FOLDER]    starts the fleet, measures, stops it; about two minutes
+# Measures a running fleet of real processes on loopback, with faults, under its deployment's load, and audits its records.
+#   scripts/measure.sh DEPLOYMENT [FOLDER]    starts the fleet, measures, stops it; about three minutes
+# Ends with 1 if the audit finds anything that must never happen, or a figure of the brief was not met.
 # Environment as for fleet.sh; SECONDS_EACH (default 15) for the load runs.
 set -u
 here=$(cd "$(dirname "$0")/.." && pwd)
@@ -20,7 +21,15 @@
 tenant=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | head -1)
 route=$(sed -n 's/.*"route": "\([a-z-]*\)".*/\1/p' "$here/deployments/$deployment/kinds.json" | sed -n 3p)
 ctl() { "$build/trouttally-ctl" "$@"; }
-load() { "$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" "$@"; }
+load() {
+  "$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" \
+    --recordFile "$folder/records/callers.json" --obey 40 --ignore 10 --move 20 --hangUps 1 "$@"
+}
+event() { "$build/trouttally-audit" --note "$1" --of "$2" >>"$folder/records/events.json"; }
+missed=0
+within() { # within MS MOST WHAT: says so if a figure is over its bound
+  [ "$1" -le "$2" ] || { echo "NOT MET: $3 took $1 ms, at most $2 wanted"; missed=1; }
+}
 revisions() { # the lowest revision in force at any proxy
   local number lowest=999999999 got
   for number in $(seq "$EDGES"); do
@@ -40,7 +49,7 @@
 echo "== $deployment: warm-up"; load --seconds "$each" --seed 1
 echo "== $deployment: steady"; load --seconds "$each" --seed 2
 
-load --seconds 75 --seed 3 --everySecond 1 >"$folder/under-faults.txt" &
+load --seconds "${SECONDS_FAULTS:-110}" --seed 3 --everySecond 1 >"$folder/under-faults.txt" &
 loadPid=$!
 began=$(now)
 sleep 3
@@ -64,7 +73,10 @@
   for number in $(seq "$EDGES"); do [ "$(status "$number" spare-secret-1)" = 200 ] && last=$(now); done
 done
 echo "revoked key: last accepted $(ms "$acked" "$last") ms after the acknowledgement"
+within "$(ms "$acked" "$last")" 5000 "a revocation"
+within "$worst" 2000 "a change"
 curl -s -X PATCH "127.0.0.1:$base/v1/machines" -d '{"name":"worker-7","leaving":true}' >/dev/null
+event leaving worker-7
 marked=$(now); runsBefore=-1; lastRun=$marked
 for round in $(seq 40); do
   runs=$(curl -s "127.0.0.1:$((base + 507))/v1/runs" | grep -o orderId | wc -l)
@@ -73,13 +85,17 @@
   sleep 0.1
 done
 echo "leaving worker: last new order seen $(ms "$marked" "$lastRun") ms after the mark"
+within "$(ms "$marked" "$lastRun")" 3100 "a mark"
+event staying worker-7
 curl -s -X PATCH "127.0.0.1:$base/v1/machines" -d '{"name":"worker-7","leaving":false}' >/dev/null
 sleep 1
 echo "at $(ms "$began" "$(now)") ms: weights named"
 echo "{\"models\":{\"$MODEL\":{\"weights\":\"$MODEL-w2\"}}}" | ctl patch - >/dev/null
 named=$(now)
+event named "$MODEL-w2"
 while [ "$(ctl fleet | grep -c "weights $MODEL-w2 .*serving")" -lt "$WORKERS" ] && [ "$(ms "$named" "$(now)")" -lt 40000 ]; do sleep 0.2; done
 echo "new weights: in use at all $WORKERS workers $(ms "$named" "$(now)") ms after naming"
+within "$(ms "$named" "$(now)")" 25000 "a roll-out"
 leader=$(holder accord)
 echo "at $(ms "$began" "$(now)") ms: $leader, which holds the accord, is killed"
 killed=$(now)
@@ -96,8 +112,23 @@
 back=$(now)
 until served; do sleep 0.1; done
 echo "every proxy serves again $(ms "$back" "$(now)") ms after their restart"
+within "$(ms "$back" "$(now)")" 12000 "service after the restart of edges, workers and the store"
+# Each kind of daemon stands still past every lease and wakes.
+for name in "$(holder accord)" "$(holder "cell/${LOCALITIES%% *}")" agent-3 proxy-4 worker-5 store; do
+  echo "at $(ms "$began" "$(now)") ms: $name stands still for 4 s"
+  fleet signal "$name" STOP "$folder"
+  [ "$name" = agent-3 ] && echo "{\"keys\":{\"$victim-key\":null}}" | ctl patch - >/dev/null && event revoked "$victim-secret-1"
+  sleep 4
+  fleet signal "$name" CONT "$folder"
+  sleep 1
+done
+back=$(now)
+until served; do sleep 0.1; done
+echo "every proxy serves $(ms "$back" "$(now)") ms after the last woke"
+within "$(ms "$back" "$(now)")" 12000 "service after standing still"
 wait "$loadPid"
 cat "$folder/under-faults.txt"
+echo "{\"routes\":{\"just-before\":{\"model\":\"$MODEL\"}}}" | ctl patch - >/dev/null && acknowledged=1
 echo "== closing fault: everything but the platform is killed and started again"
 for file in "$folder"/pids/*; do name=$(basename "$file"); [ "$name" != platform ] && kill -KILL "$(cat "$file")"; done
 sleep 0.5
@@ -105,10 +136,11 @@
 back=$(now)
 until served; do sleep 0.1; [ "$(ms "$back" "$(now)")" -gt 60000 ] && break; done
 echo "every proxy serves again $(ms "$back" "$(now)") ms after the restart"
-ctl get | grep -c after-kill | sed 's/^/acknowledged change still there: /'
-cross=0
-for number in $(seq "$WORKERS"); do
-  cross=$((cross + $(curl -s "127.0.0.1:$((base + 500 + number))/v1/runs" | sed -n 's/.*"crossWeights":\([0-9]*\).*/\1/p')))
-done
-echo "blocks used under other weights: $cross"
+within "$(ms "$back" "$(now)")" 12000 "service after the closing fault"
+ctl get | grep -o -e after-kill -e just-before | sort -u | sed 's/^/acknowledged change still there: /'
+[ "${acknowledged:-0}" = 1 ] && [ "$(ctl get | grep -c just-before)" = 0 ] && { echo "NOT MET: an acknowledged change is lost"; missed=1; }
 fleet stop "$folder"
+"$build/trouttally-audit" --callers "$folder/records/callers.json" --events "$folder/records/events.json" \
+  --workers "$(ls "$folder"/records/worker-*.json "$folder"/records/app.json | paste -sd,)" \
+  --blueprint "$here/deployments/$deployment/blueprint.json" || missed=1
+exit "$missed"
--- a/src/host.cpp
+++ b/src/host.cpp
@@ -1,9 +1,26 @@
 #include "host.hpp"
 
+#include <netinet/tcp.h>
+
 #include "log.hpp"
 
 namespace tt {
 namespace {
+// How long bytes may wait to be taken by the far machine before the link counts as dead. Without this a link over a cut is
+// only tried again as the system's own pauses allow, which after half a minute's cut is as long again.
+constexpr Span untakenMost = 2s;
+
+void tune(asio::ip::tcp::socket& socket) {
+  asio::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  auto set = [&](int name, int value) { (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value); };
+  set(TCP_USER_TIMEOUT, static_cast<int>(inMs(untakenMost)));
+  set(TCP_KEEPIDLE, 5);
+  set(TCP_KEEPINTVL, 2);
+  set(TCP_KEEPCNT, 3);
+}
+
 constexpr std::size_t frameMost = 8u << 20;
 constexpr std::size_t linkPendingMost = 16u << 20;
 constexpr std::size_t inboundMost = 512;
@@ -80,8 +97,7 @@
         if (connectError) return self->fail();
         self->connecting = false;
         self->connected = true;
-        asio::error_code ignored;
-        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        tune(self->socket);
         // The first frame says who is calling.
         std::string hello = frameOf(self->hub.self);
         self->pendingBytes += hello.size();
@@ -187,8 +203,7 @@
   acceptor.async_accept(asio::make_strand(io), [this](asio::error_code error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (!error) {
-      asio::error_code ignored;
-      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      tune(socket);
       if (inboundCount < inboundMost) std::make_shared<Inbound>(*this, std::move(socket))->readHead();
     }
     accept();
--- a/src/main_keeper.cpp
+++ b/src/main_keeper.cpp
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <fstream>
 
 #include "contract.hpp"
 #include "process.hpp"
@@ -14,6 +15,7 @@
 
 int main(int count, char** words) {
   KeeperProps props;
+  std::string recordFile;
   double slots = 8, keepMost = 4000, loadMs = 1500, threads = 2;
   bool chatty = false;
   Props reader(programName, "A stand-in back end for trying and testing the fleet");
@@ -30,6 +32,7 @@
       .number("linkMs", &props.linkMs, 0, 10000, "milliseconds to pull one block")
       .number("loadMs", &loadMs, 0, 600000, "milliseconds to load weights")
 #endif
+      .text("recordFile", &recordFile, "a file that what this back end did is added to")
       .number("keepMost", &keepMost, 1, 10000000, "blocks it keeps at most")
       .number("threads", &threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
@@ -48,6 +51,24 @@
   asio::io_context context;
   std::random_device device;
   KeeperNode keeper(props, std::to_string(device()) + std::to_string(device()));
+  std::ofstream record;
+  if (!recordFile.empty()) {
+    record.open(recordFile, std::ios::app);
+    if (!record) return failStart(fault(Code::badProps, "recordFile", "cannot be written"));
+    // An earlier run may have been killed in the middle of a line.
+    record << "\n" << std::flush;
+    keeper.journal.appended.connect([&](const Event& event) {
+      static const std::set<std::string> kinds{"ran for", "move ran", "pulled", "worker denied", "cross weights", "cross tenant", "command taken", "weights loaded"};
+      if (!kinds.count(event.kind)) return;
+      JsonObject row;
+      row["at"] = Json(std::to_string(inNs(event.at)));
+      row["worker"] = Json(props.name);
+      row["event"] = Json(event.kind);
+      row["subject"] = Json(event.subject);
+      row["number"] = jsonNumber(static_cast<double>(event.number));
+      record << Json(row).serialize() << "\n" << std::flush;
+    });
+  }
   WebCalls calls;
   OpenAnswers answers;
   Host host(keeper, context, 5ms);
--- a/src/main_loadgen.cpp
+++ b/src/main_loadgen.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <condition_variable>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -24,9 +25,18 @@
   std::map<std::string, std::int64_t> verdicts;
 };
 struct Shot {
-  std::size_t kind{0};
+  std::size_t kind{0}, prefix{0};
   Moment due{};
-  std::string key, body, proxy;
+  std::string key, proxy, intent;
+  int attempt{1};
+  std::uint64_t own{0};
+};
+// What one order came to, as the caller saw it.
+struct Seen {
+  bool first{false}, last{false}, gone{false};
+  std::string text, verdict;
+  int retryAfterMs{0};
+  Moment lastAt{};
 };
 
 Result<std::vector<Kind>> readKinds(const std::string& text) {
@@ -71,11 +81,16 @@
 }  // namespace
 
 int main(int count, char** arguments) {
-  std::string kindsFile, jsonFile;
+  std::string kindsFile, jsonFile, recordFile;
   std::vector<std::string> proxies;
-  double seconds = 20, seed = 1, scale = 1, everySecond = 0;
+  double seconds = 20, seed = 1, scale = 1, everySecond = 0, obey = 0, ignore = 0, move = 0, hangUps = 0;
   Props reader("trouttally-loadgen", "Sends a deployment's kinds of order at their intended times and measures what comes back");
-  reader.addresses("proxies", &proxies, "callers' addresses of the proxies").text("kinds", &kindsFile, "JSON file with the kinds of order", true).number("seconds", &seconds, 0.1, 36000, "how long to send").number("scale", &scale, 0.001, 1000, "times the file's rates").number("seed", &seed, 0, 1e15, "seed for the order of things").number("everySecond", &everySecond, 0, 1, "1 prints a line each second").text("json", &jsonFile, "also write the figures to this file");
+  reader.addresses("proxies", &proxies, "callers' addresses of the proxies").text("kinds", &kindsFile, "JSON file with the kinds of order", true).number("seconds", &seconds, 0.1, 36000, "how long to send").number("scale", &scale, 0.001, 1000, "times the file's rates").number("seed", &seed, 0, 1e15, "seed for the order of things").number("everySecond", &everySecond, 0, 1, "1 prints a line each second").text("json", &jsonFile, "also write the figures to this file")
+      .text("recordFile", &recordFile, "a file that each order's story is added to, for trouttally-audit")
+      .number("obey", &obey, 0, 100, "per cent of callers told 'not run' that come back when they are told to")
+      .number("ignore", &ignore, 0, 100, "per cent that come back at once")
+      .number("move", &move, 0, 100, "per cent that try the next proxy at once")
+      .number("hangUps", &hangUps, 0, 100, "per cent of callers that hang up within 600 ms");
   if (auto code = reader.read(count, arguments)) return *code;
   if (proxies.empty()) return failStart(fault(Code::badProps, "proxies", "must be given"));
   std::ifstream source(kindsFile);
@@ -99,96 +114,195 @@
       Shot shot;
       shot.kind = at;
       shot.due = start + std::chrono::duration_cast<Span>(std::chrono::duration<double>(when));
-      std::size_t keyNumber = dice() % kind.keys.size();
-      shot.key = kind.keys[keyNumber];
+      shot.key = kind.keys[dice() % kind.keys.size()];
       shot.proxy = proxies[dice() % proxies.size()];
-      JsonObject body;
-      body["route"] = Json(kind.route);
-      body["model"] = Json(kind.model);
-      body["maxTokens"] = jsonNumber(kind.tokens);
-      body["repeatable"] = Json(kind.repeatable);
-      JsonArray parts;
-      if (kind.sharedBytes) parts.push_back(Json(shared[at][dice() % shared[at].size()]));
-      parts.push_back(Json(words("own" + std::to_string(dice()), kind.ownBytes)));
-      body["parts"] = Json(parts);
-      shot.body = Json(body).serialize();
+      shot.prefix = dice() % shared[at].size();
+      shot.own = dice();
       shots.push_back(std::move(shot));
     }
   }
   std::sort(shots.begin(), shots.end(), [](const Shot& one, const Shot& other) { return one.due < other.due; });
 
+  std::ofstream record;
+  if (!recordFile.empty()) {
+    record.open(recordFile, std::ios::app);
+    if (!record) return failStart(fault(Code::badProps, "recordFile", "cannot be written"));
+  }
   std::mutex lock;
+  std::condition_variable wake;
+  std::multimap<Moment, Shot> due;
+  std::multimap<Moment, std::uint64_t> drops;
+  std::map<std::uint64_t, std::function<void()>> dropped;
+  std::string runMark = "mark-" + std::to_string(static_cast<std::uint64_t>(seed)) + "-" + std::to_string(inNs(start) / 1000000 % 100000000) + "-";
+  std::size_t shotNumber = 0;
+  for (auto& shot : shots) {
+    shot.intent = runMark + std::to_string(++shotNumber);
+    due.emplace(shot.due, shot);
+  }
   std::vector<Tally> tallies(kinds.size());
   std::map<int, std::pair<std::int64_t, std::vector<double>>> seconds_;
   std::map<int, std::int64_t> failedAt;
-  std::atomic<std::int64_t> open{0};
+  // Fetched and all prompt blocks, by the second that orders were due in.
+  std::map<int, std::pair<std::int64_t, std::int64_t>> blocksAt;
+  std::int64_t open = 0, cameBack = 0;
   WebCalls calls;
-  for (const auto& shot : shots) {
-    std::this_thread::sleep_until(shot.due);
+  auto tell = [&](const Shot& shot, const Seen& seen, Moment sentAt) {
+    if (!record.is_open()) return;
+    const auto& kind = kinds[shot.kind];
+    JsonObject row;
+    row["intent"] = Json(shot.intent);
+    row["mark"] = Json(shot.intent + "-" + std::to_string(shot.attempt));
+    row["kind"] = Json(kind.name);
+    row["key"] = Json(shot.key);
+    row["proxy"] = Json(shot.proxy);
+    row["repeatable"] = Json(kind.repeatable);
+    row["tokens"] = jsonNumber(kind.tokens);
+    row["sentAt"] = Json(std::to_string(inNs(sentAt)));
+    row["lastAt"] = Json(std::to_string(inNs(seen.lastAt)));
+    row["verdict"] = Json(seen.gone ? std::string("hung up") : seen.verdict);
+    row["text"] = Json(seen.text);
+    record << Json(row).serialize() << "\n" << std::flush;
+  };
+  // Whoever was told that nothing ran sends the same again as the same intent; who knows nothing does so only if it may be repeated.
+  auto comeBack = [&](const Shot& shot, const Seen& seen) {
+    bool knows = seen.verdict == "not run" || seen.verdict == "no connection";
+    if (shot.attempt >= 5 || !(knows || kinds[shot.kind].repeatable) || (seen.verdict == "not run" && seen.retryAfterMs <= 0)) return;
+    double share = static_cast<double>(dice() % 10000) / 100;
+    if (share >= obey + ignore + move) return;
+    Shot again = shot;
+    ++again.attempt;
+    again.due = Clock::now() + (share < obey ? Span(std::chrono::milliseconds(std::max(seen.retryAfterMs, 200))) : Span(20ms));
+    if (share >= obey + ignore)
+      for (std::size_t at = 0; at < proxies.size(); ++at)
+        if (proxies[at] == shot.proxy) {
+          again.proxy = proxies[(at + 1) % proxies.size()];
+          break;
+        }
+    ++cameBack;
+    due.emplace(again.due, again);
+    wake.notify_one();
+  };
+  auto send = [&](const Shot& shot) {
+    const auto& kind = kinds[shot.kind];
+    JsonObject body;
+    body["route"] = Json(kind.route);
+    body["model"] = Json(kind.model);
+    body["maxTokens"] = jsonNumber(kind.tokens);
+    body["repeatable"] = Json(kind.repeatable);
+    JsonArray parts;
+    if (kind.sharedBytes) parts.push_back(Json(shared[shot.kind][shot.prefix]));
+    parts.push_back(Json(shot.intent + "-" + std::to_string(shot.attempt) + " " + words("own" + std::to_string(shot.own), kind.ownBytes)));
+    body["parts"] = Json(parts);
     WebCall call;
     call.method = "POST";
     call.url = "http://" + shot.proxy + "/v1/orders";
     call.bearer = shot.key;
-    call.body = shot.body;
+    call.body = Json(body).serialize();
     call.wholeWait = 30s;
-    struct Seen {
-      bool first{false}, last{false};
-    };
+    call.onceOnly = true;
     auto seen = std::make_shared<Seen>();
-    ++open;
-    {
-      std::lock_guard<std::mutex> guard(lock);
-      ++tallies[shot.kind].sent;
-    }
-    auto count_ = [&, kind = shot.kind, due = shot.due, seen](const Json& verdict) {
+    Moment sentAt = Clock::now();
+    auto count_ = [&, shot, seen](const Json& verdict) {
       seen->last = true;
-      auto& tally = tallies[kind];
-      std::string word = textOr(verdict, "verdict");
-      ++tally.verdicts[word + " " + std::to_string(numberOr(verdict, "code", 0)) + " " + textOr(verdict, "name")];
+      auto& tally = tallies[shot.kind];
+      seen->verdict = textOr(verdict, "verdict");
+      seen->retryAfterMs = static_cast<int>(numberOr(verdict, "retryAfterMs", 0));
+      ++tally.verdicts[seen->verdict + " " + std::to_string(numberOr(verdict, "code", 0)) + " " + textOr(verdict, "name")];
       tally.tries += std::max<std::int64_t>(0, numberOr(verdict, "tries", 0) - 1);
-      int second = static_cast<int>(inMs(due - start) / 1000);
-      if (word == "done") {
+      int second = static_cast<int>(inMs(shot.due - start) / 1000);
+      if (seen->verdict == "done") {
         ++tally.done;
         ++seconds_[second].first;
-        tally.wholeMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - due).count());
+        tally.wholeMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - shot.due).count());
         const auto& fields = verdict.get<JsonObject>();
         if (auto blocks = fields.find("blocks"); blocks != fields.end()) {
-          tally.local += numberOr(blocks->second, "local", 0);
-          tally.fetched += numberOr(blocks->second, "fetched", 0);
-          tally.computed += numberOr(blocks->second, "computed", 0);
+          auto& shares = blocksAt[second];
+          std::int64_t local = numberOr(blocks->second, "local", 0), fetched = numberOr(blocks->second, "fetched", 0), computed = numberOr(blocks->second, "computed", 0);
+          tally.local += local;
+          tally.fetched += fetched;
+          tally.computed += computed;
+          shares.first += fetched;
+          shares.second += local + fetched + computed;
         }
       } else {
         ++failedAt[second];
       }
     };
-    calls.start(
+    std::lock_guard<std::mutex> guard(lock);
+    ++open;
+    ++tallies[shot.kind].sent;
+    std::uint64_t callId = calls.start(
         std::move(call),
-        [&, kind = shot.kind, seen, count_](const WebResult& result) {
+        [&, shot, seen, sentAt, count_](const WebResult& result) {
           std::lock_guard<std::mutex> guard(lock);
+          if (seen->gone) return;
           if (!seen->last) {
-            auto body = readJson(result.body);
-            if (body && body.value().is<JsonObject>() && !textOr(body.value(), "verdict").empty()) {
-              count_(body.value());
+            auto verdict = readJson(result.body);
+            if (verdict && verdict.value().is<JsonObject>() && !textOr(verdict.value(), "verdict").empty()) {
+              count_(verdict.value());
             } else {
-              ++(seen->first ? tallies[kind].torn : tallies[kind].unfinished);
-              ++tallies[kind].verdicts[result.nothingSent ? "no connection" : seen->first ? "stream torn" : "no verdict"];
+              ++(seen->first ? tallies[shot.kind].torn : tallies[shot.kind].unfinished);
+              seen->verdict = result.nothingSent ? "no connection" : seen->first ? "stream torn" : "no verdict";
+              ++tallies[shot.kind].verdicts[seen->verdict];
+              ++failedAt[static_cast<int>(inMs(shot.due - start) / 1000)];
             }
           }
+          tell(shot, *seen, sentAt);
+          comeBack(shot, *seen);
+          seen->gone = true;
           --open;
+          wake.notify_one();
         },
-        [&, kind = shot.kind, due = shot.due, seen, count_](const std::string& line) {
-          auto body = readJson(line);
-          if (!body || !body.value().is<JsonObject>()) return;
+        [&, shot, seen, count_](const std::string& line) {
+          auto read = readJson(line);
+          if (!read || !read.value().is<JsonObject>()) return;
           std::lock_guard<std::mutex> guard(lock);
-          if (!textOr(body.value(), "verdict").empty()) return count_(body.value());
+          if (seen->gone) return;
+          if (!textOr(read.value(), "verdict").empty()) return count_(read.value());
+          seen->text += textOr(read.value(), "text");
+          seen->lastAt = Clock::now();
           if (seen->first) return;
           seen->first = true;
-          double firstMs = std::chrono::duration<double, std::milli>(Clock::now() - due).count();
-          tallies[kind].firstMs.push_back(firstMs);
-          seconds_[static_cast<int>(inMs(due - start) / 1000)].second.push_back(firstMs);
+          double firstMs = std::chrono::duration<double, std::milli>(Clock::now() - shot.due).count();
+          tallies[shot.kind].firstMs.push_back(firstMs);
+          seconds_[static_cast<int>(inMs(shot.due - start) / 1000)].second.push_back(firstMs);
         });
+    if (static_cast<double>(dice() % 10000) / 100 < hangUps) {
+      drops.emplace(Clock::now() + std::chrono::milliseconds(dice() % 600), callId);
+      dropped[callId] = [&, shot, seen, sentAt] {
+        if (seen->gone || seen->last) return;
+        seen->gone = true;
+        ++tallies[shot.kind].verdicts["hung up"];
+        tell(shot, *seen, sentAt);
+        --open;
+      };
+    }
+  };
+  Moment last = start + std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds)) + 35s;
+  while (Clock::now() < last) {
+    std::optional<Shot> next;
+    {
+      std::unique_lock<std::mutex> guard(lock);
+      while (!drops.empty() && drops.begin()->first <= Clock::now()) {
+        std::uint64_t callId = drops.begin()->second;
+        drops.erase(drops.begin());
+        calls.drop(callId);
+        dropped[callId]();
+        dropped.erase(callId);
+      }
+      if (due.empty() && open == 0) break;
+      Moment until = Clock::now() + 100ms;
+      if (!due.empty()) until = std::min(until, due.begin()->first);
+      if (!drops.empty()) until = std::min(until, drops.begin()->first);
+      if (due.empty() || due.begin()->first > Clock::now()) {
+        wake.wait_until(guard, until);
+        continue;
+      }
+      next = std::move(due.begin()->second);
+      due.erase(due.begin());
+    }
+    send(*next);
   }
-  for (int round = 0; round < 350 && open > 0; ++round) std::this_thread::sleep_for(100ms);
 
   std::lock_guard<std::mutex> guard(lock);
   JsonObject whole;
@@ -232,12 +346,14 @@
     for (const auto& [word, number] : tally.verdicts) all.verdicts[word] += number;
   }
   for (const auto& [word, number] : all.verdicts) std::cout << "verdict   " << std::setw(7) << number << "  " << word << "\n";
+  if (cameBack > 0) std::cout << "came back: " << cameBack << "\n";
   if (open > 0) std::cout << "open at the end: " << open << "\n";
   if (everySecond > 0) {
-    std::cout << "second   done  not done  ttft p50  ttft p99\n";
+    std::cout << "second   done  not done  ttft p50  ttft p99  fetched%\n";
     for (int second = 0; second < static_cast<int>(seconds); ++second)
       std::cout << std::setw(6) << second << std::setw(7) << seconds_[second].first << std::setw(10) << failedAt[second] << std::setw(10) << quantile(seconds_[second].second, 0.5) << std::setw(10)
-                << quantile(seconds_[second].second, 0.99) << "\n";
+                << quantile(seconds_[second].second, 0.99) << std::setw(10)
+                << 100.0 * static_cast<double>(blocksAt[second].first) / static_cast<double>(std::max<std::int64_t>(1, blocksAt[second].second)) << "\n";
   }
   if (!jsonFile.empty()) std::ofstream(jsonFile) << Json(whole).serialize(true);
   return 0;
--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -106,7 +106,14 @@
     records.pop_front();
     ++recordBase;
   }
-  desk.note(ask.moves ? "move ran" : "ran", ask.orderId);
+  desk.note(ask.moves ? "move ran" : "ran", ask.orderId, static_cast<std::int64_t>(ask.hashes.size()));
+  if (!ask.moves) {
+    // Whoever joins records knows an order by the mark that its caller put at the start of the prompt's last part.
+    std::string mark = ask.parts.empty() ? std::string() : ask.parts.back().substr(0, ask.parts.back().find(' '));
+    if (mark.rfind("mark-", 0) != 0 || mark.size() > 64) mark = "-";
+    auto worded = [](const std::string& text) { return text.empty() ? std::string("-") : text; };
+    desk.note("ran for", ask.orderId + " " + worded(currentWeights) + " " + worded(ask.tenant) + " " + mark);
+  }
   auto& placed = running[ask.orderId] = std::move(run);
   if (!ask.sourceAddress.empty()) {
     Hashes wanted;
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "audit.hpp"
 #include "blueprint.hpp"
 #include "cell.hpp"
 #include "chart.hpp"
@@ -325,3 +326,105 @@
   }
   cr_assert_gt(looked, 40u);
 }
+
+namespace {
+std::string callerLine(const std::string& intent, const std::string& verdict, const std::string& text, double sentAt, bool repeatable = false) {
+  JsonObject row;
+  row["intent"] = Json(intent);
+  row["mark"] = Json(intent + "-1");
+  row["kind"] = Json(std::string("reminder"));
+  row["key"] = Json(std::string("key-a"));
+  row["verdict"] = Json(verdict);
+  row["text"] = Json(text);
+  row["repeatable"] = Json(repeatable);
+  row["tokens"] = Json(2.0);
+  row["sentAt"] = Json(std::to_string(static_cast<std::int64_t>(sentAt * 1e9)));
+  row["lastAt"] = Json(std::to_string(static_cast<std::int64_t>((sentAt + 0.5) * 1e9)));
+  return Json(row).serialize();
+}
+std::string workerLine(const std::string& worker, const std::string& event, const std::string& subject, double at, double number = 0) {
+  JsonObject row;
+  row["at"] = Json(std::to_string(static_cast<std::int64_t>(at * 1e9)));
+  row["worker"] = Json(worker);
+  row["event"] = Json(event);
+  row["subject"] = Json(subject);
+  row["number"] = Json(number);
+  return Json(row).serialize();
+}
+std::string eventLine(const std::string& event, const std::string& name, double at) {
+  return "{\"at\":\"" + std::to_string(static_cast<std::int64_t>(at * 1e9)) + "\",\"event\":\"" + event + "\",\"name\":\"" + name + "\"}";
+}
+// A run in which nothing is wrong.
+AuditRecords soundRecords() {
+  AuditRecords records;
+  records.isolated = {"tenant-b"};
+  for (int number = 0; number < 100; ++number) {
+    std::string intent = "mark-1-" + std::to_string(number);
+    records.callers.push_back(callerLine(intent, "done", "worker-1:1 worker-1:2 ", 10 + number * 0.01));
+    records.workers.push_back(workerLine("worker-1", "ran for", "p/" + std::to_string(number) + ".1 w1 tenant-a " + intent + "-1", 10 + number * 0.01));
+  }
+  records.workers.push_back(workerLine("worker-1", "move ran", "p/m1", 11, 8));
+  records.workers.push_back(workerLine("worker-1", "pulled", "p/m1", 11.1, 8));
+  records.workers.push_back(workerLine("worker-1", "command taken", "worker-1 core-1 drain", 11, 3));
+  records.workers.push_back(workerLine("worker-1", "cross tenant", "tenant-a>tenant-c", 11));
+  return records;
+}
+}  // namespace
+
+Test(audit, finds_nothing_in_a_sound_run) {
+  auto result = auditRecords(soundRecords());
+  cr_assert_eq(result.breachCount(), 0);
+  cr_assert_eq(result.orders, 100);
+  cr_assert_eq(result.runs, 100);
+}
+
+Test(audit, finds_each_planted_breach_and_only_that) {
+  using Plant = std::function<void(AuditRecords&)>;
+  std::map<std::string, Plant> plants{
+      {"runs-twice", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "ran for", "p/5.1 w1 tenant-a mark-1-5-1", 12)); }},
+      {"not-run-but-ran",
+       [](AuditRecords& records) {
+         records.callers.push_back(callerLine("mark-1-x", "not run", "", 12));
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 12));
+       }},
+      {"stitched",
+       [](AuditRecords& records) {
+         records.callers.push_back(callerLine("mark-1-x", "done", "worker-1:1 worker-2:2 ", 12));
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 12));
+       }},
+      {"other-weights", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "cross weights", "p/1.1 w1 w2", 12)); }},
+      {"other-tenant", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "cross tenant", "tenant-b>tenant-a", 12)); }},
+      {"fetch-beyond", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-1", "pulled", "p/m1", 12, 9)); }},
+      {"revoked-works",
+       [](AuditRecords& records) {
+         records.events.push_back(eventLine("revoked", "key-a", 14));
+         records.callers.push_back(callerLine("mark-1-x", "failed", "worker-1:1 ", 18.9));
+       }},
+      {"leaving-used",
+       [](AuditRecords& records) {
+         records.events.push_back(eventLine("leaving", "worker-2", 8));
+         records.events.push_back(eventLine("staying", "worker-2", 13));
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 12));
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/y.1 w1 tenant-a mark-1-y-1", 14));
+       }},
+      {"weights-late",
+       [](AuditRecords& records) {
+         records.events.push_back(eventLine("named", "w2", 9));
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 34.5));
+       }},
+      {"too-many-retries",
+       [](AuditRecords& records) {
+         for (int number = 0; number < 25; ++number)
+           records.workers.push_back(workerLine("worker-2", "worker denied", "p/" + std::to_string(number) + ".2", 10.9, 508));
+       }},
+      {"two-holders", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-1", "command taken", "worker-1 core-2 load", 12, 3)); }}};
+  for (const auto& line : auditedLines()) {
+    cr_assert(plants.count(line) > 0, "no breach is planted for %s", line.c_str());
+    auto records = soundRecords();
+    plants[line](records);
+    auto result = auditRecords(records);
+    for (const auto& [found, rows] : result.breaches)
+      if (!rows.empty()) cr_expect_eq(found, line, "planted %s, found %s: %s", line.c_str(), found.c_str(), rows.front().c_str());
+    cr_expect_gt(result.breachCount(), 0, "%s was planted and not found", line.c_str());
+  }
+}
