Old weights end 18 s after a naming; a started core makes nobody fresh before it asked the platform

Cause: proxies drew any worker with any weights, and the sim's workers came back with what they had held, so no scenario saw it.

A started core now answers asks once the platform answered, or after 600 ms.

--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -292,6 +292,14 @@
       ++busy[keeper.last.model];
     if (blueprint.weightsOf(keeper.last.model) == keeper.last.weights) ++successes[keeper.last.model];
   }
+  std::set<std::string> hopeless;
+  for (const auto& [model, number] : failures)
+    if (number >= std::min(2, workers[model]) && successes[model] == 0)
+      if (auto wanted = blueprint.weightsOf(model)) hopeless.insert(*wanted);
+  if (hopeless != givenUp) {
+    givenUp = hopeless;
+    newsDue = true;
+  }
   for (auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known) continue;
     auto wanted = blueprint.weightsOf(keeper.last.model);
@@ -411,7 +419,7 @@
   bool light = sequence > 0 && desk.now - summariesAt < summariesEvery;
   if (!light) summariesAt = desk.now;
   newsDue = light;
-  CellNews news{place, ballot.term(), ++sequence, selfAddress, {}, {}, light};
+  CellNews news{place, ballot.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
   for (auto& [name, keeper] : rows) {
     if (keeper.summaryStale && !light) {
       keeper.summary = Summary::make(keeper.kept);
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -80,6 +80,8 @@
     Moment since{};
   };
   std::map<std::string, Wanted> wantedByModel;
+  /// Weights that no worker here could load, so that the others keep what they have.
+  std::set<std::string> givenUp;
 
   using RolloutDeeds = ChartWalk<Cell, Desk&, const std::string&>::Deeds;
   using WatchDeeds = ChartWalk<Cell, Desk&, Watch&>::Deeds;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -10,6 +10,7 @@
 constexpr Span agentKept = 2s;
 constexpr Span followerKept = 1s;
 constexpr Span endsEvery = 250ms;
+constexpr Span platformFirst = 600ms;
 constexpr Span readersEvery = 50ms;
 constexpr Span readersWait = pace::freshFor + 30ms;
 constexpr Span operatorWait = 6s;
@@ -72,7 +73,8 @@
     if (entry.kind == static_cast<int>(EntryKind::whole)) return;
     spread(desk, NewsMsg{accord->commit(), {entry}, {}});
   };
-  accord->membersChanged = [this](Desk&) {
+  accord->membersChanged = [this](Desk& desk) {
+    membersMovedAt = desk.now;
     for (auto& [locality, cell] : cells) cell->ballot.setVoters(accord->members());
   };
 }
@@ -159,6 +161,7 @@
   for (const auto& mark : ask.cells)
     if (auto cell = cells.find(mark.locality); cell != cells.end()) cell->second->agentHas(from, mark, desk.now);
   if (!accord->formed()) return;
+  if (!platformHeard && !props.platformAddress.empty() && desk.now - startedAt < platformFirst) return;
   EndsReply reply{ask.askId, self.id, accord->ballot.term(), accord->speaksForTerm(), accord->syncedEnd(),
                   accord->commit(), accord->members(), ask.relays ? watchFor(from, desk.now) : Strings{}, outlook->marksKnown(),
                   0, outlook->marksDigest(), {}};
@@ -221,7 +224,7 @@
   for (auto row = asked.begin(); row != asked.end();) {
     auto& ask = row->second;
     if (ask.agreed) {
-      if (readersHave(ask) || desk.now - ask.agreedAt >= readersWait || !props.defences.stands(Defence::ackWaits)) {
+      if (readersHave(ask, desk.now) || desk.now - ask.agreedAt >= readersWait || !props.defences.stands(Defence::ackWaits)) {
         std::uint64_t reached = 0;
         for (const auto& [address, agent] : agents) reached += agent.relays && desk.now - agent.at < agentKept && agent.applied >= ask.index;
         desk.note("change acked", ask.ask.changeId, static_cast<std::int64_t>(ask.index));
@@ -251,7 +254,8 @@
   }
 }
 
-bool Core::readersHave(const Asked& row) const {
+bool Core::readersHave(const Asked& row, Moment now) const {
+  if (membersMovedAt != Moment{} && now - membersMovedAt < readersWait) return false;
   if (row.term != accord->ballot.term() || round.index < row.index || round.having.size() < accord->ballot.quorum() || !round.answered.count(row.leaderAddress)) return false;
   for (const auto& [address, applied] : round.appliedByReader)
     if (applied < row.index) return false;
@@ -346,6 +350,7 @@
     else if (!leader.empty() && leader != self.address && from == join->self.address)
       desk.send(leader, message);
   } else if (auto* machines = std::get_if<MachinesReply>(&message)) {
+    platformHeard = true;
     outlook->offerMarks(machines->machines, fromNs(machines->askedAt));
     takeMarks(desk);
   } else if (auto* listed = std::get_if<MarksMsg>(&message)) {
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -65,8 +65,8 @@
   Count cellDigest{0};
   std::map<std::string, HelloReply> hellos;
   std::map<std::string, Asked> asked;
-  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{};
-  bool idSynced{false}, diskStalled{false};
+  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{}, membersMovedAt{};
+  bool idSynced{false}, diskStalled{false}, platformHeard{false};
   Span diskWait{};
   std::uint64_t askCount{0};
 
@@ -78,7 +78,7 @@
   void onOperator(Desk& desk, const std::string& from, const OperatorAsk& ask);
   void onChangeReply(Desk& desk, const std::string& from, const ChangeReply& reply);
   void settleAsked(Desk& desk);
-  bool readersHave(const Asked& row) const;
+  bool readersHave(const Asked& row, Moment now) const;
   void askReaders(Desk& desk);
   void onReadersAsk(Desk& desk, const std::string& from, const ReadersAsk& ask);
   void onReadersReply(Desk& desk, const std::string& from, const ReadersReply& reply);
--- a/src/defences.hpp
+++ b/src/defences.hpp
@@ -33,6 +33,7 @@
   X(retryBeforeBytes, "nothing is tried again once the caller has a piece of an answer")        \
   X(brokenSaysSo, "an answer that broke off is never called done")                              \
   X(commandAgain, "a command to a worker is sent again until its report shows it done")         \
+  X(oldWeightsEnd, "workers with old weights are drawn only while a roll-out may last")         \
   X(failedNotCounted, "a worker that cannot load does not hold up the others")                  \
   X(listOrder, "lists of machines are ordered by when the platform was asked for them")
 
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -10,6 +10,7 @@
 constexpr Span staleMost = 2500ms;
 constexpr double unmeasuredSpeed = 1000;
 constexpr Span retrySpan = 5s;
+constexpr Span rolloutMost = 18s;
 constexpr Span retryAtOnce = 1s;
 constexpr int mostTries = 3;
 constexpr std::size_t leastGain = 4;
@@ -194,10 +195,12 @@
   std::vector<const WorkerView*> able;
   std::string kind = order.route.app ? "app" : "language";
   bool anyAlive = false;
+  bool oldToo = order.route.app || mayUseOld(order.ask.model, desk.now);
+  std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
       if (worker.kind != kind || !worker.alive || worker.held || (!staying.count(worker.name) && props.defences.stands(Defence::marksAtDraw))) continue;
-      if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty())) continue;
+      if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty() || (!oldToo && worker.weights != wanted))) continue;
       anyAlive = true;
       if (order.tried.count(worker.name)) continue;
       if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
@@ -522,7 +525,32 @@
   for (const auto& orderId : revoked) happen(desk, orderId, "revoked");
 }
 
-void Edge::setNews(Desk& desk) {
+void Edge::noteWeights(Moment now, bool live) {
+  for (const auto& [model, item] : view.section("models")) {
+    std::string weights = textOr(item, "weights");
+    auto [row, fresh] = namedByModel.try_emplace(model);
+    if (!fresh && row->second.weights == weights) continue;
+    row->second.weights = weights;
+    row->second.since = live ? std::optional<Moment>(now) : std::nullopt;
+  }
+}
+
+bool Edge::mayUseOld(const std::string& model, Moment now) const {
+  if (!props.defences.stands(Defence::oldWeightsEnd)) return true;
+  auto named = namedByModel.find(model);
+  if (named == namedByModel.end() || named->second.weights.empty()) return true;
+  if (named->second.since && now - *named->second.since < rolloutMost) return true;
+  bool givenUp = false;
+  for (const auto& [locality, news] : cells) {
+    for (const auto& worker : news.workers)
+      if (worker.alive && worker.model == model && worker.weights == named->second.weights) return false;
+    givenUp = givenUp || std::find(news.givenUp.begin(), news.givenUp.end(), named->second.weights) != news.givenUp.end();
+  }
+  return givenUp;
+}
+
+void Edge::setNews(Desk& desk, bool live) {
+  noteWeights(desk.now, live);
   desk.note("edge applied", props.name, static_cast<std::int64_t>(view.index()));
   feedAt = Moment{};
   revokeOpen(desk);
@@ -621,11 +649,12 @@
     }
   } else if (auto* news = std::get_if<NewsMsg>(&message)) {
     std::uint64_t before = view.index();
+    bool live = fresh(desk.now);
     for (const auto& capture : news->captures)
       if (capture.index > view.index()) (void)view.adopt(capture);
     for (const auto& entry : news->entries)
       if (entry.index == view.index() + 1) view.apply(entry);
-    if (view.index() != before) setNews(desk);
+    if (view.index() != before) setNews(desk, live);
   } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
     auto& kept = cells[cellNews->locality];
     if (!takeCellNews(kept, *cellNews)) return;
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -98,6 +98,12 @@
   /// Orders that ended well lately: the pace that a caller sent away may count on.
   std::deque<Moment> doneAt;
   std::map<std::string, int> openByTenant;
+  /// The weights each model should have, and when that was seen to change; not set if it was so when this proxy began.
+  struct Named {
+    std::string weights;
+    std::optional<Moment> since;
+  };
+  std::map<std::string, Named> namedByModel;
   bool stopping{false}, wasFresh{false};
 
   using Deeds = ChartWalk<Edge, Desk&, Order&>::Deeds;
@@ -131,10 +137,12 @@
   void verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject = {});
   void denyOrUnknown(Desk& desk, Order& order, Code code, const std::string& subject = {});
   void revokeOpen(Desk& desk);
-  void setNews(Desk& desk);
+  void setNews(Desk& desk, bool live);
   const WorkerView* workerView(const std::string& name) const;
   int busyOf(const WorkerView& worker, Moment now) const;
   bool mayRetry(Moment now) const;
+  bool mayUseOld(const std::string& model, Moment now) const;
+  void noteWeights(Moment now, bool live);
   int comeBackMs(Desk& desk, Code code) const;
   bool makeRoom(Desk& desk, const std::string& tenant);
   bool stillGood(const Order& order) const;
--- a/src/messages.hpp
+++ b/src/messages.hpp
@@ -72,7 +72,7 @@
   X(NewsAsk, ((std::string, agent))((Count, applied))((std::vector<CellMark>, cells)))                              \
   X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Capture>, captures)))                    \
   X(CellNews, ((std::string, locality))((Count, term))((Count, sequence))((std::string, holder))                    \
-                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light)))                            \
+                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Strings, givenUp)))        \
   X(MarksMsg, ((std::int64_t, age))((std::vector<Machine>, machines)))                                              \
   X(FeedAsk, ((std::int64_t, sentAt))((Count, applied))((std::vector<CellMark>, cells))((Count, marksDigest)))      \
   X(FeedReply, ((std::int64_t, sentAt))((std::int64_t, age))((Count, needed))((bool, known)))                       \
--- a/src/sim.cpp
+++ b/src/sim.cpp
@@ -41,7 +41,7 @@
   std::vector<Desk::Save> saves, syncing;
   bool alive{false}, syncBusy{false}, freezeAtSending{false};
   Span freezeSpan{};
-  Moment frozenUntil{}, oldestSave{};
+  Moment frozenUntil{}, oldestSave{}, startedAt{};
   std::uint64_t life{0};
   Span offset{};
   double drift{1};
@@ -49,7 +49,6 @@
   std::vector<std::function<void()>> held;
   std::vector<std::pair<std::string, Message>> heldSends;
   KeeperFaults faults;
-  std::string weights;
   Moment local(Moment world) const {
     auto since = std::chrono::duration<double, std::nano>(world - dayStart) * drift;
     return dayStart + offset + std::chrono::duration_cast<Span>(since);
@@ -218,7 +217,7 @@
     props.defences = defences;
     if (starts(name, "worker-")) {
       props.model = modelName;
-      props.weights = actor.weights.empty() ? "w1" : actor.weights;
+      props.weights = "w1";
       props.storeAddress = addressOf("store");
     } else if (name == "store") {
       props.kind = "store";
@@ -240,6 +239,7 @@
   ++actor.life;
   actor.alive = true;
   actor.frozenUntil = Moment{};
+  actor.startedAt = clock;
   actor.saves.clear();
   actor.syncing.clear();
   actor.syncBusy = false;
@@ -736,8 +736,6 @@
     if (term < last.first || (term == last.first && holder != last.second && !last.second.empty()))
       violate("two-holders", name + " took term " + std::to_string(term) + " of " + holder + " after " + std::to_string(last.first) + " of " + last.second);
     last = {term, holder};
-  } else if (event.kind == "weights loaded") {
-    actors.at(name)->weights = event.subject.substr(event.subject.find(' ') + 1);
   }
   if (!trace.empty() && (trace == "*" || event.kind.find(trace) != std::string::npos))
     std::fprintf(stderr, "%8.3f %s %s %s %lld\n", std::chrono::duration<double>(clock - dayStart).count(), name.c_str(), event.kind.c_str(), event.subject.c_str(),
@@ -796,7 +794,7 @@
     later(25s, [this, weights, index = ack.index] {
       if (lastNamedIndex != index) return;
       for (const auto& [name, actor] : actors) {
-        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s) continue;
+        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s || clock < actor->startedAt + 10s) continue;
         auto* worker = keeper(name);
         if (worker->faults.loadFails || worker->faults.silentReports) continue;
         if (worker->weights() != weights) violate("weights-late", name + " holds " + worker->weights());
--- a/src/sim.hpp
+++ b/src/sim.hpp
@@ -67,9 +67,9 @@
   void heal();
   void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer = false);
   void nameWeights(const std::string& weights);
-  /// Does something the moment a change is acknowledged.
   /// Does something once, the moment anyone notes an event of this kind.
   void onNote(const std::string& kind, std::function<void()> deed) { noteDeeds[kind] = std::move(deed); }
+  /// Does something once, the moment a change is acknowledged.
   void onAck(const std::string& changeId, std::function<void()> deed) { ackDeeds[changeId] = std::move(deed); }
   void revoke(const std::string& tenant);
   /// Gives a revoked tenant its old key back.
