--- a/src/main_proxy.cpp
+++ b/src/main_proxy.cpp
@@ -74,16 +74,7 @@
           [&, sendId, ended](const WebResult& result) {
             workerCalls.remove(sendId);
             if (*ended) return;
-            WorkerEnd end{sendId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0};
-            if (result.nothingSent)
-              end.outcome = static_cast<int>(Outcome::brokenUnsent);
-            else if (result.reached && (result.status == 409 || result.status == 503 || result.status == 400))
-            {
-              end.outcome = static_cast<int>(Outcome::denied);
-              auto said = readWorkerLine(sendId, result.body);
-              if (auto* denied = std::get_if<WorkerEnd>(&said)) end.code = denied->code;
-            }
-            host.take("worker", end);
+            host.take("worker", endOfCall(sendId, result));
           },
           [&, sendId, ended](const std::string& line) {
             if (*ended) return;
--- a/src/web.cpp
+++ b/src/web.cpp
@@ -1,5 +1,7 @@
 #include "web.hpp"
 
+#include "contract.hpp"
+
 #include <curl/curl.h>
 
 #include <condition_variable>
@@ -332,6 +334,18 @@
   curl_multi_wakeup(inner->multi);
 }
 
+WorkerEnd endOfCall(const std::string& sendId, const WebResult& result) {
+  WorkerEnd end{sendId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0};
+  if (result.nothingSent) {
+    end.outcome = static_cast<int>(Outcome::brokenUnsent);
+  } else if (result.reached && (result.status == 409 || result.status == 503 || result.status == 400)) {
+    end.outcome = static_cast<int>(Outcome::denied);
+    auto said = readWorkerLine(sendId, result.body);
+    if (auto* denied = std::get_if<WorkerEnd>(&said)) end.code = denied->code;
+  }
+  return end;
+}
+
 WebResult callAndWait(WebCalls& calls, WebCall call) {
   std::mutex lock;
   std::condition_variable wake;
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -13,6 +13,7 @@
 #include "edge.hpp"
 #include "manifests.hpp"
 #include "ring.hpp"
+#include "web.hpp"
 
 using namespace tt;
 
@@ -442,3 +443,71 @@
   }
   cr_assert_gt(looked, 40u);
 }
+
+namespace {
+// A worker of the worst kind: reads so many bytes, says so much, and closes.
+class CutWorker {
+ public:
+  CutWorker(std::size_t readBytes, std::string answer) : acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+    thread = std::thread([this, readBytes, answer = std::move(answer)] {
+      asio::error_code error;
+      asio::ip::tcp::socket socket(io);
+      acceptor.accept(socket, error);
+      if (error) return;
+      std::string bytes(readBytes, ' ');
+      if (readBytes) asio::read(socket, asio::buffer(bytes), error);
+      if (!answer.empty()) asio::write(socket, asio::buffer(answer), error);
+      socket.close(error);
+    });
+  }
+  ~CutWorker() { thread.join(); }
+  std::string url() { return "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/v1/orders"; }
+
+ private:
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor;
+  std::thread thread;
+};
+WorkerEnd callCutWorker(const std::string& url) {
+  WebCalls calls;
+  WebCall call;
+  call.method = "POST";
+  call.url = url;
+  call.body = std::string(300000, 'x');
+  call.onceOnly = true;
+  call.wholeWait = 10s;
+  return endOfCall("send", callAndWait(calls, call));
+}
+}  // namespace
+
+Test(web, an_order_counts_as_unsent_or_denied_only_if_that_is_sure) {
+  std::string gone;
+  {
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    gone = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/v1/orders";
+  }
+  cr_expect_eq(callCutWorker(gone).outcome, static_cast<int>(Outcome::brokenUnsent), "nobody listens there");
+  std::string denial = writeWorkerEnd(WorkerEnd{"send", static_cast<int>(Outcome::denied), static_cast<int>(Code::workerFull), 0, 0, 0});
+  auto answer = [&](const std::string& body, std::size_t claimed) {
+    return "HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(claimed) + "\r\n\r\n" + body;
+  };
+  struct Case {
+    const char* about;
+    std::size_t readBytes;
+    std::string answer;
+    Outcome wanted;
+  };
+  std::vector<Case> cases{{"closed before anything was read", 0, "", Outcome::broken},
+                          {"closed within the head", 10, "", Outcome::broken},
+                          {"closed before the last byte", 200000, "", Outcome::broken},
+                          {"closed after the last byte", 300100, "", Outcome::broken},
+                          {"a denial that is cut", 300100, answer(denial.substr(0, 5), denial.size()), Outcome::broken},
+                          {"a whole denial", 300100, answer(denial, denial.size()), Outcome::denied}};
+  for (auto& row : cases) {
+    CutWorker worker(row.readBytes, row.answer);
+    auto end = callCutWorker(worker.url());
+    cr_expect_eq(end.outcome, static_cast<int>(row.wanted), "%s", row.about);
+    if (row.wanted == Outcome::denied) cr_expect_eq(end.code, static_cast<int>(Code::workerFull));
+  }
+}
