--- a/scripts/small-fleet.sh
+++ b/scripts/small-fleet.sh
@@ -39,7 +39,13 @@
 "$build/trouttally-audit" --note revoked --of scouts-secret-1 >>"$folder/records/events.json"
 serves 1; serves 2
 for number in 1 2; do
-  got=$(status $number scouts-secret-1)
+  # A proxy that has just lost touch denies everything; it must come to deny this key, and never serve it.
+  for try in $(seq 60); do
+    got=$(status $number scouts-secret-1)
+    [ "$got" = 200 ] && { wrong "a revoked key was served by proxy $number"; break; }
+    [ "$got" = 401 ] && break
+    sleep 0.5
+  done
   [ "$got" = 401 ] || wrong "a revoked key got $got from proxy $number"
 done
 wait "$loadPid"
