--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -129,10 +129,16 @@
 
 void Cell::onReport(Desk& desk, const Report& report) {
   auto found = rows.find(report.worker);
-  if (found == rows.end()) return;
+  if (found == rows.end()) {
+    desk.note("report denied", report.worker);
+    return;
+  }
   auto& keeper = found->second;
   keeper.askPending = false;
-  if (desk.now - keeper.askedAt > lateAfter) return;
+  if (desk.now - keeper.askedAt > lateAfter) {
+    desk.note("report late", report.worker);
+    return;
+  }
   bool changed = !keeper.known || keeper.last.running != report.running || keeper.last.weights != report.weights || keeper.last.draining != report.draining;
   if (keeper.known && keeper.last.incarnation != report.incarnation) {
     doubt(desk, keeper, "new incarnation");
