Scripts that try a whole fleet share one set of functions; the small fleet restarts the core it killed

measure.sh, cut-fleet.sh and small-fleet.sh each had their own status, holder, load, event and audit; now scripts/common.sh. It now starts the core it killed. All checks are as they were.

--- a/scripts/cut-fleet.sh
+++ b/scripts/cut-fleet.sh
@@ -10,16 +10,9 @@
 base=${BASE:-21000}
 export LINKS=1
 fleet() { "$here/scripts/fleet.sh" "$@"; }
-now() { date +%s%N; }
-ms() { echo $((($2 - $1) / 1000000)); }
 rm -rf "$folder"
 fleet start "$deployment" "$folder" || exit 1
-eval "$(fleet where "$folder")"
-. "$here/deployments/$deployment/fleet.env"
-. "$folder/overrides"
-tenant=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | head -1)
-route=$(sed -n 's/.*"route": "\([a-z-]*\)".*/\1/p' "$here/deployments/$deployment/kinds.json" | sed -n 3p)
-ctl() { "$build/trouttally-ctl" "$@"; }
+. "$here/scripts/common.sh"
 rule() { # rule MODE FROM TO [DELAY]: FROM and TO are core-N, agent-N or '*'
   local from to
   from=$(place "$2") to=$(place "$3")
@@ -34,13 +27,6 @@
 }
 both() { rule "$1" "$2" "$3" && rule "$1" "$3" "$2"; }
 heal() { curl -s -m 2 -X DELETE "127.0.0.1:$((base + 30))/v1/rules" >/dev/null; }
-status() {
-  curl -s -m 3 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $tenant-secret-1" "127.0.0.1:$((base + 400 + $1))/v1/orders" \
-    -d "{\"route\":\"$route\",\"model\":\"$MODEL\",\"parts\":[\"x\"],\"maxTokens\":1}"
-}
-served() { local number; for number in $(seq "$EDGES"); do [ "$(status "$number")" = 200 ] || return 1; done; }
-holder() { ctl fleet | sed -n "s|^duty     $1 \(core-[0-9]\)-.*|\1|p"; }
-event() { "$build/trouttally-audit" --note "$1" --of "$2" >>"$folder/records/events.json"; }
 missed=0 changes=0
 back() { # back WHAT: how long after a fault's end all proxies serve and a change is taken, and that no change was lost
   local since
@@ -58,15 +44,13 @@
   if [ "$servedMs" -gt 12000 ] || [ "$changedMs" -gt 12000 ]; then echo "NOT MET: $1"; missed=1; fi
 }
 
-"$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" --seconds "${SECONDS_FAULTS:-100}" \
-  --recordFile "$folder/records/callers.json" --obey 40 --ignore 10 --move 20 --scale "${SCALE:-1}" --everySecond 1 >"$folder/load.txt" &
+load --seconds "${SECONDS_FAULTS:-100}" --scale "${SCALE:-1}" --everySecond 1 >"$folder/load.txt" &
 loadPid=$!
 sleep 8
 both cut core-4 '*'; sleep 4; heal; back "one core cut off"
 for one in 1 2; do for other in 3 4; do both cut "core-$one" "core-$other"; done; done
 sleep 5; heal; back "the core cut in two"
 both cut agent-2 '*'
-victim=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | sed -n 2p)
 echo "{\"keys\":{\"$victim-key\":null}}" | ctl patch - >/dev/null && event revoked "$victim-secret-1"
 sleep 5; heal; back "an agent cut off while a key is revoked"
 rule hold core-1 '*'; sleep 4; heal; back "one core heard by nobody, hearing all"
@@ -91,7 +75,5 @@
 for number in $(seq "$changes"); do ctl get | grep -q "cut-$number\"" || { echo "NOT MET: change cut-$number is lost"; missed=1; }; done
 ctl lag --wait 5 || missed=1
 fleet stop "$folder"
-"$build/trouttally-audit" --callers "$folder/records/callers.json" --events "$folder/records/events.json" \
-  --workers "$(ls "$folder"/records/worker-*.json "$folder"/records/app.json | paste -sd,)" \
-  --blueprint "$here/deployments/$deployment/blueprint.json" || missed=1
+audit || missed=1
 exit "$missed"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -11,21 +11,9 @@
 base=${BASE:-21000}
 each=${SECONDS_EACH:-15}
 fleet() { "$here/scripts/fleet.sh" "$@"; }
-now() { date +%s%N; }
-ms() { echo $((($2 - $1) / 1000000)); }
 rm -rf "$folder"
 fleet start "$deployment" "$folder" || exit 1
-eval "$(fleet where "$folder")"
-. "$here/deployments/$deployment/fleet.env"
-. "$folder/overrides"
-tenant=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | head -1)
-route=$(sed -n 's/.*"route": "\([a-z-]*\)".*/\1/p' "$here/deployments/$deployment/kinds.json" | sed -n 3p)
-ctl() { "$build/trouttally-ctl" "$@"; }
-load() {
-  "$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" \
-    --recordFile "$folder/records/callers.json" --obey 40 --ignore 10 --move 20 --hangUps 1 "$@"
-}
-event() { "$build/trouttally-audit" --note "$1" --of "$2" >>"$folder/records/events.json"; }
+. "$here/scripts/common.sh"
 missed=0
 within() { # within MS MOST WHAT: says so if a figure is over its bound
   [ "$1" -le "$2" ] || { echo "NOT MET: $3 took $1 ms, at most $2 wanted"; missed=1; }
@@ -38,18 +26,12 @@
   done
   echo "$lowest"
 }
-status() { # what an order at proxy $1 with key $2 gets
-  curl -s -m 3 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $2" "127.0.0.1:$((base + 400 + $1))/v1/orders" \
-    -d "{\"route\":\"$route\",\"model\":\"$MODEL\",\"parts\":[\"x\"],\"maxTokens\":1}"
-}
-served() { local number; for number in $(seq "$EDGES"); do [ "$(status "$number" "$tenant-secret-1")" = 200 ] || return 1; done; }
-holder() { ctl fleet | sed -n "s|^duty     $1 \(core-[0-9]\)-.*|\1|p"; }
 
 sleep 2
-echo "== $deployment: warm-up"; load --seconds "$each" --seed 1
-echo "== $deployment: steady"; load --seconds "$each" --seed 2
+echo "== $deployment: warm-up"; load --hangUps 1 --seconds "$each" --seed 1
+echo "== $deployment: steady"; load --hangUps 1 --seconds "$each" --seed 2
 
-load --seconds "${SECONDS_FAULTS:-110}" --seed 3 --everySecond 1 >"$folder/under-faults.txt" &
+load --hangUps 1 --seconds "${SECONDS_FAULTS:-110}" --seed 3 --everySecond 1 >"$folder/under-faults.txt" &
 loadPid=$!
 began=$(now)
 sleep 3
@@ -64,7 +46,6 @@
   [ "$took" -gt "$worst" ] && worst=$took
   echo "change $round: acknowledged after $(ms "$before" "$acked") ms, seen in force at every proxy $took ms later at most"
 done
-victim=$(sed -n 's/.*"\([a-z-]*\)-key".*/\1/p' "$here/deployments/$deployment/blueprint.json" | sed -n 2p)
 echo "{\"keys\":{\"spare\":{\"tenant\":\"$victim\",\"secret\":\"spare-secret-1\"}}}" | ctl patch - >/dev/null
 sleep 0.5
 echo '{"keys":{"spare":null}}' | ctl patch - >/dev/null
@@ -140,7 +121,5 @@
 ctl get | grep -o -e after-kill -e just-before | sort -u | sed 's/^/acknowledged change still there: /'
 [ "${acknowledged:-0}" = 1 ] && [ "$(ctl get | grep -c just-before)" = 0 ] && { echo "NOT MET: an acknowledged change is lost"; missed=1; }
 fleet stop "$folder"
-"$build/trouttally-audit" --callers "$folder/records/callers.json" --events "$folder/records/events.json" \
-  --workers "$(ls "$folder"/records/worker-*.json "$folder"/records/app.json | paste -sd,)" \
-  --blueprint "$here/deployments/$deployment/blueprint.json" || missed=1
+audit || missed=1
 exit "$missed"
--- a/scripts/small-fleet.sh
+++ b/scripts/small-fleet.sh
@@ -5,6 +5,7 @@
 set -u
 here=$(cd "$(dirname "$0")/.." && pwd)
 build=${BUILD:-$here/build}
+deployment=rooster
 folder=${1:-$(mktemp -d)}
 export BASE=${BASE:-27000} EDGES=2 WORKERS=4 BUILD=$build LINKS=1
 base=$BASE
@@ -12,31 +13,26 @@
 failed=0
 wrong() { echo "WRONG: $1"; failed=1; }
 trap 'fleet stop "$folder" >/dev/null 2>&1' EXIT
-fleet start rooster "$folder" || exit 1
-eval "$(fleet where "$folder")"
-ctl() { "$build/trouttally-ctl" "$@"; }
+fleet start "$deployment" "$folder" || exit 1
+. "$here/scripts/common.sh"
 take() { # a change, until it is taken; its id makes sending it again safe
   local try
   for try in $(seq 60); do echo "$2" | ctl patch - --change-id "$1" >/dev/null 2>&1 && return 0; sleep 0.5; done
   wrong "change $1 was never taken"
 }
-status() {
-  curl -s -m 5 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $2" "127.0.0.1:$((base + 400 + $1))/v1/orders" \
-    -d '{"route":"reminder","model":"rooster-llm","parts":["x"],"maxTokens":1}'
-}
-serves() { local try; for try in $(seq 60); do [ "$(status "$1" ghent-care-secret-1)" = 200 ] && return 0; sleep 0.5; done; wrong "proxy $1 never serves"; }
+serves() { local try; for try in $(seq 60); do [ "$(status "$1")" = 200 ] && return 0; sleep 0.5; done; wrong "proxy $1 never serves"; }
 serves 1; serves 2
-"$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/rooster/kinds.json" --seconds 12 --scale 0.15 \
-  --recordFile "$folder/records/callers.json" --obey 40 --ignore 10 --move 20 --hangUps 3 >"$folder/load.txt" &
+load --seconds 12 --scale 0.15 --hangUps 3 >"$folder/load.txt" &
 loadPid=$!
 take before '{"routes":{"before":{"model":"rooster-llm"}}}'
-fleet signal "$(ctl fleet | sed -n 's|^duty     accord \(core-[0-9]\)-.*|\1|p')" KILL "$folder"
+lostCore=$(holder accord)
+fleet signal "$lostCore" KILL "$folder"
 take during '{"routes":{"during":{"model":"rooster-llm"}}}'
 for name in agent-2 proxy-2 worker-3; do fleet signal $name KILL "$folder"; done
 for name in agent-2 proxy-2 worker-3; do fleet run $name "$folder"; done
-for number in 1 2 3 4; do kill -0 "$(cat "$folder/pids/core-$number")" 2>/dev/null || fleet run "core-$number" "$folder"; done
+fleet run "$lostCore" "$folder"
 take revoke '{"keys":{"scouts-key":null}}'
-"$build/trouttally-audit" --note revoked --of scouts-secret-1 >>"$folder/records/events.json"
+event revoked scouts-secret-1
 serves 1; serves 2
 for number in 1 2; do
   # A proxy that has just lost touch denies everything; it must come to deny this key, and never serve it.
@@ -54,8 +50,6 @@
 for name in before during; do ctl get | grep -q "\"$name\"" || wrong "change $name is lost"; done
 fleet stop "$folder"
 grep -h -i -E "sanitizer|runtime error" "$folder"/logs/* && wrong "a sanitizer spoke"
-"$build/trouttally-audit" --callers "$folder/records/callers.json" --events "$folder/records/events.json" \
-  --workers "$(ls "$folder"/records/worker-*.json "$folder"/records/app.json | paste -sd,)" \
-  --blueprint "$here/deployments/rooster/blueprint.json" || failed=1
+audit || failed=1
 grep -q "verdict .* done 0 done" "$folder/load.txt" || wrong "nothing was served"
 exit "$failed"
