--- a/scripts/cut-fleet.sh
+++ b/scripts/cut-fleet.sh
@@ -58,10 +58,11 @@
 both hold "$leader" '*'; sleep 10; heal; back "links to the accord's holder dead but open for 10 s"
 rule slow '*' '*' 80; sleep 5; heal; back "every link 80 ms slower"
 for number in 1 2 3 4; do echo "slow 250" >"$folder/core-$number.fault"; done
-fleet signal "$(holder accord)" KILL "$folder"
+lostCore=$(holder accord)
+fleet signal "$lostCore" KILL "$folder"
 sleep 5
 for number in 1 2 3 4; do rm -f "$folder/core-$number.fault"; done
-for number in 1 2 3 4; do kill -0 "$(cat "$folder/pids/core-$number")" 2>/dev/null || fleet run "core-$number" "$folder"; done
+fleet run "$lostCore" "$folder"
 back "every disk 250 ms slow and the accord's holder killed"
 leader=$(holder accord)
 echo stall >"$folder/$leader.fault"; sleep 5; rm -f "$folder/$leader.fault"; back "the accord's holder's disk stalled"
