--- a/src/accord.cpp
+++ b/src/accord.cpp
@@ -103,8 +103,8 @@
   desk.send(address, AppendReply{ballot.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
 }
 
-void Accord::append(Desk& desk, EntryKind kind, std::string body, std::string changeId) {
-  Entry entry{logEnd() + 1, ballot.term(), static_cast<int>(kind), std::move(body), std::move(changeId)};
+void Accord::append(Desk& desk, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision) {
+  Entry entry{logEnd() + 1, ballot.term(), static_cast<int>(kind), std::move(body), std::move(changeId), revision};
   head.apply(entry);
   store(desk, entry);
 }
@@ -264,10 +264,13 @@
   if (waiters.size() >= mostWaiters) return answer(Code::changesFull, "changes", {});
   if (ask.ifRevision >= 0 && static_cast<std::uint64_t>(ask.ifRevision) != head.revision())
     return answer(Code::staleRevision, "ifRevision", {}, head.revision());
-  auto patch = head.preparePatch(ask.body, ask.whole);
+  if (ask.toRevision > 0 && static_cast<std::uint64_t>(ask.toRevision) <= head.revision())
+    return answer(Code::revisionOld, "revision", {}, head.revision());
+  auto patch = head.preparePatch(ask.body, ask.whole ? Manner::whole : static_cast<Manner>(ask.manner));
   if (!patch) return answer(patch.error().code, patch.error().subject, patch.error().text);
   if (head.bytes() + patch.value().size() > room) return answer(Code::blueprintLarge, "body", {});
-  append(desk, EntryKind::change, patch.value(), ask.changeId);
+  std::uint64_t revision = ask.toRevision > 0 ? static_cast<std::uint64_t>(ask.toRevision) : ask.toRevision < 0 ? head.revision() : 0;
+  append(desk, EntryKind::change, patch.value(), ask.changeId, revision);
   waiters.push_back({from, ask.askId, logEnd(), head.revision()});
   sendAll(desk);
   advance(desk);
@@ -443,6 +446,25 @@
     }
 }
 
+void Accord::dropGone(Desk& desk) {
+  if (pace.memberGone == Span(0) || !ballot.holds(desk.now) || memberChangePending() || !speaksForTerm()) return;
+  std::size_t voters = 0;
+  const Member* gone = nullptr;
+  for (const auto& member : memberRows) {
+    if (!member.votes) continue;
+    ++voters;
+    if (member.id == selfRow.id) continue;
+    auto heard = heardFrom.find(member.id);
+    if (heard != heardFrom.end() && desk.now - heard->second > pace.memberGone && !gone) gone = &member;
+  }
+  if (!gone || voters <= pace.votersLeast) return;
+  std::string goneId = gone->id;
+  auto rows = memberRows;
+  rows.erase(std::remove_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == goneId; }), rows.end());
+  desk.note("core replaced", goneId);
+  setMembers(desk, rows);
+}
+
 void Accord::tick(Desk& desk) {
   ballot.tick(desk);
   if (!ballot.won()) return;
@@ -453,6 +475,7 @@
   }
   advance(desk);
   mendMembers(desk);
+  dropGone(desk);
 }
 
 void Accord::take(Desk& desk, const std::string& from, const Message& message) {
--- a/src/accord.hpp
+++ b/src/accord.hpp
@@ -69,7 +69,7 @@
   void readMembers(Desk* desk);
   std::vector<Member> membersBefore(std::uint64_t index) const;
   std::uint64_t agreedAmong(const std::vector<Member>& voters) const;
-  void append(Desk& desk, EntryKind kind, std::string body, std::string changeId);
+  void append(Desk& desk, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision = 0);
   void store(Desk& desk, const Entry& entry);
   void tellSynced(Desk& desk);
   void sendTo(Desk& desk, const Member& member, bool again);
@@ -79,6 +79,8 @@
   void whenLeads(Desk& desk, bool won);
   void trim(Desk& desk);
   void mendMembers(Desk& desk);
+  /// Takes a voter out that has long been silent, while enough stay.
+  void dropGone(Desk& desk);
   void onAppend(Desk& desk, const std::string& from, const AppendMsg& message);
   void onCapture(Desk& desk, const std::string& from, const CaptureMsg& message);
   void onReply(Desk& desk, const AppendReply& reply);
--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -4,9 +4,7 @@
 
 namespace tt {
 namespace {
-constexpr Span roundEvery = 250ms;
 constexpr Span roundSooner = 60ms;
-constexpr Span proxyCounts = pace::freshFor + 100ms;
 constexpr Span newsEvery = 250ms;
 constexpr Span parentSilent = 800ms;
 constexpr Span suspectFor = 5s;
@@ -26,10 +24,10 @@
 }
 
 std::uint64_t Agent::appliedBelow(Moment now) const {
-  if (proxies.empty() && now - startedAt < proxyCounts) return 0;
+  if (proxies.empty() && now - startedAt < pace.readersWait + 70ms) return 0;
   std::uint64_t applied = view.index();
   for (const auto& [address, at] : proxies)
-    if (now - at < proxyCounts) applied = std::min(applied, proxyApplied.at(address));
+    if (now - at < pace.readersWait + 70ms) applied = std::min(applied, proxyApplied.at(address));
   return applied;
 }
 
@@ -133,7 +131,7 @@
 void Agent::tick(Desk& desk) {
   if (startedAt == Moment{}) startedAt = desk.now;
   bool moved = appliedBelow(desk.now) > toldApplied && desk.now - roundAt >= roundSooner;
-  if (moved || desk.now - roundAt >= roundEvery) askEnds(desk);
+  if (moved || desk.now - roundAt >= pace.roundEvery) askEnds(desk);
   if (fresh(desk.now) != wasFresh) {
     wasFresh = !wasFresh;
     desk.note(wasFresh ? "fresh" : "stale", props.name);
@@ -208,6 +206,10 @@
   }
 }
 
+bool Agent::feeds(Moment now) const {
+  return std::any_of(proxies.begin(), proxies.end(), [&](const auto& row) { return now - row.second < 1s; });
+}
+
 std::string Agent::condition(Moment now) const {
   JsonObject whole;
   whole["agent"] = Json(props.name);
--- a/src/agent.hpp
+++ b/src/agent.hpp
@@ -23,6 +23,8 @@
   Moment freshStamp() const { return outlook.stamp(); }
   bool fresh(Moment now) const { return outlook.fresh(now); }
   std::string condition(Moment now) const;
+  /// Whether a proxy has asked to be fed of late.
+  bool feeds(Moment now) const;
   const std::string& followed() const { return parent; }
 
  private:
--- a/src/ballot.cpp
+++ b/src/ballot.cpp
@@ -20,7 +20,7 @@
 
 void Ballot::restore(const Vote& saved, Moment now) {
   vote = saved;
-  promisedUntil = now + pace::promise;
+  promisedUntil = now + pace.promise;
 }
 
 void Ballot::setVoters(const std::vector<Member>& members) {
@@ -56,25 +56,25 @@
   if (!won() || voters.empty()) return false;
   if (!defences.stands(Defence::leaseLimits)) return true;
   Moment start = leaseStart(now);
-  return start != Moment{} && now < start + pace::lease;
+  return start != Moment{} && now < start + pace.lease;
 }
 
 void Ballot::tick(Desk& desk) {
   if (!started) {
     started = true;
-    standAt = desk.now + pace::promise + eagerness + std::chrono::milliseconds(desk.roll(300));
+    standAt = desk.now + pace.promise + eagerness + std::chrono::milliseconds(desk.roll(300));
   }
   if (walk.in("holding")) {
     if (!voter() || !mayStand) {
       resign(desk);
-    } else if (desk.now >= heldAt + pace::holdEvery) {
+    } else if (desk.now >= heldAt + pace.holdEvery) {
       sendHolds(desk);
     }
     return;
   }
   if (walk.in("idle")) {
     if (desk.now >= standAt && desk.now >= promisedUntil && voter() && mayStand) walk.happen(*this, "vacant", desk);
-  } else if (desk.now >= askedAt + pace::ballotWait + (walk.in("asking") ? slowness() : Span(0))) {
+  } else if (desk.now >= askedAt + pace.ballotWait + (walk.in("asking") ? slowness() : Span(0))) {
     walk.happen(*this, "lapsed", desk);
   }
 }
@@ -93,7 +93,7 @@
   vote = Vote{vote.term + 1, selfId};
   std::uint64_t askedTerm = vote.term;
   Moment savedAt = desk.now;
-  askedAt = desk.now + pace::slowDiskMost;
+  askedAt = desk.now + pace.slowDiskMost;
   desk.save(voteRecord(dutyName, vote), [this, askedTerm, savedAt](Desk& later) {
     syncSpan = later.now - savedAt;
     if (!walk.in("asking") || vote.term != askedTerm) return;
@@ -139,7 +139,7 @@
   if (!won()) return;
   toOthers(desk, HoldMsg{dutyName, vote.term, selfId, -1});
   walk.happen(*this, "resigned", desk);
-  standAt = desk.now + pace::promise;
+  standAt = desk.now + pace.promise;
 }
 
 void Ballot::seeTerm(Desk& desk, std::uint64_t term) {
@@ -162,7 +162,7 @@
   }
   seeTerm(desk, ask.term);
   vote = Vote{ask.term, ask.candidate};
-  standAt = std::max(standAt, desk.now + 2 * pace::ballotWait + slowness() + eagerness + std::chrono::milliseconds(desk.roll(300)));
+  standAt = std::max(standAt, desk.now + 2 * pace.ballotWait + slowness() + eagerness + std::chrono::milliseconds(desk.roll(300)));
   if (!defences.stands(Defence::syncBeforeVote)) {
     desk.send(from, BallotReply{dutyName, ask.term, selfId, false, true});
     desk.save(voteRecord(dutyName, vote));
@@ -190,7 +190,7 @@
     return;
   }
   knownHolder = hold.holder;
-  promisedUntil = desk.now + pace::promise;
+  promisedUntil = desk.now + pace.promise;
   standAt = promisedUntil + eagerness + std::chrono::milliseconds(desk.roll(300));
   walk.happen(*this, "held", desk);
   desk.send(from, HoldReply{dutyName, hold.term, selfId, hold.sentAt, true});
--- a/src/ballot.hpp
+++ b/src/ballot.hpp
@@ -5,16 +5,28 @@
 
 namespace tt {
 
-/// The spans that duties and freshness keep to.
-namespace pace {
-constexpr Span holdEvery = 150ms;
-constexpr Span lease = 900ms;
-constexpr Span promise = 1100ms;
-constexpr Span ballotWait = 300ms;
-/// How much of its own disk's slowness a ballot waits for, at most.
-constexpr Span slowDiskMost = 700ms;
-constexpr Span freshFor = 1500ms;
-}  // namespace pace
+/// The spans that duties, freshness and news keep to: one set for a whole fleet, set before a process starts its logic.
+struct Pace {
+  Span holdEvery{150ms}, lease{900ms}, promise{1100ms}, ballotWait{300ms};
+  /// How much of its own disk's slowness a ballot waits for, at most.
+  Span slowDiskMost{700ms};
+  /// How long a reader serves on what it last knew to be complete.
+  Span freshFor{1500ms};
+  /// How long an acknowledgement waits for readers that are silent.
+  Span readersWait{1530ms};
+  /// How often agents and cores ask the cores for their logs' ends, and proxies their agent.
+  Span roundEvery{250ms}, feedEvery{100ms};
+  /// How often the platform's list is read, and how old a list may be before a core that need not read it does.
+  Span listEvery{300ms}, listOld{300ms};
+  /// How long a new holder of a cell sends no commands, so that holders never take turns at a worker.
+  Span commandRest{0};
+  /// How long workers with old weights may be drawn after new ones are named.
+  Span rolloutMost{18s};
+  /// How long a voter must be silent before it is taken out for good, and how many voters must stay; 0 takes none out.
+  Span memberGone{0};
+  std::size_t votersLeast{3};
+};
+inline Pace pace;
 
 /// One core's part in one duty. A duty is won by ballot, kept by a lease that a quorum renews, and told apart by term.
 class Ballot {
@@ -60,7 +72,7 @@
   bool started{false};
   /// How long this core's last vote took to be synced; others' disks are taken to be no faster.
   Span syncSpan{};
-  Span slowness() const { return std::min(syncSpan, pace::slowDiskMost); }
+  Span slowness() const { return std::min(syncSpan, pace.slowDiskMost); }
   std::set<std::string> grants;
   std::map<std::string, Moment> renewals;
   std::uint64_t seenTerm{0};
--- a/src/base.cpp
+++ b/src/base.cpp
@@ -141,6 +141,13 @@
   return sha256Hex(seed);
 }
 
+BlockHash hashPart(std::string_view salt, std::string_view partId) {
+  std::string seed(salt);
+  seed += '\n';
+  seed += partId;
+  return sha256Block(seed);
+}
+
 std::vector<std::string> cutPrompt(const std::vector<std::string>& parts, std::size_t blocks) {
   std::vector<std::string> cut;
   std::size_t room = blocks * blockBytes;
--- a/src/base.hpp
+++ b/src/base.hpp
@@ -80,6 +80,8 @@
 std::vector<BlockHash> hashPrompt(const std::vector<std::string>& parts, std::string_view salt);
 /// The seed and cache salt of a model, weight version and tenant domain.
 std::string cacheSalt(std::string_view model, std::string_view weights, std::string_view domain);
+/// The hash of one part of a prompt that is told by its id, seeded by a salt.
+BlockHash hashPart(std::string_view salt, std::string_view partId);
 /// Cuts a prompt so that it covers just its first blocks.
 std::vector<std::string> cutPrompt(const std::vector<std::string>& parts, std::size_t blocks);
 
--- a/src/blueprint.cpp
+++ b/src/blueprint.cpp
@@ -2,19 +2,73 @@
 
 namespace tt {
 namespace {
-const std::set<std::string> sectionNames{"models", "weights", "tenants", "keys", "routes", "policies"};
+const std::set<std::string> sectionNames{"models", "weights", "tenants", "keys", "routes", "policies", "services", "limits", "extra"};
+/// Sections whose items hold what a translator gave, checked by field here where the logic reads them.
+const std::set<std::string> freeSections{"limits", "extra"};
 const std::map<std::string, std::set<std::string>> itemFields{
     {"models", {"weights"}},
     {"weights", {"model"}},
-    {"tenants", {"isolated"}},
+    {"tenants", {"isolated", "at", "secrets", "priority", "extra"}},
     {"keys", {"tenant", "hash", "secret"}},
-    {"routes", {"model", "kind", "tenants", "policy"}},
+    {"routes", {"model", "kind", "tenants", "policy", "at", "host", "prefix", "repeat", "timeoutMs", "aimMs", "priority", "tries",
+                "gapMs", "open", "sticky", "resumable", "service", "split", "extra"}},
+    {"services", {"at", "healthPath", "connections", "protocol", "tls", "engine", "storeAddress", "locality", "tokens", "linkMbps",
+                  "reports", "extra"}},
 };
 constexpr std::size_t changesRemembered = 4096;
 constexpr std::size_t longestName = 128;
+
+/// The merge patch that makes one value into another; nothing if they are the same.
+std::optional<Json> differenceOf(const Json& old, const Json& wanted) {
+  if (old == wanted) return std::nullopt;
+  if (!old.is<JsonObject>() || !wanted.is<JsonObject>()) return wanted;
+  JsonObject rows;
+  for (const auto& [name, value] : wanted.get<JsonObject>()) {
+    const auto& known = old.get<JsonObject>();
+    auto found = known.find(name);
+    if (found == known.end()) {
+      rows[name] = value;
+    } else if (auto difference = differenceOf(found->second, value)) {
+      rows[name] = *difference;
+    }
+  }
+  for (const auto& [name, value] : old.get<JsonObject>())
+    if (!wanted.get<JsonObject>().count(name)) rows[name] = Json();
+  return Json(rows);
+}
+
+std::string wholePrefix(const std::string& prefix) { return prefix.empty() || prefix.back() == '/' ? prefix : prefix + "/"; }
+
+RouteView readRoute(const std::string& name, const Json& item) {
+  RouteView route;
+  route.name = name;
+  route.model = textOr(item, "model");
+  route.app = textOr(item, "kind") == "app";
+  route.policy = textOr(item, "policy");
+  route.host = textOr(item, "host");
+  route.prefix = wholePrefix(textOr(item, "prefix"));
+  const auto& fields = item.get<JsonObject>();
+  if (auto tenants = fields.find("tenants"); tenants != fields.end() && tenants->second.is<JsonArray>())
+    for (const auto& tenant : tenants->second.get<JsonArray>()) route.tenants.insert(tenant.to_str());
+  if (auto service = textOr(item, "service"); !service.empty()) route.split.emplace_back(service, 1);
+  if (auto split = fields.find("split"); split != fields.end() && split->second.is<JsonArray>())
+    for (const auto& row : split->second.get<JsonArray>())
+      route.split.emplace_back(textOr(row, "service"), static_cast<double>(numberOr(row, "weight", 0)));
+  std::string repeat = textOr(item, "repeat");
+  route.repeat = repeat == "safe" ? Repeat::safe : repeat == "stream" ? Repeat::stream : Repeat::once;
+  route.timeout = std::chrono::milliseconds(numberOr(item, "timeoutMs", 0));
+  route.aim = std::chrono::milliseconds(numberOr(item, "aimMs", 0));
+  route.gap = std::chrono::milliseconds(numberOr(item, "gapMs", 0));
+  route.tries = static_cast<int>(numberOr(item, "tries", 0));
+  route.priority = static_cast<int>(numberOr(item, "priority", 5));
+  route.open = flagOr(item, "open", false);
+  route.resumable = flagOr(item, "resumable", false);
+  return route;
+}
 }  // namespace
 
-Result<std::string> Blueprint::preparePatch(const std::string& text, bool whole) const {
+Result<std::string> Blueprint::preparePatch(const std::string& text, Manner manner) const {
+  bool whole = manner == Manner::whole;
   auto read = readJson(text);
   if (!read) return read.error();
   if (!read.value().is<JsonObject>()) return fault(Code::badField, "body", "must be an object");
@@ -40,6 +94,7 @@
         continue;
       }
       if (!item.is<JsonObject>()) return fault(Code::badField, path, "must be an object");
+      if (freeSections.count(sectionName)) continue;
       auto& fields = item.get<JsonObject>();
       for (const auto& [fieldName, value] : fields)
         if (!itemFields.at(sectionName).count(fieldName)) return fault(Code::unknownField, path + "." + fieldName);
@@ -70,6 +125,24 @@
         }
       }
   }
+  if (manner == Manner::sections || manner == Manner::items) {
+    for (auto& [sectionName, content] : asked) {
+      auto& wanted = content.get<JsonObject>();
+      auto known = sections.find(sectionName);
+      if (known == sections.end()) continue;
+      for (const auto& [name, item] : known->second) {
+        auto found = wanted.find(name);
+        if (found == wanted.end()) {
+          if (manner == Manner::sections) wanted[name] = Json();
+        } else if (!found->second.is<picojson::null>()) {
+          if (auto difference = differenceOf(item, found->second))
+            found->second = *difference;
+          else
+            wanted.erase(found);
+        }
+      }
+    }
+  }
 
   std::map<std::string, std::map<std::string, std::optional<Json>>> overlay;
   for (const auto& [sectionName, content] : asked)
@@ -94,6 +167,24 @@
     auto item = found->second.find(name);
     return item == found->second.end() ? nullptr : &item->second;
   };
+  std::map<std::string, std::string> secretOwners;
+  std::map<std::pair<std::string, std::string>, std::string> prefixOwners;
+  auto untouched = [&](const std::string& sectionName, const auto& deed) {
+    auto found = sections.find(sectionName);
+    auto changed = overlay.find(sectionName);
+    if (found == sections.end() || changed == overlay.end()) return;
+    for (const auto& [name, item] : found->second)
+      if (!changed->second.count(name)) deed(name, item);
+  };
+  untouched("tenants", [&](const std::string& name, const Json& item) {
+    const auto& fields = item.get<JsonObject>();
+    auto secrets = fields.find("secrets");
+    if (secrets == fields.end() || !secrets->second.is<JsonArray>()) return;
+    for (const auto& secret : secrets->second.get<JsonArray>()) secretOwners[secret.to_str()] = name;
+  });
+  untouched("routes", [&](const std::string& name, const Json& item) {
+    if (auto prefix = textOr(item, "prefix"); !prefix.empty()) prefixOwners[{textOr(item, "host"), wholePrefix(prefix)}] = name;
+  });
   auto checkItem = [&](const std::string& sectionName, const std::string& name, const Json& item) -> Result<void> {
     std::string path = sectionName + "." + name;
     if (sectionName == "policies") {
@@ -101,6 +192,7 @@
       if (!policy) return fault(Code::badField, path, policy.error().subject + ": " + policy.error().text);
       return boost::outcome_v2::success();
     }
+    if (freeSections.count(sectionName)) return boost::outcome_v2::success();
     const auto& fields = item.get<JsonObject>();
     if (sectionName == "models") {
       auto weights = textField(fields, "weights", path);
@@ -115,6 +207,15 @@
     } else if (sectionName == "tenants") {
       auto isolated = flagField(fields, "isolated", false, path);
       if (!isolated) return isolated.error();
+      if (fields.count("secrets")) {
+        auto secrets = textsField(fields, "secrets", path);
+        if (!secrets) return secrets.error();
+        for (const auto& secret : secrets.value()) {
+          if (secret.empty()) return fault(Code::badField, path + ".secrets", "a key is empty");
+          auto owner = secretOwners.emplace(secret, name).first->second;
+          if (owner != name) return fault(Code::blueprintBad, path + ".secrets", "tenant " + owner + " has this key too");
+        }
+      }
     } else if (sectionName == "keys") {
       auto tenant = textField(fields, "tenant", path);
       if (!tenant) return tenant.error();
@@ -128,6 +229,25 @@
       if (known != keyIdByHash.end() && known->second != name && find("keys", known->second) &&
           textOr(*find("keys", known->second), "hash") == hash.value())
         return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
+    } else if (sectionName == "services") {
+      auto store = textOr(item, "storeAddress");
+      if (fields.count("storeAddress") && store.empty()) return fault(Code::badField, path + ".storeAddress", "must be ip:port");
+    } else if (sectionName == "routes" && fields.count("prefix")) {
+      auto host = textField(fields, "host", path);
+      if (!host) return host.error();
+      auto prefix = textField(fields, "prefix", path);
+      if (!prefix) return prefix.error();
+      auto route = readRoute(name, item);
+      auto owner = prefixOwners.emplace(std::make_pair(route.host, route.prefix), name).first->second;
+      if (owner != name) return fault(Code::blueprintBad, path, "route " + owner + " has the same host and prefix");
+      if (fields.count("timeoutMs") && route.timeout <= Span(0)) return fault(Code::blueprintBad, path + ".timeoutMs", "must be more than 0");
+      double sum = 0;
+      for (const auto& [service, weight] : route.split) {
+        if (!find("services", service)) return fault(Code::blueprintBad, path + ".service", "no such service: " + service);
+        if (weight < 0) return fault(Code::blueprintBad, path + ".split", "a weight is below 0");
+        sum += weight;
+      }
+      if (sum <= 0) return fault(Code::blueprintBad, path + ".split", "the weights sum to 0");
     } else if (sectionName == "routes") {
       auto model = textField(fields, "model", path);
       if (!model) return model.error();
@@ -163,7 +283,7 @@
       if (!checked) return checked.error();
     }
   static const std::vector<std::pair<std::string, std::set<std::string>>> pointers{
-      {"models", {"weights"}}, {"keys", {"tenants"}}, {"routes", {"models", "tenants", "policies"}}};
+      {"models", {"weights"}}, {"keys", {"tenants"}}, {"routes", {"models", "tenants", "policies", "services"}}};
   for (const auto& [pointing, pointed] : pointers) {
     bool again = false;
     for (const auto& sectionName : pointed) again = again || disturbed.count(sectionName);
@@ -181,6 +301,7 @@
 void Blueprint::setItem(const std::string& sectionName, const std::string& name, const Json* value) {
   auto& items = sections[sectionName];
   auto old = items.find(name);
+  foldItem(sectionName, name, old == items.end() ? nullptr : &old->second, value);
   if (old != items.end()) {
     weight -= std::min(weight, name.size() + old->second.serialize().size());
     if (sectionName == "keys") keyIdByHash.erase(textOr(old->second, "hash"));
@@ -197,6 +318,50 @@
     if (auto policy = Policy::read(value->get<std::string>())) policies[name] = policy.value();
 }
 
+void Blueprint::foldItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value) {
+  auto secretsOf = [](const Json& item) {
+    Strings rows;
+    const auto& fields = item.get<JsonObject>();
+    auto secrets = fields.find("secrets");
+    if (secrets != fields.end() && secrets->second.is<JsonArray>())
+      for (const auto& secret : secrets->second.get<JsonArray>()) rows.push_back(secret.to_str());
+    return rows;
+  };
+  if (sectionName == "tenants") {
+    if (old && old->is<JsonObject>())
+      for (const auto& secret : secretsOf(*old))
+        if (auto found = tenantByHash.find(sha256Hex(secret)); found != tenantByHash.end() && found->second == name) tenantByHash.erase(found);
+    if (value && value->is<JsonObject>())
+      for (const auto& secret : secretsOf(*value)) tenantByHash[sha256Hex(secret)] = name;
+  } else if (sectionName == "routes") {
+    if (auto known = routeRows.find(name); known != routeRows.end()) {
+      if (known->second.byPath()) {
+        auto& prefixes = routeByPrefix[known->second.host];
+        if (auto found = prefixes.find(known->second.prefix); found != prefixes.end() && found->second == name) prefixes.erase(found);
+        if (prefixes.empty()) routeByPrefix.erase(known->second.host);
+      }
+      routeRows.erase(known);
+    }
+    if (value && value->is<JsonObject>()) {
+      auto route = readRoute(name, *value);
+      if (route.byPath()) routeByPrefix[route.host][route.prefix] = name;
+      routeRows[name] = std::move(route);
+    }
+  } else if (sectionName == "services") {
+    for (auto row = storeRows.begin(); row != storeRows.end();) row = row->service == name ? storeRows.erase(row) : std::next(row);
+    if (value && !textOr(*value, "storeAddress").empty())
+      storeRows.push_back(StoreView{name, textOr(*value, "storeAddress"), textOr(*value, "locality")});
+  } else if (sectionName == "limits" && name == "callers") {
+    limitsRow = CallerLimits();
+    if (value) {
+      limitsRow.headerBytes = static_cast<std::size_t>(numberOr(*value, "headerBytes", 16384));
+      limitsRow.bodyBytes = static_cast<std::size_t>(numberOr(*value, "bodyBytes", 4 << 20));
+      limitsRow.headerWait = std::chrono::milliseconds(numberOr(*value, "headerMs", 3000));
+      limitsRow.idleWait = std::chrono::milliseconds(numberOr(*value, "idleMs", 15000));
+    }
+  }
+}
+
 void Blueprint::applyPatch(const JsonObject& patch) {
   for (const auto& [sectionName, content] : patch) {
     if (!content.is<JsonObject>()) continue;
@@ -226,7 +391,7 @@
     auto capture = decodeCapture(unpacked.body);
     if (capture) memberRows = capture.value().members;
   } else if (kind == EntryKind::change) {
-    ++currentRevision;
+    currentRevision = entry.revision ? entry.revision : currentRevision + 1;
     auto patch = readJson(entry.body);
     if (patch && patch.value().is<JsonObject>()) applyPatch(patch.value().get<JsonObject>());
     if (!entry.changeId.empty()) {
@@ -293,25 +458,45 @@
   return found == sections.end() ? JsonObject() : found->second;
 }
 
+const JsonObject* Blueprint::sectionAt(const std::string& name) const {
+  auto found = sections.find(name);
+  return found == sections.end() || found->second.empty() ? nullptr : &found->second;
+}
+
+bool Blueprint::asksKeys() const { return sectionAt("tenants") || sectionAt("keys"); }
+
+std::optional<TenantView> Blueprint::findTenant(const std::string& name) const {
+  const auto* tenants = sectionAt("tenants");
+  if (!tenants) return std::nullopt;
+  auto found = tenants->find(name);
+  if (found == tenants->end()) return std::nullopt;
+  TenantView tenant;
+  if (auto priority = numberOr(found->second, "priority", -1); priority >= 0) tenant.priority = static_cast<int>(priority);
+  return tenant;
+}
+
+const RouteView* Blueprint::routeFor(const std::string& host, const std::string& path) const {
+  auto prefixes = routeByPrefix.find(host);
+  if (prefixes == routeByPrefix.end()) return nullptr;
+  std::string known = path.substr(0, path.find('?'));
+  for (auto slash = known.rfind('/'); slash != std::string::npos; slash = slash == 0 ? std::string::npos : known.rfind('/', slash - 1)) {
+    known.resize(slash + 1);
+    if (auto found = prefixes->second.find(known); found != prefixes->second.end()) return &routeRows.at(found->second);
+  }
+  return nullptr;
+}
+
 std::optional<KeyView> Blueprint::findKey(const std::string& secretHash) const {
+  if (auto own = tenantByHash.find(secretHash); own != tenantByHash.end()) return KeyView{own->second, own->second};
   auto found = keyIdByHash.find(secretHash);
   if (found == keyIdByHash.end()) return std::nullopt;
   return KeyView{found->second, textOr(sections.at("keys").at(found->second), "tenant")};
 }
 
 std::optional<RouteView> Blueprint::findRoute(const std::string& name) const {
-  auto found = sections.find("routes");
-  if (found == sections.end()) return std::nullopt;
-  auto item = found->second.find(name);
-  if (item == found->second.end()) return std::nullopt;
-  RouteView route;
-  route.model = textOr(item->second, "model");
-  route.app = textOr(item->second, "kind") == "app";
-  route.policy = textOr(item->second, "policy");
-  const auto& fields = item->second.get<JsonObject>();
-  if (auto tenants = fields.find("tenants"); tenants != fields.end() && tenants->second.is<JsonArray>())
-    for (const auto& tenant : tenants->second.get<JsonArray>()) route.tenants.insert(tenant.to_str());
-  return route;
+  auto found = routeRows.find(name);
+  if (found == routeRows.end()) return std::nullopt;
+  return found->second;
 }
 
 std::optional<std::string> Blueprint::weightsOf(const std::string& model) const {
--- a/src/blueprint.hpp
+++ b/src/blueprint.hpp
@@ -12,11 +12,33 @@
   std::string id;
   std::string tenant;
 };
+/// What may be done with an order that a worker broke off: run it again, never, or go on after the last piece.
+enum class Repeat { once, safe, stream };
 struct RouteView {
-  std::string model;
+  std::string name, model;
   bool app{false};
   std::set<std::string> tenants;
   std::string policy;
+  /// A route by host and path leads to services, each with its weight; the others lead to a model.
+  std::string host, prefix;
+  std::vector<std::pair<std::string, double>> split;
+  Repeat repeat{Repeat::once};
+  Span timeout{0}, aim{0}, gap{0};
+  int tries{0}, priority{5};
+  bool open{false}, resumable{false};
+  bool byPath() const { return !prefix.empty(); }
+};
+struct TenantView {
+  std::optional<int> priority;
+};
+/// What a service says of a store: where it is and how it is reached.
+struct StoreView {
+  std::string service, address, locality;
+};
+/// What callers may send and how long they may take.
+struct CallerLimits {
+  std::size_t headerBytes{16384}, bodyBytes{4u << 20};
+  Span headerWait{3s}, idleWait{15s};
 };
 
 /// What operators declare, as agreed: sections of named items, a revision, and the changes already taken.
@@ -24,7 +46,10 @@
  public:
   /// Turns an operator's text into a patch ready for the log: secrets hashed, a whole one made into a difference,
   /// everything it touches checked. Nothing is applied.
-  Result<std::string> preparePatch(const std::string& text, bool whole) const;
+  Result<std::string> preparePatch(const std::string& text, bool whole) const {
+    return preparePatch(text, whole ? Manner::whole : Manner::patch);
+  }
+  Result<std::string> preparePatch(const std::string& text, Manner manner) const;
   /// Applies one agreed entry; entries come in order and are never undone.
   void apply(const Entry& entry);
   Capture capture() const;
@@ -43,6 +68,15 @@
 
   std::optional<KeyView> findKey(const std::string& secretHash) const;
   std::optional<RouteView> findRoute(const std::string& name) const;
+  /// Of a host's routes the one whose prefix begins the path and is longest.
+  const RouteView* routeFor(const std::string& host, const std::string& path) const;
+  /// Whether any tenant or key is declared: without, orders need no key.
+  bool asksKeys() const;
+  std::optional<TenantView> findTenant(const std::string& name) const;
+  const std::vector<StoreView>& stores() const { return storeRows; }
+  const CallerLimits& callerLimits() const { return limitsRow; }
+  /// A section by name, without a copy; null if it has no items.
+  const JsonObject* sectionAt(const std::string& name) const;
   std::optional<std::string> weightsOf(const std::string& model) const;
   bool knowsModel(const std::string& model) const;
   /// What tells a tenant's blocks from another's: its own name when isolated, else one that sharers have in common.
@@ -54,6 +88,12 @@
   using Section = JsonObject;
   std::map<std::string, Section> sections;
   std::unordered_map<std::string, std::string> keyIdByHash;
+  /// Tenants by the hash of a secret of their own.
+  std::unordered_map<std::string, std::string> tenantByHash;
+  std::map<std::string, RouteView> routeRows;
+  std::map<std::string, std::map<std::string, std::string>> routeByPrefix;
+  std::vector<StoreView> storeRows;
+  CallerLimits limitsRow;
   std::map<std::string, Policy> policies;
   std::vector<Member> memberRows;
   std::deque<std::string> changeOrder;
@@ -63,6 +103,7 @@
 
   void applyPatch(const JsonObject& patch);
   void setItem(const std::string& sectionName, const std::string& name, const Json* value);
+  void foldItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value);
 };
 
 }  // namespace tt
--- /dev/null
+++ b/src/calls.hpp
@@ -0,0 +1,64 @@
+#pragma once
+#include "host.hpp"
+
+namespace tt {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// One HTTP/1.1 request. Headers go out as given and in order, except that Host comes first and that Content-Length,
+/// Transfer-Encoding and Expect are left out, as the framing is the client's; only Host and Content-Length are added.
+struct HttpCall {
+  std::string method{"GET"};
+  /// ip:port; names are not looked up.
+  std::string address;
+  /// Path and query, sent byte for byte.
+  std::string target{"/"};
+  std::string body;
+  HttpHeaders headers;
+  /// Zero means no bound.
+  Span connectWait{1s}, wholeWait{0};
+  /// The other side must never get this call a second time through the library's own resend.
+  bool once{false};
+};
+struct HttpHead {
+  int status{0};
+  HttpHeaders headers;
+  /// The first value under a name in any case, or null.
+  const std::string* find(std::string_view name) const;
+};
+/// How a call ended: unsent only if for certain no byte of the request was written to a connection that stood.
+enum class HttpHow { whole, unsent, broken };
+struct HttpEnd {
+  HttpHow how{HttpHow::broken};
+  HttpHead head;
+  std::string trouble;
+};
+
+/// An HTTP/1.1 client on an io_context, with kept connections and no thread of its own: libcurl's multi socket interface.
+/// Everything is called on the context's thread. Callbacks may start and drop calls, their own too, but not destroy the
+/// client. Kept connections keep a wait on the context until the client goes.
+class HttpCalls {
+ public:
+  explicit HttpCalls(asio::io_context& context);
+  ~HttpCalls();
+  HttpCalls(const HttpCalls&) = delete;
+  HttpCalls& operator=(const HttpCalls&) = delete;
+  /// Once per call, after the final (non-1xx) head.
+  using OnHead = std::function<void(const HttpHead&)>;
+  /// Body bytes as they come, chunks undone, content encoding left as it is.
+  using OnBytes = std::function<void(std::string_view)>;
+  /// Exactly once unless the call is dropped; never from within start.
+  using OnEnd = std::function<void(const HttpEnd&)>;
+  std::uint64_t start(HttpCall call, OnHead onHead, OnBytes onBytes, OnEnd onEnd);
+  /// Ends a call at once: its connection is closed, no callback comes any more.
+  void drop(std::uint64_t callId);
+  /// Connections that stood and took a request.
+  std::uint64_t connectionsOpened() const;
+  std::uint64_t callsStarted() const;
+
+ private:
+  struct Inner;
+  std::shared_ptr<Inner> inner;
+};
+
+}  // namespace tt
--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -4,15 +4,12 @@
 
 namespace tt {
 namespace {
-constexpr Span askEvery = 50ms;
 constexpr Span askAgain = 700ms;
-constexpr Span lateAfter = 1s;
-constexpr Span goneAfter = 1500ms;
-constexpr Span publishEvery = 60ms;
+constexpr Span conditionEvery = 250ms;
+/// A worker reports its condition some hundred ms late.
+constexpr Span idleSure = 800ms;
 constexpr Span publishIdle = 500ms;
 constexpr Span summariesEvery = 250ms;
-constexpr Span sweepEvery = 1s;
-constexpr Span markWait = 1s;
 constexpr Span drainWait = 3s;
 constexpr Span loadWait = 8s;
 constexpr Span commandAgain = 500ms;
@@ -55,16 +52,18 @@
   return table;
 }
 
-Cell::Cell(std::string locality, const Member& self, bool local, Defences defencesGiven)
+Cell::Cell(std::string locality, const Member& self, bool local, Defences defencesGiven, CellProps cellProps)
     : ballot("cell/" + locality, self.id, local ? Span(0) : Span(600ms), defencesGiven),
       place(std::move(locality)),
       selfId(self.id),
       selfAddress(self.address),
-      defences(defencesGiven) {
+      defences(defencesGiven),
+      props(cellProps) {
   ballot.changed = [this](Desk& desk, bool won) { whenHolds(desk, won); };
 }
 
 void Cell::whenHolds(Desk& desk, bool) {
+  wonAt = desk.now;
   for (auto& [name, keeper] : rows) {
     keeper.confirmed = false;
     keeper.askPending = false;
@@ -72,6 +71,7 @@
     keeper.summaryStale = true;
     keeper.heardAt = desk.now;
     keeper.known = false;
+    keeper.conditionAt = keeper.conditionAskedAt = Moment{};
   }
   rollouts.clear();
   watches.clear();
@@ -88,6 +88,11 @@
     auto& keeper = rows[machine.name];
     if (keeper.machine.address != machine.address) keeper = Keeper{};
     if (keeper.machine.leaving != machine.leaving || keeper.machine.name.empty()) newsDue = true;
+    if (props.apart && keeper.conditionAt == Moment{}) {
+      keeper.last.weights = machine.weights;
+      keeper.last.model = machine.model;
+      keeper.last.slots = machine.slots;
+    }
     keeper.machine = machine;
   }
   for (auto row = rows.begin(); row != rows.end();) {
@@ -112,19 +117,43 @@
 
 void Cell::askReports(Desk& desk) {
   for (auto& [name, keeper] : rows) {
-    if (keeper.known && desk.now - keeper.heardAt > lateAfter) doubt(desk, keeper, "late");
-    if (keeper.askPending ? desk.now - keeper.askedAt < askAgain : desk.now - keeper.askedAt < askEvery) continue;
+    if (keeper.known && desk.now - keeper.heardAt > props.lateAfter) doubt(desk, keeper, "late");
+    if (props.apart) askCondition(desk, keeper);
+    if (keeper.askPending ? desk.now - keeper.askedAt < askAgain : desk.now - keeper.askedAt < props.askEvery) continue;
     bool sweeping = false;
-    if (keeper.confirmed && desk.now - sweptAt > sweepEvery && name > sweptLast) {
+    if (keeper.confirmed && props.sweepEvery > Span(0) && desk.now - sweptAt > props.sweepEvery && name > sweptLast) {
       sweeping = true;
       sweptAt = desk.now;
       sweptLast = name;
     }
     keeper.askPending = true;
     keeper.askedAt = desk.now;
-    desk.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed});
+    desk.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed,
+                                                    static_cast<int>(props.apart ? Scope::index : Scope::all), name});
   }
-  if (desk.now - sweptAt > 2 * sweepEvery) sweptLast.clear();
+  if (desk.now - sweptAt > 2 * props.sweepEvery) sweptLast.clear();
+}
+
+void Cell::askCondition(Desk& desk, Keeper& keeper) {
+  if (keeper.machine.kind != "language" || keeper.machine.leaving) return;
+  auto rollout = rollouts.find(keeper.machine.name);
+  bool moving = rollout != rollouts.end() && !rollout->second.walk->in("serving") && !rollout->second.walk->in("marking");
+  if (keeper.conditionAt != Moment{} && !moving) return;
+  if (desk.now - keeper.conditionAskedAt < (moving ? conditionEvery : askAgain)) return;
+  keeper.conditionAskedAt = desk.now;
+  desk.send(keeper.machine.address, ReportAsk{0, {}, false, static_cast<int>(Scope::condition), keeper.machine.name});
+}
+
+void Cell::onCondition(Desk& desk, Keeper& keeper, const Report& report) {
+  bool changed = keeper.last.weights != report.weights || keeper.last.draining != report.draining || keeper.conditionAt == Moment{};
+  keeper.conditionAt = desk.now;
+  keeper.last.weights = report.weights;
+  keeper.last.model = report.model;
+  keeper.last.running = report.running;
+  keeper.last.slots = report.slots;
+  keeper.last.draining = report.draining;
+  newsDue = newsDue || changed;
+  moveRollouts(desk, *lastBlueprint);
 }
 
 void Cell::onReport(Desk& desk, const Report& report) {
@@ -134,22 +163,30 @@
     return;
   }
   auto& keeper = found->second;
+  if (report.scope == static_cast<int>(Scope::condition)) return onCondition(desk, keeper, report);
   keeper.askPending = false;
-  if (desk.now - keeper.askedAt > lateAfter) {
+  if (desk.now - keeper.askedAt > props.lateAfter) {
     desk.note("report late", report.worker);
     return;
   }
-  bool changed = !keeper.known || keeper.last.running != report.running || keeper.last.weights != report.weights || keeper.last.draining != report.draining;
+  bool indexOnly = report.scope == static_cast<int>(Scope::index);
+  bool changed = !keeper.known || (!indexOnly && (keeper.last.running != report.running || keeper.last.weights != report.weights || keeper.last.draining != report.draining));
   if (keeper.known && keeper.last.incarnation != report.incarnation) {
     doubt(desk, keeper, "new incarnation");
     keeper.applied = 0;
   }
-  if (keeper.confirmed && keeper.last.weights != report.weights) doubt(desk, keeper, "other weights");
+  if (keeper.confirmed && !indexOnly && keeper.last.weights != report.weights) doubt(desk, keeper, "other weights");
   keeper.heardAt = desk.now;
   keeper.known = true;
-  keeper.last = report;
-  keeper.last.kept.clear();
-  keeper.last.events.clear();
+  if (indexOnly) {
+    keeper.last.incarnation = report.incarnation;
+    keeper.last.sequence = report.sequence;
+    if (report.lost) doubt(desk, keeper, "gap");
+  } else {
+    keeper.last = report;
+    keeper.last.kept.clear();
+    keeper.last.events.clear();
+  }
   newsDue = newsDue || changed;
   if (report.whole) {
     std::unordered_set<BlockHash, BlockHashKey> kept(report.kept.begin(), report.kept.end());
@@ -171,8 +208,8 @@
   }
   if (!keeper.confirmed) return;
   for (const auto& event : report.events) {
-    if (event.sequence <= keeper.applied) continue;
-    if (event.sequence != keeper.applied + 1) {
+    if (event.sequence <= keeper.applied && !report.gaps) continue;
+    if (event.sequence != keeper.applied + 1 && !report.gaps) {
       doubt(desk, keeper, "gap");
       return;
     }
@@ -189,8 +226,9 @@
         break;
     }
     keeper.summaryStale = true;
-    newsDue = true;
+    newsDue = newsDue || props.summaries;
   }
+  if (report.gaps) keeper.applied = report.sequence;
   if (report.sequence != keeper.applied) doubt(desk, keeper, "gap");
 }
 
@@ -200,7 +238,7 @@
   LookupReply reply{ask.lookupId, ask.keeper, {}};
   if (found != rows.end()) {
     const auto& keeper = found->second;
-    bool usable = keeper.confirmed && desk.now - keeper.heardAt < lateAfter && !keeper.last.draining &&
+    bool usable = keeper.confirmed && desk.now - keeper.heardAt < props.lateAfter && (!keeper.last.draining || props.apart) &&
                   !keeper.machine.leaving &&
                   (keeper.machine.kind == "store" || keeper.last.weights == ask.weights);
     for (const auto& hash : ask.hashes) reply.hits.push_back(usable && keeper.kept.count(hash) ? 1 : 0);
@@ -213,8 +251,8 @@
   auto found = rows.find(worker);
   auto& rollout = rollouts[worker];
   rollout.sentAt = desk.now;
-  if (found == rows.end() || !ballot.holds(desk.now)) return;
-  desk.send(found->second.machine.address, ControlAsk{ballot.term(), selfId, action, rollout.model, rollout.weights, found->second.last.incarnation});
+  if (found == rows.end() || !ballot.holds(desk.now) || desk.now - wonAt < pace.commandRest) return;
+  desk.send(found->second.machine.address, ControlAsk{ballot.term(), selfId, action, rollout.model, rollout.weights, found->second.last.incarnation, worker});
 }
 
 void Cell::hold(Desk& desk, const std::string& worker) {
@@ -289,7 +327,7 @@
   std::map<std::string, int> workers, busy, failures, successes;
   for (const auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known || keeper.machine.leaving) continue;
-    if (desk.now - keeper.heardAt > goneAfter) continue;
+    if (desk.now - keeper.heardAt > props.goneAfter) continue;
     ++workers[keeper.last.model];
     auto rollout = rollouts.find(name);
     if (rollout != rollouts.end() && rollout->second.failed && defences.stands(Defence::failedNotCounted))
@@ -312,7 +350,7 @@
     if (!wanted) continue;
     auto& rollout = rollouts[name];
     if (!rollout.walk)
-      rollout.walk = std::make_unique<ChartWalk<Cell, Desk&, const std::string&>>("weights", rolloutDeeds(), "serving");
+      rollout.walk = std::make_unique<ChartWalk<Cell, Desk&, const std::string&>>(props.loadsWhole ? "weightsWhole" : "weights", rolloutDeeds(), "serving");
     auto& walk = *rollout.walk;
     auto happen = [&](const char* event) {
       std::string before = walk.state();
@@ -321,12 +359,13 @@
         desk.note("rollout", name + " " + walk.state());
       }
     };
-    if (desk.now - keeper.heardAt > goneAfter) continue;
+    if (desk.now - keeper.heardAt > props.goneAfter || (props.apart && keeper.machine.leaving)) continue;
+    if (desk.now - wonAt < pace.commandRest) continue;
     const auto& report = keeper.last;
     bool right = report.weights == *wanted;
     if (walk.in("serving")) {
-      if (right && !report.draining) continue;
-      int room = std::max(1, (workers[report.model] + 2) / 3);
+      if (right && (!report.draining || props.loadsWhole)) continue;
+      int room = std::max(1, (workers[report.model] + props.rolloutParts - 1) / props.rolloutParts);
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
       if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
       if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, desk.now)) continue;
@@ -336,7 +375,9 @@
       happen("wanted");
       continue;
     }
-    bool again = desk.now - rollout.sentAt >= commandAgain && defences.stands(Defence::commandAgain);
+    bool unanswered = rollout.takenAt < rollout.sentAt && desk.now - rollout.sentAt >= commandAgain;
+    bool idled = rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
+    bool again = (props.loadsWhole ? unanswered || idled : desk.now - rollout.sentAt >= commandAgain) && defences.stands(Defence::commandAgain);
     if (rollout.weights != *wanted) {
       rollout.failed = false;
       rollout.weights = *wanted;
@@ -344,8 +385,8 @@
       happen("wanted");
     }
     if (walk.in("marking")) {
-      if (desk.now - rollout.since >= markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, desk.now)))
-        happen(right && report.draining ? "settled" : "cleared");
+      if (desk.now - rollout.since >= props.markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, desk.now)))
+        happen(right && (report.draining || props.loadsWhole) ? "settled" : "cleared");
     } else if (walk.in("draining")) {
       if (right && report.draining)
         happen("settled");
@@ -392,7 +433,7 @@
   auto& speed = speeds[{watch.ask.source, watch.ask.target}];
   speed = Speed{static_cast<double>(watch.ask.hashes.size()) / seconds / 2, desk.now};
   newsDue = true;
-  if (auto source = rows.find(watch.ask.source); source != rows.end()) doubt(desk, source->second, "move came short");
+  if (auto source = rows.find(watch.ask.source); source != rows.end() && !props.apart) doubt(desk, source->second, "move came short");
   desk.note("transfer failed", watch.ask.moveId);
   desk.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, false});
 }
@@ -419,7 +460,7 @@
 }
 
 void Cell::publishNews(Desk& desk) {
-  if (desk.now - publishedAt < (newsDue ? publishEvery : publishIdle)) return;
+  if (desk.now - publishedAt < (newsDue ? props.publishEvery : publishIdle)) return;
   if (!ballot.holds(desk.now)) return;
   publishedAt = desk.now;
   bool light = sequence > 0 && desk.now - summariesAt < summariesEvery;
@@ -427,16 +468,16 @@
   newsDue = light;
   CellNews news{place, ballot.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
   for (auto& [name, keeper] : rows) {
-    if (keeper.summaryStale && !light) {
+    if (keeper.summaryStale && !light && props.summaries) {
       keeper.summary = Summary::make(keeper.kept);
       keeper.summaryStale = false;
     }
     auto rollout = rollouts.find(name);
-    bool held = keeper.last.draining || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
-    bool alive = keeper.known && desk.now - keeper.heardAt < goneAfter;
+    bool held = (keeper.last.draining && !props.loadsWhole) || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
+    bool alive = keeper.known && desk.now - keeper.heardAt < props.goneAfter;
     news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
                                       keeper.last.model, keeper.last.running, keeper.last.slots, held, alive,
-                                      keeper.confirmed, keeper.kept.size(), keeper.last.sequence, light ? std::string() : keeper.summary});
+                                      keeper.confirmed, keeper.kept.size(), keeper.last.sequence, light ? std::string() : keeper.summary, keeper.machine.service});
   }
   for (auto speed = speeds.begin(); speed != speeds.end();) {
     if (desk.now - speed->second.at > speedKept) {
@@ -451,6 +492,7 @@
 
 void Cell::tick(Desk& desk, const Blueprint& blueprint) {
   ballot.tick(desk);
+  lastBlueprint = &blueprint;
   if (!ballot.holds(desk.now)) return;
   askReports(desk);
   moveRollouts(desk, blueprint);
@@ -476,6 +518,8 @@
     if (watches.size() < 4096) watches[watch->moveId] = std::move(made);
   } else if (auto* reply = std::get_if<ControlReply>(&message)) {
     if (reply->code == static_cast<int>(Code::termOld)) ballot.seeTerm(desk, reply->term);
+    if (reply->code == static_cast<int>(Code::done))
+      if (auto rollout = rollouts.find(reply->worker); rollout != rollouts.end()) rollout->second.takenAt = desk.now;
   } else {
     ballot.take(desk, from, message);
   }
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -15,7 +15,7 @@
 struct Keeper {
   Machine machine;
   Report last;
-  Moment heardAt{}, askedAt{}, sweptAt{};
+  Moment heardAt{}, askedAt{}, sweptAt{}, conditionAt{}, conditionAskedAt{};
   bool known{false}, confirmed{false}, askPending{false};
   std::uint64_t applied{0};
   std::unordered_set<BlockHash, BlockHashKey> kept;
@@ -23,11 +23,26 @@
   bool summaryStale{true};
 };
 
+/// How a cell deals with the workers it has, where it is not as with the project's own.
+struct CellProps {
+  /// Reports on kept blocks and on condition are asked apart; machines' own rows tell the weights at first.
+  bool apart{false};
+  /// One command lets runs finish, loads the weights and admits again.
+  bool loadsWhole{false};
+  /// Only the seeds form a fleet; other cores join it.
+  bool seedsForm{false};
+  /// Whether news carry summaries of what each keeper has.
+  bool summaries{true};
+  Span askEvery{50ms}, sweepEvery{1s}, lateAfter{1s}, goneAfter{1500ms}, publishEvery{60ms}, markWait{1s};
+  /// How many workers of a model in this locality may be taken to other weights at once: one in so many.
+  int rolloutParts{3};
+};
+
 /// A locality's cell: its workers, its exact block index, and the commands to its workers. Every core has one for
 /// each locality; only the holder of the cell's duty asks, commands and answers.
 class Cell {
  public:
-  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {});
+  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {}, CellProps cellProps = {});
   Ballot ballot;
   void setMachines(const std::vector<Machine>& machines);
   void tick(Desk& desk, const Blueprint& blueprint);
@@ -48,6 +63,8 @@
     std::string weights, model;
     Moment since{}, sentAt{}, readyAt{};
     std::uint64_t markSequence{0};
+    /// When the worker last said that it has taken the command.
+    Moment takenAt{};
     bool failed{false};
     std::unique_ptr<ChartWalk<Cell, Desk&, const std::string&>> walk;
   };
@@ -62,6 +79,9 @@
   };
   std::string place, selfId, selfAddress;
   Defences defences;
+  CellProps props;
+  Moment wonAt{};
+  const Blueprint* lastBlueprint{nullptr};
   std::map<std::string, Keeper> rows;
   std::map<std::string, Rollout> rollouts;
   std::map<std::string, Watch> watches;
@@ -99,6 +119,8 @@
   void onReport(Desk& desk, const Report& report);
   void onLookup(Desk& desk, const LookupMsg& ask);
   void askReports(Desk& desk);
+  void askCondition(Desk& desk, Keeper& keeper);
+  void onCondition(Desk& desk, Keeper& keeper, const Report& report);
   void moveRollouts(Desk& desk, const Blueprint& blueprint);
   bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
   void moveWatches(Desk& desk);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -6,13 +6,10 @@
 namespace {
 constexpr Span helloEvery = 300ms;
 constexpr Span joinEvery = 1s;
-constexpr Span platformEvery = 300ms;
 constexpr Span agentKept = 2s;
 constexpr Span followerKept = 1s;
-constexpr Span endsEvery = 250ms;
 constexpr Span platformFirst = 600ms;
 constexpr Span readersEvery = 50ms;
-constexpr Span readersWait = pace::freshFor + 30ms;
 constexpr Span operatorWait = 6s;
 constexpr Span passAgain = 700ms;
 constexpr Span stallAfter = 800ms;
@@ -82,10 +79,10 @@
 Cell& Core::cellFor(const std::string& locality) {
   auto& cell = cells[locality];
   if (!cell) {
-    cell = std::make_unique<Cell>(locality, self, locality == props.locality, props.defences);
+    cell = std::make_unique<Cell>(locality, self, locality == props.locality, props.defences, props.cell);
     cell->ballot.restore(Vote{}, startedAt);
     cell->ballot.setVoters(accord->members());
-    cell->setMachines(outlook->machines());
+    cell->setMachines(machinesWithStores());
     cell->allNews = &lastNews;
     cell->publish = [this](Desk& desk, const CellNews& news) { keepNews(desk, news, true); };
   }
@@ -134,8 +131,9 @@
 }
 
 void Core::considerForming(Desk& desk) {
-  if (accord->formed()) return;
+  if (accord->formed() || !props.mayForm) return;
   std::vector<Member> first{self};
+  if (std::find(props.seeds.begin(), props.seeds.end(), self.address) == props.seeds.end() && props.cell.seedsForm) return;
   for (const auto& seed : props.seeds) {
     if (seed == self.address) continue;
     auto found = hellos.find(seed);
@@ -224,7 +222,7 @@
   for (auto row = asked.begin(); row != asked.end();) {
     auto& ask = row->second;
     if (ask.agreed) {
-      if (readersHave(ask, desk.now) || desk.now - ask.agreedAt >= readersWait || !props.defences.stands(Defence::ackWaits)) {
+      if (readersHave(ask, desk.now) || desk.now - ask.agreedAt >= pace.readersWait || !props.defences.stands(Defence::ackWaits)) {
         std::uint64_t reached = 0;
         for (const auto& [address, agent] : agents) reached += agent.relays && desk.now - agent.at < agentKept && agent.applied >= ask.index;
         desk.note("change acked", ask.ask.changeId, static_cast<std::int64_t>(ask.index));
@@ -241,7 +239,8 @@
       row = asked.erase(row);
       continue;
     } else if (ask.sentAt == Moment{} || desk.now - ask.sentAt >= passAgain) {
-      ChangeAsk change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId, ask.ask.sinceRevision};
+      ChangeAsk change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId, ask.ask.sinceRevision,
+                       ask.ask.manner, ask.ask.toRevision};
       if (accord->leads(desk.now)) {
         ask.sentAt = desk.now;
         desk.send(self.address, change);
@@ -255,7 +254,7 @@
 }
 
 bool Core::readersHave(const Asked& row, Moment now) const {
-  if (membersMovedAt != Moment{} && now - membersMovedAt < readersWait) return false;
+  if (membersMovedAt != Moment{} && now - membersMovedAt < pace.readersWait) return false;
   if (row.term != accord->ballot.term() || round.index < row.index || round.having.size() < accord->ballot.quorum() || !round.answered.count(row.leaderAddress)) return false;
   for (const auto& [address, applied] : round.appliedByReader)
     if (applied < row.index) return false;
@@ -275,7 +274,7 @@
 void Core::onReadersAsk(Desk& desk, const std::string& from, const ReadersAsk& ask) {
   ReadersReply reply{ask.roundId, self.id, accord->hasSynced(ask.index, ask.term), {}};
   for (const auto& [address, row] : agents)
-    if (desk.now - row.at < readersWait) reply.readers.push_back(Reader{address, row.applied, (desk.now - row.at).count()});
+    if (desk.now - row.at < pace.readersWait) reply.readers.push_back(Reader{address, row.applied, (desk.now - row.at).count()});
   desk.send(from, reply);
 }
 
@@ -294,11 +293,25 @@
 }
 
 void Core::takeMarks(Desk& desk) {
-  if (cellDigest == outlook->marksDigest()) return;
+  Count stores = 1;
+  for (const auto& store : accord->blueprint().stores()) stores = rendezvous(std::to_string(stores) + store.address, store.service + store.locality);
+  if (cellDigest == outlook->marksDigest() && stores == storesDigest) return;
   cellDigest = outlook->marksDigest();
-  for (const auto& machine : outlook->machines()) cellFor(machine.locality);
-  for (auto& [locality, cell] : cells) cell->setMachines(outlook->machines());
-  desk.note("machines", self.id, static_cast<std::int64_t>(outlook->machines().size()));
+  storesDigest = stores;
+  auto machines = machinesWithStores();
+  for (const auto& machine : machines) cellFor(machine.locality);
+  for (auto& [locality, cell] : cells) cell->setMachines(machines);
+  desk.note("machines", self.id, static_cast<std::int64_t>(machines.size()));
+}
+
+std::vector<Machine> Core::machinesWithStores() const {
+  auto machines = outlook->machines();
+  for (const auto& store : accord->blueprint().stores()) {
+    Machine row{store.service + "@" + store.address, store.address, store.locality, "store", false, {}, {}, {}, 0};
+    row.service = store.service;
+    machines.push_back(std::move(row));
+  }
+  return machines;
 }
 
 void Core::tick(Desk& desk) {
@@ -312,14 +325,16 @@
   for (auto& [locality, cell] : cells) cell->ballot.mayStand = !diskStalled;
   accord->tick(desk);
   for (auto& [locality, cell] : cells) cell->tick(desk, accord->blueprint());
-  if (!props.platformAddress.empty() && desk.now - platformAt >= platformEvery) {
+  bool lists = accord->leads(desk.now) || !outlook->marksKnown() || desk.now - outlook->marksAt() >= pace.listOld;
+  if (!props.platformAddress.empty() && lists && desk.now - platformAt >= pace.listEvery) {
     platformAt = desk.now;
     desk.send(props.platformAddress, MachinesAsk{inNs(desk.now)});
   }
-  if (accord->formed() && desk.now - endsAt >= endsEvery) {
+  if (accord->formed() && desk.now - endsAt >= pace.roundEvery) {
     endsAt = desk.now;
     outlook->ask(desk, accord->blueprint().index(), {}, accord->blueprint());
   }
+  takeMarks(desk);
   settleAsked(desk);
   askReaders(desk);
   for (auto row = agents.begin(); row != agents.end();)
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -10,6 +10,9 @@
   std::vector<std::string> seeds;
   std::vector<std::string> localities;
   std::size_t recordRoom{1 << 20};
+  /// Whether this core may take part in forming a new fleet; one that comes back empty may not.
+  bool mayForm{true};
+  CellProps cell;
   Defences defences;
 };
 
@@ -62,7 +65,7 @@
     std::map<std::string, std::uint64_t> appliedByReader;
   };
   ReadersRound round;
-  Count cellDigest{0};
+  Count cellDigest{0}, storesDigest{0};
   std::map<std::string, HelloReply> hellos;
   std::map<std::string, Asked> asked;
   Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{}, membersMovedAt{};
@@ -83,6 +86,7 @@
   void onReadersAsk(Desk& desk, const std::string& from, const ReadersAsk& ask);
   void onReadersReply(Desk& desk, const std::string& from, const ReadersReply& reply);
   void takeMarks(Desk& desk);
+  std::vector<Machine> machinesWithStores() const;
   void spread(Desk& desk, const Message& message);
   void keepNews(Desk& desk, const CellNews& news, bool own);
   Strings watchFor(const std::string& agent, Moment now) const;
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -4,15 +4,22 @@
 
 namespace tt {
 namespace {
-constexpr Span feedEvery = 100ms;
 constexpr Span shunFor = 2s;
 constexpr Span newsOld = 1500ms;
 constexpr Span staleMost = 2500ms;
 constexpr double unmeasuredSpeed = 1000;
-constexpr Span retrySpan = 5s;
-constexpr Span rolloutMost = 18s;
-constexpr Span retryAtOnce = 1s;
+constexpr Span loadOld = 1s;
+constexpr Span indexRest = 500ms;
+constexpr int mostUnsent = 3;
+constexpr int leastTokens = 64;
+constexpr int leastSaved = 256;
+constexpr double waitingMs = 20;
+constexpr double runningMs = 0.7;
+constexpr double secondMs = 12;
+constexpr double otherMs = 25;
 constexpr int mostTries = 3;
+/// A worker ends an order at its deadline itself; its word is waited for a little longer.
+constexpr Span deadlineSlack = 300ms;
 constexpr std::size_t leastGain = 4;
 }  // namespace
 
@@ -43,14 +50,25 @@
                            {"endRevoked", &Edge::endRevoked},   {"denyLate", &Edge::denyLate},
                            {"denyKey", &Edge::denyKey},         {"dropOrder", &Edge::dropOrder},
                            {"weighUnsent", &Edge::weighUnsent}, {"weighBroken", &Edge::weighBroken},
-                           {"redraw", &Edge::redraw},           {"drawAgain", &Edge::drawAgain}};
+                           {"redraw", &Edge::redraw},           {"drawAgain", &Edge::drawAgain},
+                           {"weighResume", &Edge::weighResume}};
   return table;
 }
 
-Edge::Edge(EdgeProps edgeProps) : props(std::move(edgeProps)) {}
+Edge::Edge(EdgeProps edgeProps) : props(std::move(edgeProps)) {
+  if (auto policy = Policy::read(props.routePolicy)) routePolicy = policy.value();
+}
 
 bool Edge::fresh(Moment now) const { return now < freshUntil && view.index() >= needed; }
 
+bool Edge::ready(Moment now) const {
+  if (!fresh(now) || view.revision() == 0) return false;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers)
+      if (worker.alive && worker.kind != "store") return true;
+  return false;
+}
+
 const WorkerView* Edge::workerView(const std::string& name) const {
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers)
@@ -79,9 +97,9 @@
     auto within = [&](const std::deque<Moment>& moments) {
       return static_cast<double>(moments.end() - std::lower_bound(moments.begin(), moments.end(), now - span));
     };
-    return within(retriedAt) + 1 <= std::max(1.0, props.retryShare * within(admittedAt));
+    return within(retriedAt) + 1 <= std::max(props.retryLeast, props.retryShare * within(admittedAt));
   };
-  return fits(retrySpan) && fits(retryAtOnce);
+  return fits(props.retrySpan) && fits(props.retryAtOnce);
 }
 
 void Edge::verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject) {
@@ -99,6 +117,7 @@
   said.fetched = order.end.fetched + moved;
   said.computed = order.end.computed;
   said.worker = order.plan.worker;
+  said.began = order.began;
   desk.note("verdict " + word, order.ask.orderId, static_cast<int>(code));
   desk.send("caller", said);
 }
@@ -112,7 +131,7 @@
   if (code == Code::staleEdge || code == Code::stopping) {
     least = 500;
   } else if (code == Code::pendingFull) {
-    double pace = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(retrySpan).count());
+    double pace = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(props.retrySpan).count());
     least = static_cast<int>(std::clamp(1000.0 * static_cast<double>(pending.size()) / pace, 300.0, 5000.0));
   } else if (code == Code::noWorker) {
     bool held = false;
@@ -162,12 +181,37 @@
   };
   if (stopping) return deny(Code::stopping);
   if (!fresh(desk.now)) return deny(Code::staleEdge);
+  const RouteView* pathRoute = ask.path.empty() ? nullptr : view.routeFor(ask.host, ask.path);
+  if (!ask.path.empty() && !pathRoute) return deny(Code::unknownRoute, "path");
   order->keyHash = sha256Hex(ask.key);
   auto key = view.findKey(order->keyHash);
-  if (!key) return deny(Code::keyDenied, "authorization");
-  order->tenant = key->tenant;
+  bool open = pathRoute && (pathRoute->open || !view.asksKeys());
+  if (!key && !open) return deny(Code::keyDenied, "authorization");
+  if (key) order->tenant = key->tenant;
+  if (pathRoute) {
+    order->ask.route = pathRoute->name;
+    order->ask.repeatable = pathRoute->repeat == Repeat::safe || pathRoute->resumable;
+    order->urgency = pathRoute->priority;
+    if (key)
+      if (auto tenant = view.findTenant(order->tenant); tenant && tenant->priority) order->urgency = *tenant->priority;
+    Span wait = ask.deadlineMs > 0 ? Span(std::chrono::milliseconds(ask.deadlineMs)) : Span(120s);
+    if (pathRoute->timeout > Span(0)) wait = std::min(wait, pathRoute->timeout);
+    order->deadline = desk.now + wait;
+    double sum = 0;
+    for (const auto& [service, weight] : pathRoute->split) sum += weight;
+    double drawn = static_cast<double>(desk.roll(1000000)) / 1000000 * sum;
+    for (const auto& [service, weight] : pathRoute->split) {
+      order->service = service;
+      if (drawn < weight) break;
+      drawn -= weight;
+    }
+    order->route = *pathRoute;
+    order->policy = pathRoute->policy.empty() ? routePolicy : view.policyOf(pathRoute->policy);
+    if (pending.size() >= props.pendingMost && !makeRoom(desk, order->tenant)) return deny(Code::pendingFull, "pending");
+    return accept(desk, std::move(order));
+  }
   auto route = view.findRoute(ask.route);
-  if (!route) return deny(Code::unknownRoute, "route");
+  if (!route || route->byPath()) return deny(Code::unknownRoute, "route");
   if (!view.knowsModel(ask.model)) return deny(Code::unknownModel, "model");
   if (route->model != ask.model) return deny(Code::badField, "model", "this route serves model " + route->model);
   if (!route->tenants.empty() && !route->tenants.count(order->tenant)) return deny(Code::unknownTenant, "route");
@@ -176,15 +220,169 @@
   if (pending.size() >= props.pendingMost && !makeRoom(desk, order->tenant)) return deny(Code::pendingFull, "pending");
   order->route = *route;
   order->policy = view.policyOf(route->policy);
+  accept(desk, std::move(order));
+}
+
+void Edge::accept(Desk& desk, std::unique_ptr<Order> order) {
+  std::string orderId = order->ask.orderId;
   order->walk = std::make_unique<ChartWalk<Edge, Desk&, Order&>>("order", deeds(), "pending");
   admittedAt.push_back(desk.now);
-  desk.note("admitted", ask.orderId);
-  orders[ask.orderId] = std::move(order);
-  pending.push_back(ask.orderId);
+  desk.note("admitted", orderId);
+  orders[orderId] = std::move(order);
+  pending.push_back(orderId);
   servePending(desk);
 }
 
+int Edge::mostTriesOf(const Order& order) const { return order.route.tries > 0 ? order.route.tries : mostTries; }
+
+Span Edge::pendingMostOf(const Order& order) const {
+  if (!order.route.byPath() || order.route.aim <= Span(0)) return props.pendingWait;
+  return std::min(props.pendingWait, order.route.aim / 5);
+}
+
+double Edge::loadOf(const std::string& worker, Moment now) const {
+  auto found = locals.find(worker);
+  if (found == locals.end()) return 0;
+  const auto& local = found->second;
+  double load = local.unread / props.tokensPerMs + local.open * runningMs;
+  if (now - local.loadAt < loadOld) load += local.waiting * waitingMs + std::max(0, local.running - local.open) * runningMs;
+  return load;
+}
+
+bool Edge::drawByPrefix(Desk& desk, Order& order) {
+  struct Choice {
+    const WorkerView* worker;
+    std::uint64_t rank;
+  };
+  std::size_t shared = order.ask.parts.size() > 1 ? order.ask.parts.size() - 1 : order.ask.parts.size();
+  std::string domain = order.tenant.empty() ? "shared" : view.domainOf(order.tenant);
+  std::string key = domain + "/" + order.ask.model;
+  if (shared > 0) key += "/" + order.ask.parts[shared - 1];
+  bool oldToo = order.ask.model.empty() || mayUseOld(order.ask.model, desk.now);
+  std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
+  std::vector<Choice> ranked;
+  bool anyAlive = false;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers) {
+      if (worker.service != order.service || worker.kind == "store" || !worker.alive || (!staying.count(worker.name) && props.defences.stands(Defence::marksAtDraw))) continue;
+      if (!order.ask.model.empty() && (worker.model != order.ask.model || worker.weights.empty())) continue;
+      ranked.push_back(Choice{&worker, rendezvous(key, worker.name)});
+    }
+  std::sort(ranked.begin(), ranked.end(), [](const Choice& one, const Choice& other) { return one.rank > other.rank; });
+  const WorkerView* best = nullptr;
+  double bestCost = 0;
+  for (std::size_t at = 0; at < ranked.size(); ++at) {
+    const auto& worker = *ranked[at].worker;
+    if (worker.held || (!order.ask.model.empty() && !oldToo && worker.weights != wanted)) continue;
+    anyAlive = true;
+    if (order.tried.count(worker.name)) continue;
+    if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
+    double cost = loadOf(worker.name, desk.now) + (at == 0 ? 0 : at == 1 ? secondMs : otherMs);
+    if (!best || cost < bestCost) {
+      best = &worker;
+      bestCost = cost;
+    }
+  }
+  order.lastCode = anyAlive ? Code::pendingFull : Code::noWorker;
+  if (!best) return false;
+  Plan plan;
+  plan.worker = best->name;
+  plan.address = best->address;
+  plan.locality = best->locality;
+  plan.model = order.ask.model;
+  if (!order.ask.model.empty()) {
+    plan.weights = best->weights;
+    plan.salt = cacheSalt(plan.model, props.defences.stands(Defence::saltWeights) ? plan.weights : "any",
+                          props.defences.stands(Defence::saltTenant) ? domain : "shared");
+    for (const auto& part : order.ask.parts) plan.hashes.push_back(hashPart(plan.salt, part));
+    plan.tokens = order.ask.partTokens;
+    for (int tokens : plan.tokens) plan.unread += tokens;
+    for (std::size_t at = 0; at < ranked.size() && at < 2; ++at) {
+      const auto& home = *ranked[at].worker;
+      if (home.name != plan.worker && home.weights == plan.weights)
+        plan.candidates.push_back(Plan::Candidate{home.name, home.address, home.locality, false, 0, 0, 0});
+    }
+  }
+  order.plan = std::move(plan);
+  auto& local = locals[order.plan.worker];
+  ++local.open;
+  ++local.sentSinceNews;
+  ++openByTenant[order.tenant];
+  order.counted = true;
+  return true;
+}
+
+void Edge::drawRideSources(Order& order, Moment now) {
+  auto& plan = order.plan;
+  bool namesSource = false;
+  for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
+  int shared = 0;
+  for (std::size_t at = 0; at + 1 < plan.tokens.size(); ++at) shared += plan.tokens[at];
+  if (!props.fetching || namesSource || plan.hashes.size() < 2 || shared < leastTokens) return plan.candidates.clear();
+  plan.hashes.pop_back();
+  const WorkerView* store = nullptr;
+  std::uint64_t storeRank = 0;
+  for (const auto& [locality, news] : cells)
+    for (const auto& keeper : news.workers)
+      if (std::uint64_t rank = rendezvous(plan.hashes.back().hex(), keeper.name); keeper.kind == "store" && keeper.alive && (!store || rank > storeRank)) {
+        store = &keeper;
+        storeRank = rank;
+      }
+  if (store) plan.candidates.push_back(Plan::Candidate{store->name, store->address, store->locality, true, 0, 0, 0});
+  plan.candidates.push_back(Plan::Candidate{plan.worker, plan.address, plan.locality, false, 0, 0, 0});
+  auto silent = [&](const Plan::Candidate& candidate) {
+    auto found = indexSilent.find(candidate.locality);
+    return found != indexSilent.end() && now < found->second;
+  };
+  plan.candidates.erase(std::remove_if(plan.candidates.begin(), plan.candidates.end(), silent), plan.candidates.end());
+}
+
+bool Edge::settleRide(Desk& desk, Order& order) {
+  auto& plan = order.plan;
+  auto tokensOf = [&](const Plan::Candidate& candidate) {
+    auto reply = order.replies.find(candidate.name);
+    std::size_t hits = reply == order.replies.end() ? 0 : prefixHits(reply->second);
+    int tokens = 0;
+    for (std::size_t at = 0; at < hits && at < plan.tokens.size(); ++at) tokens += plan.tokens[at];
+    return tokens;
+  };
+  int shared = 0;
+  for (std::size_t at = 0; at < plan.hashes.size(); ++at) shared += plan.tokens[at];
+  int own = 0, most = 0;
+  const Plan::Candidate* store = nullptr;
+  for (const auto& candidate : plan.candidates) {
+    if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = desk.now + indexRest;
+    if (candidate.name == plan.worker) own = tokensOf(candidate);
+    if (candidate.store) store = &candidate;
+  }
+  for (const auto& candidate : plan.candidates) {
+    if (candidate.name == plan.worker) continue;
+    int tokens = tokensOf(candidate);
+    if (auto local = locals.find(candidate.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
+    FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
+    if (tokens < own + leastTokens || !order.policy.fetches(facts)) continue;
+    bool nearer = plan.source && candidate.locality == plan.locality && plan.source->locality != plan.locality;
+    if (tokens < most || (tokens == most && !nearer)) continue;
+    most = tokens;
+    plan.source = candidate;
+  }
+  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved) plan.sinkAddress = store->address;
+  plan.unread -= std::max(own, most);
+  desk.note("prefix tokens", plan.worker, shared);
+  desk.note("prefix kept", plan.worker, own);
+  if (plan.source) desk.note("prefix fetched", plan.source->name, most - own);
+  return plan.source.has_value();
+}
+
+void Edge::readDone(Order& order) {
+  if (!order.unreadCounted) return;
+  order.unreadCounted = false;
+  auto& local = locals[order.plan.worker];
+  local.unread = std::max(0, local.unread - order.plan.unread);
+}
+
 bool Edge::drawWorker(Desk& desk, Order& order) {
+  if (order.route.byPath()) return drawByPrefix(desk, order);
   struct Choice {
     const WorkerView* worker;
     std::size_t hits;
@@ -254,6 +452,7 @@
 }
 
 void Edge::drawSources(Order& order, Moment now) {
+  if (order.route.byPath()) return drawRideSources(order, now);
   auto& plan = order.plan;
   plan.candidates.clear();
   bool namesSource = false;
@@ -301,7 +500,7 @@
     auto found = orders.find(orderId);
     if (found == orders.end()) continue;
     auto& order = *found->second;
-    if (desk.now - order.takenAt >= props.pendingWait || !fresh(desk.now) || stopping) {
+    if (desk.now - order.takenAt >= pendingMostOf(order) || !fresh(desk.now) || stopping) {
       if (!fresh(desk.now)) order.lastCode = Code::staleEdge;
       happen(desk, orderId, "late");
       continue;
@@ -341,6 +540,7 @@
 }
 
 void Edge::freeWorker(Desk&, Order& order) {
+  readDone(order);
   if (!order.counted) return;
   order.counted = false;
   auto& local = locals[order.plan.worker];
@@ -352,7 +552,7 @@
   if (!props.defences.stands(Defence::drawnAgain)) return true;
   const auto* worker = workerView(order.plan.worker);
   if (!worker || !worker->alive || worker->held || !staying.count(worker->name)) return false;
-  return order.route.app || worker->weights == order.plan.weights;
+  return order.route.app || (order.route.byPath() && order.ask.model.empty()) || worker->weights == order.plan.weights;
 }
 
 void Edge::sendOrRedraw(Desk& desk, const std::string& orderId, const std::string& event) {
@@ -370,10 +570,16 @@
   order.heardAt = desk.now;
   orderBySend[order.sendId] = order.ask.orderId;
   desk.note("order sent", order.sendId + " " + order.plan.worker);
-  desk.send(order.plan.address,
-            WorkerOrder{order.sendId, order.plan.model, order.plan.weights, order.plan.salt, order.ask.parts,
-                        order.plan.hashes, order.ask.maxTokens, false, {}, {}, order.tenant, order.route.app,
-                        order.ask.params});
+  WorkerOrder sent{order.sendId, order.plan.model, order.plan.weights, order.plan.salt, order.ask.parts,
+                   order.plan.hashes, order.ask.maxTokens, false, {}, {}, order.tenant, order.route.app,
+                   order.ask.params, order.ask.orderId, order.plan.worker, order.plan.sinkAddress, order.urgency, 0, order.lastPiece, !order.ask.repeatable};
+  if (order.route.byPath()) {
+    sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - desk.now));
+    if (order.plan.source) sent.sourceAddress = order.plan.source->address;
+    locals[order.plan.worker].unread += order.plan.unread;
+    order.unreadCounted = true;
+  }
+  desk.send(order.plan.address, std::move(sent));
 }
 
 void Edge::sendLookup(Desk& desk, Order& order) {
@@ -393,6 +599,12 @@
   desk.note("lookup settled", order.ask.orderId, inMs(desk.now - order.lookupAt));
   plan.source.reset();
   plan.wantedHits = plan.confirmedHits = 0;
+  if (order.route.byPath()) {
+    bool rides = settleRide(desk, order);
+    for (auto row = orderByLookup.begin(); row != orderByLookup.end();)
+      row = row->second == order.ask.orderId ? orderByLookup.erase(row) : std::next(row);
+    return sendOrRedraw(desk, order.ask.orderId, rides ? "rides" : "misses");
+  }
   for (const auto& candidate : plan.candidates) {
     auto reply = order.replies.find(candidate.name);
     std::size_t confirmed = reply == order.replies.end() ? 0 : prefixHits(reply->second);
@@ -464,10 +676,13 @@
 }
 
 bool Edge::cutOff(Moment now) const {
-  return freshUntil != Moment{} && now - freshUntil > staleMost && props.defences.stands(Defence::staleEndsStreams);
+  return !props.openGoOn && freshUntil != Moment{} && now - freshUntil > staleMost && props.defences.stands(Defence::staleEndsStreams);
 }
 
 void Edge::passChunk(Desk& desk, Order& order) {
+  if (!order.began && order.plan.source) desk.note("transfer inferred", order.plan.source->name, inMs(desk.now - order.heardAt));
+  readDone(order);
+  order.began = true;
   desk.send("caller", CallerChunk{order.ask.orderId, order.chunk});
   order.heardAt = desk.now;
 }
@@ -493,17 +708,27 @@
   freeWorker(desk, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
-  order.retryAsked = order.tries < mostTries;
+  if (order.route.byPath() && static_cast<Outcome>(order.end.outcome) == Outcome::brokenUnsent && ++order.unsent <= mostUnsent) --order.tries;
+  order.retryAsked = order.tries < mostTriesOf(order);
   if (!order.retryAsked) denyOrUnknown(desk, order, Code::noWorker);
 }
 
+void Edge::weighResume(Desk& desk, Order& order) {
+  freeWorker(desk, order);
+  order.tried.insert(order.plan.worker);
+  orderBySend.erase(order.sendId);
+  order.mayHaveRun = true;
+  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(desk.now);
+  if (!order.retryAsked) verdict(desk, order, "failed", Code::workerBroke, order.plan.worker);
+}
+
 void Edge::weighBroken(Desk& desk, Order& order) {
   freeWorker(desk, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   order.mayHaveRun = props.defences.stands(Defence::unknownOnceSent);
   bool mayRepeat = order.ask.repeatable || !props.defences.stands(Defence::retryOnlyRepeatable);
-  order.retryAsked = mayRepeat && order.tries < mostTries;
+  order.retryAsked = mayRepeat && order.tries < mostTriesOf(order);
   if (!order.retryAsked) denyOrUnknown(desk, order, Code::workerBroke, order.plan.worker);
 }
 
@@ -518,7 +743,7 @@
 }
 
 void Edge::revokeOpen(Desk& desk) {
-  if (!props.defences.stands(Defence::revokeEndsStreams)) return;
+  if (!props.defences.stands(Defence::revokeEndsStreams) || props.openGoOn) return;
   std::vector<std::string> revoked;
   for (const auto& [orderId, order] : orders)
     if (!view.findKey(order->keyHash)) revoked.push_back(orderId);
@@ -539,7 +764,7 @@
   if (!props.defences.stands(Defence::oldWeightsEnd)) return true;
   auto named = namedByModel.find(model);
   if (named == namedByModel.end() || named->second.weights.empty()) return true;
-  if (named->second.since && now - *named->second.since < rolloutMost) return true;
+  if (named->second.since && now - *named->second.since < pace.rolloutMost) return true;
   bool givenUp = false;
   for (const auto& [locality, news] : cells) {
     for (const auto& worker : news.workers)
@@ -558,13 +783,13 @@
 }
 
 void Edge::tick(Desk& desk) {
-  if (desk.now - feedAt >= feedEvery) {
+  if (desk.now - feedAt >= pace.feedEvery) {
     feedAt = desk.now;
     std::vector<CellMark> rows;
     for (const auto& [locality, news] : cells) rows.push_back(CellMark{locality, news.term, news.sequence});
     desk.send(props.agentAddress, FeedAsk{inNs(desk.now), view.index(), rows, marksDigest});
     for (auto* moments : {&admittedAt, &retriedAt, &doneAt})
-      while (!moments->empty() && desk.now - moments->front() > retrySpan) moments->pop_front();
+      while (!moments->empty() && desk.now - moments->front() > props.retrySpan) moments->pop_front();
   }
   std::vector<std::string> ids;
   for (const auto& [orderId, order] : orders) ids.push_back(orderId);
@@ -584,7 +809,9 @@
     }
     if (order.walk->in("lookup") && desk.now - order.lookupAt >= props.lookupWait && props.defences.stands(Defence::lookupExpires))
       settleLookup(desk, order);
-    else if (order.walk->in("sent") && desk.now - order.heardAt >= props.firstByteWait)
+    else if (order.route.byPath() && !order.walk->in("pending")) {
+      if (desk.now >= order.deadline + deadlineSlack) happen(desk, orderId, "silent");
+    } else if (order.walk->in("sent") && desk.now - order.heardAt >= props.firstByteWait)
       happen(desk, orderId, "silent");
     else if (order.walk->in("streaming") && desk.now - order.heardAt >= props.chunkWait)
       happen(desk, orderId, "silent");
@@ -608,6 +835,7 @@
     std::string orderId = sent->second;
     auto& order = *orders.at(orderId);
     order.chunk = chunk->text;
+    if (!chunk->piece.empty()) order.lastPiece = chunk->piece;
     bool late = cutOff(desk.now);
     if (late) order.lastCode = Code::staleEdge;
     happen(desk, orderId, late ? "revoked" : "chunk");
@@ -633,15 +861,23 @@
                         : outcome == Outcome::failed       ? "failed"
                         : outcome == Outcome::silent       ? "silent"
                                                            : "broken";
+    if (order.walk->in("streaming") && order.route.resumable && (outcome == Outcome::broken || outcome == Outcome::denied || outcome == Outcome::brokenUnsent)) event = "cut";
     if (outcome == Outcome::broken && order.walk->in("streaming") && !props.defences.stands(Defence::retryBeforeBytes)) event = "brokenAnew";
     happen(desk, orderId, event);
     servePending(desk);
+  } else if (auto* load = std::get_if<WorkerLoad>(&message)) {
+    auto sent = orderBySend.find(load->orderId);
+    if (sent == orderBySend.end()) return;
+    auto& local = locals[orders.at(sent->second)->plan.worker];
+    local.running = load->running;
+    local.waiting = load->waiting;
+    local.loadAt = desk.now;
   } else if (from != props.agentAddress) {
     return;
   } else if (auto* feed = std::get_if<FeedReply>(&message)) {
     agentHeard = desk.now;
     if (!feed->known) return;
-    Moment until = fromNs(feed->sentAt) - Span(feed->age) + pace::freshFor;
+    Moment until = fromNs(feed->sentAt) - Span(feed->age) + pace.freshFor;
     if (feed->age < 0 || until <= freshUntil) return;
     if (view.index() >= feed->needed) {
       freshUntil = until;
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -15,6 +15,17 @@
   double blockMs{4};
   double retryShare{0.1};
   Span lookupWait{200ms};
+  /// A source rides on the caller's own order; moves are no orders of their own.
+  bool sourceRides{false};
+  /// Orders under way go on when their key is revoked or this proxy is cut off; only new ones are denied.
+  bool openGoOn{false};
+  /// The policy of routes that name none.
+  std::string routePolicy;
+  /// Prompt tokens that a worker reads in a millisecond, about.
+  double tokensPerMs{100};
+  /// Repeat tries that one proxy may always have within the retry span.
+  double retryLeast{1};
+  Span retrySpan{5s}, retryAtOnce{1s};
   Defences defences;
 };
 
@@ -31,6 +42,10 @@
   };
   std::vector<Candidate> candidates;
   std::optional<Candidate> source;
+  /// Tokens of each of a prompt's parts; how many the worker is known to keep, and where it should save them.
+  std::vector<int> tokens;
+  std::string sinkAddress;
+  int unread{0};
   /// What a move would bring, and what of it the exact index has confirmed; the same but in control runs.
   std::size_t wantedHits{0}, confirmedHits{0};
 };
@@ -44,6 +59,8 @@
   void tick(Desk& desk) override;
   std::string condition(Moment now) const;
   bool fresh(Moment now) const;
+  /// Whether orders can be taken: fresh, something declared, some worker known to live.
+  bool ready(Moment now) const;
   const Blueprint& blueprint() const { return view; }
   std::size_t openOrders() const { return orders.size(); }
   /// Takes no more orders; those under way go on.
@@ -60,7 +77,10 @@
     std::set<std::string> tried;
     int tries{0}, movedBlocks{0};
     bool mayHaveRun{false}, counted{false}, retryAsked{false};
-    Moment takenAt{}, heardAt{}, lookupAt{};
+    Moment takenAt{}, heardAt{}, lookupAt{}, deadline{};
+    std::string service, lastPiece;
+    int urgency{5}, unsent{0};
+    bool unreadCounted{false}, began{false};
     std::map<std::string, std::vector<int>> replies;
     Code lastCode{Code::noWorker};
     WorkerEnd end;
@@ -76,6 +96,9 @@
     int open{0};
     int sentSinceNews{0};
     Moment shunUntil{};
+    /// Prompt tokens sent from here and not yet read there, and the load it last told of.
+    int unread{0}, running{0}, waiting{0};
+    Moment loadAt{};
   };
   EdgeProps props;
   Blueprint view;
@@ -104,6 +127,9 @@
     std::optional<Moment> since;
   };
   std::map<std::string, Named> namedByModel;
+  Policy routePolicy;
+  /// Localities whose index has not answered of late: not asked again before this moment.
+  std::map<std::string, Moment> indexSilent;
   bool stopping{false}, wasFresh{false};
 
   using Deeds = ChartWalk<Edge, Desk&, Order&>::Deeds;
@@ -124,13 +150,22 @@
   void dropOrder(Desk& desk, Order& order);
   void weighUnsent(Desk& desk, Order& order);
   void weighBroken(Desk& desk, Order& order);
+  void weighResume(Desk& desk, Order& order);
   void redraw(Desk& desk, Order& order);
   void drawAgain(Desk& desk, Order& order);
 
   void admit(Desk& desk, const CallerOrder& ask);
+  void accept(Desk& desk, std::unique_ptr<Order> order);
   void happen(Desk& desk, const std::string& orderId, const std::string& event);
   bool drawWorker(Desk& desk, Order& order);
   void drawSources(Order& order, Moment now);
+  bool drawByPrefix(Desk& desk, Order& order);
+  void drawRideSources(Order& order, Moment now);
+  bool settleRide(Desk& desk, Order& order);
+  double loadOf(const std::string& worker, Moment now) const;
+  void readDone(Order& order);
+  int mostTriesOf(const Order& order) const;
+  Span pendingMostOf(const Order& order) const;
   void settleLookup(Desk& desk, Order& order);
   void settleMove(Desk& desk, const std::string& moveId, bool success);
   void servePending(Desk& desk);
--- /dev/null
+++ b/src/gate.hpp
@@ -0,0 +1,83 @@
+#pragma once
+#ifndef ASIO_STANDALONE
+#define ASIO_STANDALONE
+#endif
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "base.hpp"
+#include "http.hpp"
+
+namespace tt {
+
+/// What callers may take of the gate.
+struct GateLimits {
+  std::size_t headerBytes{16384}, bodyBytes{4u << 20};
+  /// How long a head may take from its first byte, and a body may go without a byte.
+  Span headerWait{3s};
+  /// How long a connection without a request is kept.
+  Span idleWait{15s};
+  /// How long an idle connection is kept once the gate is leaving.
+  Span idleClose{300ms};
+};
+
+/// One whole and sound request; the body is decoded from its chunks.
+struct GateRequest {
+  std::string method, target;
+  HttpHeaders headers;
+  std::string body;
+};
+
+/// One exchange. Safe to keep after the caller has gone: calls then do nothing.
+/// Whoever lets go of the last reference before the end cuts the answer.
+class GateAnswer {
+ public:
+  virtual ~GateAnswer() = default;
+  /// Starts the answer; without a length the body goes in chunks.
+  virtual void head(int status, const HttpHeaders& headers, std::optional<std::size_t> length) = 0;
+  virtual void bytes(std::string_view bytes) = 0;
+  /// The answer is whole. One whose length was not filled is cut.
+  virtual void end() = 0;
+  /// Ends the connection so that the answer cannot look whole.
+  virtual void cut() = 0;
+  /// Called once if the caller goes away before the end (EOF, reset or write error), also while nothing is being written;
+  /// never from within a call on this answer, and not when the gate itself is closed.
+  virtual void onGone(std::function<void()> gone) = 0;
+  /// Bytes not yet taken by the socket.
+  virtual std::size_t unwritten() const = 0;
+  virtual bool started() const = 0;
+};
+using GateHandler = std::function<void(GateRequest, std::shared_ptr<GateAnswer>)>;
+
+/// The door for callers: an HTTP/1.1 server that lets in only sound requests. All on the context's one thread.
+/// The gate is to be closed or destroyed before its context.
+class Gate {
+ public:
+  /// The address is ip:port; port 0 takes a free one.
+  Gate(asio::io_context& context, std::string address, GateHandler handler);
+  ~Gate();
+  Result<void> open();
+  /// The port listened at, once open.
+  unsigned short port() const;
+  /// For requests that begin from now on.
+  void setLimits(const GateLimits& limits);
+  /// From now on every answer says Connection: close, and connections without a request are closed after idleClose.
+  /// New connections are still taken and served.
+  void leave();
+  /// Stops accepting and closes all connections.
+  void close();
+  /// Open connections.
+  std::size_t connections() const;
+  /// Exchanges under way: handed over, and their answers not yet wholly taken by the socket.
+  std::size_t exchanges() const;
+
+ private:
+  struct Inner;
+  class Connection;
+  class Answer;
+  std::shared_ptr<Inner> inner;
+};
+
+}  // namespace tt
--- a/src/messages.hpp
+++ b/src/messages.hpp
@@ -25,14 +25,16 @@
 void stow(Archive& archive, T& value);
 
 /// Things that messages carry.
-TT_STRUCT(Entry, ((Count, index))((Count, term))((int, kind))((std::string, body))((std::string, changeId)))
+/// An entry's revision is the one it makes; 0 is the next one.
+TT_STRUCT(Entry, ((Count, index))((Count, term))((int, kind))((std::string, body))((std::string, changeId))((Count, revision)))
 TT_STRUCT(Member, ((std::string, id))((std::string, name))((std::string, address))((std::string, locality))((bool, votes)))
-TT_STRUCT(Machine, ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))((bool, leaving)))
+TT_STRUCT(Machine, ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))((bool, leaving))
+                   ((std::string, service))((std::string, model))((std::string, weights))((int, slots)))
 TT_STRUCT(CellMark, ((std::string, locality))((Count, term))((Count, sequence)))
 TT_STRUCT(WorkerView,
           ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))
           ((std::string, weights))((std::string, model))((int, running))((int, slots))((bool, held))((bool, alive))
-          ((bool, confirmed))((Count, kept))((Count, reportSequence))((std::string, summary)))
+          ((bool, confirmed))((Count, kept))((Count, reportSequence))((std::string, summary))((std::string, service)))
 TT_STRUCT(LinkSpeed, ((std::string, source))((std::string, target))((double, blocksPerSecond)))
 TT_STRUCT(KeptEvent, ((Count, sequence))((int, kind))((Hashes, hashes)))
 TT_STRUCT(Reader, ((std::string, address))((Count, applied))((std::int64_t, age)))
@@ -58,7 +60,7 @@
   X(FormMsg, ((std::vector<Member>, members)))                                                                      \
   X(JoinAsk, ((Member, self)))                                                                                      \
   X(ChangeAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))               \
-                   ((std::string, changeId))((std::int64_t, sinceRevision)))                                        \
+                   ((std::string, changeId))((std::int64_t, sinceRevision))((int, manner))((std::int64_t, toRevision)))                                        \
   X(ChangeReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))((Count, revision))\
                      ((Count, index))((Count, term)))                                                                              \
   /* news */                                                                                                        \
@@ -86,16 +88,19 @@
   /* back ends: HTTP and JSON on real machines, these structs in sim */                                             \
   X(WorkerOrder, ((std::string, orderId))((std::string, model))((std::string, weights))((std::string, cacheSalt))   \
                      ((Strings, parts))((Hashes, hashes))((int, maxTokens))((bool, moves))((std::string, transferId))\
-                     ((std::string, sourceAddress))((std::string, tenant))((bool, app))((std::string, params)))                            \
+                     ((std::string, sourceAddress))((std::string, tenant))((bool, app))((std::string, params))       \
+                     ((std::string, callerOrderId))((std::string, worker))((std::string, sinkAddress))((int, urgency)) \
+                     ((std::int64_t, deadlineMs))((std::string, resumeAfter))((bool, once)))                        \
   X(WorkerDrop, ((std::string, orderId)))                                                                           \
-  X(WorkerChunk, ((std::string, orderId))((std::string, text)))                                                     \
+  X(WorkerLoad, ((std::string, orderId))((int, running))((int, waiting))((int, slots)))                                      \
+  X(WorkerChunk, ((std::string, orderId))((std::string, text))((std::string, piece)))                                                    \
   X(WorkerEnd, ((std::string, orderId))((int, outcome))((int, code))((int, local))((int, fetched))((int, computed)))\
-  X(ReportAsk, ((Count, after))((std::string, incarnation))((bool, whole)))                                         \
+  X(ReportAsk, ((Count, after))((std::string, incarnation))((bool, whole))((int, scope))((std::string, worker)))                                        \
   X(Report, ((std::string, worker))((std::string, incarnation))((std::string, weights))((std::string, model))       \
                 ((int, running))((int, slots))((Count, sequence))((std::vector<KeptEvent>, events))((bool, whole))  \
-                ((Hashes, kept))((bool, draining))((Count, term)))                                                  \
+                ((Hashes, kept))((bool, draining))((Count, term))((int, scope))((bool, gaps))((bool, lost)))                                                 \
   X(ControlAsk, ((Count, term))((std::string, holder))((std::string, action))((std::string, model))                 \
-                    ((std::string, weights))((std::string, incarnation)))                                           \
+                    ((std::string, weights))((std::string, incarnation))((std::string, worker)))                    \
   X(ControlReply, ((std::string, worker))((Count, term))((int, code)))                                              \
   X(PullAsk, ((std::string, pullId))((Hashes, hashes)))                                                             \
   X(PullReply, ((std::string, pullId))((Hashes, hashes))((Strings, origins)))                                       \
@@ -105,14 +110,16 @@
   /* callers and operators */                                                                                       \
   X(CallerOrder, ((std::string, orderId))((std::string, key))((std::string, route))((std::string, model))           \
                      ((Strings, parts))((bool, repeatable))((int, maxTokens))((std::string, tenant))                \
-                     ((Strings, modes))((std::string, params)))                                                                            \
+                     ((Strings, modes))((std::string, params))                                                      \
+                     ((std::string, host))((std::string, path))((std::vector<int>, partTokens))                     \
+                     ((std::int64_t, deadlineMs))((std::string, resumeAfter))((int, tokensIn)))                      \
   X(CallerGone, ((std::string, orderId)))                                                                           \
   X(CallerChunk, ((std::string, orderId))((std::string, text)))                                                     \
   X(CallerVerdict, ((std::string, orderId))((std::string, verdict))((int, code))((std::string, subject))            \
                        ((std::string, text))((int, retryAfterMs))((int, tries))((int, local))((int, fetched))       \
-                       ((int, computed))((std::string, worker)))                                                    \
+                       ((int, computed))((std::string, worker))((bool, began)))                                    \
   X(OperatorAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
-                     ((std::string, changeId))((std::int64_t, sinceRevision)))                                      \
+                     ((std::string, changeId))((std::int64_t, sinceRevision))((int, manner))((std::int64_t, toRevision)))                                      \
   X(OperatorReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
                        ((Count, revision))((Count, reached)))
 
@@ -144,6 +151,11 @@
 enum class Outcome : int { done = 0, denied = 1, brokenUnsent = 2, broken = 3, failed = 4, silent = 5 };
 /// What an entry in the log is.
 enum class EntryKind : int { empty = 0, change = 1, members = 2, whole = 3 };
+/// What a report tells of: all, the kept blocks only, or the worker's condition only.
+enum class Scope : int { all = 0, index = 1, condition = 2 };
+/// What a change's body is: a patch that is merged; the whole; sections that are each made to be just this; items that
+/// each replace what stood under their name.
+enum class Manner : int { patch = 0, whole = 1, sections = 2, items = 3 };
 /// What happened to kept blocks.
 enum class KeptKind : int { stored = 0, removed = 1, cleared = 2 };
 
--- a/src/outlook.hpp
+++ b/src/outlook.hpp
@@ -28,7 +28,7 @@
   bool offerMarks(const std::vector<Machine>& machines, Moment askedAt);
   /// The moment up to which the view is known to be complete.
   Moment stamp() const { return completeUntil; }
-  bool fresh(Moment now) const { return completeUntil != Moment{} && now < completeUntil + pace::freshFor; }
+  bool fresh(Moment now) const { return completeUntil != Moment{} && now < completeUntil + pace.freshFor; }
   Strings coreAddresses(const Blueprint& view) const;
   /// The core that has lately told of the highest commit beyond an index; empty if none has.
   std::string furthestCore(Moment now, Count beyond) const;
--- a/src/web.cpp
+++ b/src/web.cpp
@@ -82,6 +82,7 @@
       case 403: return "Forbidden";
       case 404: return "Not Found";
       case 409: return "Conflict";
+      case 412: return "Precondition Failed";
       case 413: return "Payload Too Large";
       case 429: return "Too Many Requests";
       case 503: return "Service Unavailable";
@@ -131,6 +132,7 @@
         ask.path = std::string(request->header().path());
         ask.query = readQuery(request->header().query());
         ask.body = request->body();
+        request->header().for_each_field([&](const auto& field) { ask.headers.emplace_back(field.name(), field.value()); });
         std::string authorization = request->header().get_field_or(restinio::http_field::authorization, "");
         if (authorization.rfind("Bearer ", 0) == 0) ask.bearer = authorization.substr(7);
         handler(std::move(ask), std::make_shared<RestAnswer>(request));
--- a/src/web.hpp
+++ b/src/web.hpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "host.hpp"
+#include "http.hpp"
 #include "json.hpp"
 
 namespace tt {
@@ -14,6 +15,7 @@
 struct WebAsk {
   std::string method, path, body, bearer;
   std::map<std::string, std::string> query;
+  HttpHeaders headers;
 };
 /// An HTTP exchange being answered, in one go or as a stream of lines. Safe to use from any thread.
 class WebAnswer {
--- /dev/null
+++ b/tests/calls.cpp
@@ -0,0 +1,611 @@
+#include <criterion/criterion.h>
+
+#include <sys/socket.h>
+
+#include "calls.hpp"
+
+using namespace tt;
+
+namespace {
+
+/// A server that knows nothing of HTTP but where a request with or without Content-Length ends; a script does the rest.
+class RawServer {
+ public:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+    asio::ip::tcp::socket socket;
+    std::string got, unread;
+    std::array<char, 16384> piece{};
+    std::size_t number{0}, requests{0};
+    bool ended{false};
+    void say(const std::string& text) {
+      asio::error_code error;
+      asio::write(socket, asio::buffer(text), error);
+    }
+    void close() {
+      asio::error_code error;
+      socket.close(error);
+    }
+    void reset() {
+      asio::error_code error;
+      socket.set_option(asio::socket_base::linger(true, 0), error);
+      socket.close(error);
+    }
+  };
+  using Held = std::shared_ptr<Connection>;
+  using Script = std::function<void(const Held&, const std::string& request)>;
+
+  RawServer(asio::io_context& context, Script answering)
+      : script(std::move(answering)), acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    accept();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+  /// How often some bytes came over all connections.
+  std::size_t copies(const std::string& marker) const {
+    std::size_t count = 0;
+    for (const auto& held : connections)
+      for (auto at = held->got.find(marker); at != std::string::npos; at = held->got.find(marker, at + 1)) ++count;
+    return count;
+  }
+  std::vector<Held> connections;
+  Script script;
+  std::function<void(const Held&)> onPiece;
+
+ private:
+  asio::ip::tcp::acceptor acceptor;
+  void accept() {
+    acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      socket.set_option(asio::ip::tcp::no_delay(true));
+      auto held = std::make_shared<Connection>(std::move(socket));
+      held->number = connections.size();
+      connections.push_back(held);
+      read(held);
+      accept();
+    });
+  }
+  void read(const Held& held) {
+    held->socket.async_read_some(asio::buffer(held->piece), [this, held](const asio::error_code& error, std::size_t bytes) {
+      if (error) {
+        held->ended = true;
+        return;
+      }
+      held->got.append(held->piece.data(), bytes);
+      held->unread.append(held->piece.data(), bytes);
+      if (onPiece) onPiece(held);
+      while (auto request = whole(*held)) {
+        ++held->requests;
+        script(held, *request);
+      }
+      if (held->socket.is_open()) read(held);
+    });
+  }
+  static std::optional<std::string> whole(Connection& connection) {
+    auto end = connection.unread.find("\r\n\r\n");
+    if (end == std::string::npos) return std::nullopt;
+    std::size_t size = end + 4;
+    auto length = connection.unread.find("Content-Length: ");
+    if (length < end) size += std::stoul(connection.unread.substr(length + 16));
+    if (connection.unread.size() < size) return std::nullopt;
+    auto request = connection.unread.substr(0, size);
+    connection.unread.erase(0, size);
+    return request;
+  }
+};
+
+struct Seen {
+  std::uint64_t id{0};
+  int heads{0}, ends{0};
+  HttpHead head;
+  std::string body;
+  std::vector<std::string> pieces;
+  HttpEnd end;
+};
+
+struct Bench {
+  asio::io_context io;
+  HttpCalls calls{io};
+
+  HttpCall call(const RawServer& server, std::string target = "/", std::string method = "GET", std::string body = {}) {
+    HttpCall made;
+    made.method = std::move(method);
+    made.address = server.address();
+    made.target = std::move(target);
+    made.body = std::move(body);
+    return made;
+  }
+  std::shared_ptr<Seen> start(HttpCall made) {
+    auto seen = std::make_shared<Seen>();
+    seen->id = calls.start(
+        std::move(made),
+        [seen](const HttpHead& head) {
+          ++seen->heads;
+          seen->head = head;
+        },
+        [seen](std::string_view bytes) {
+          seen->body += bytes;
+          seen->pieces.emplace_back(bytes);
+        },
+        [seen](const HttpEnd& end) {
+          ++seen->ends;
+          seen->end = end;
+        });
+    return seen;
+  }
+  bool until(const std::function<bool()>& done, Span most = 5s) {
+    auto limit = Clock::now() + most;
+    while (!done() && Clock::now() < limit) {
+      io.restart();
+      io.run_one_until(limit);
+    }
+    return done();
+  }
+  void pass(Span span) {
+    until([] { return false; }, span);
+  }
+  std::shared_ptr<Seen> finish(HttpCall made) {
+    auto seen = start(std::move(made));
+    cr_assert(until([&] { return seen->ends > 0; }), "the call must end");
+    return seen;
+  }
+};
+
+std::string okay(const std::string& body, const std::string& headers = {}) {
+  return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+std::string headOf(const std::string& request) { return request.substr(0, request.find("\r\n\r\n") + 4); }
+
+/// The second request on a kept connection is read whole and the connection ended without a byte of answer.
+void refusesToResend(const std::string& method, const std::string& body, bool byReset) {
+  Bench bench;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/first") != std::string::npos || held->number > 0) return held->say(okay("fine"));
+    if (byReset) return held->reset();
+    held->close();
+  });
+  cr_assert(bench.finish(bench.call(server, "/first"))->end.how == HttpHow::whole);
+  auto call = bench.call(server, "/second", method, body);
+  call.once = true;
+  auto seen = bench.finish(call);
+  bench.pass(20ms);
+  cr_assert_eq(seen->ends, 1);
+  cr_assert_eq(server.copies("/second"), 1u, "one copy over all connections, not %zu", server.copies("/second"));
+  cr_assert(seen->end.how == HttpHow::broken);
+  cr_assert(!seen->end.trouble.empty());
+  cr_assert_eq(seen->heads, 0);
+  cr_assert_eq(bench.calls.connectionsOpened(), 1u, "the request went out on the kept connection");
+}
+
+}  // namespace
+
+Test(calls, a_call_for_once_is_not_sent_again_when_a_kept_connection_closes) {
+  refusesToResend("POST", "some body", false);
+  refusesToResend("POST", "some body", true);
+}
+Test(calls, a_call_for_once_without_a_body_is_not_sent_again) {
+  refusesToResend("GET", "", false);
+  refusesToResend("POST", "", false);
+  refusesToResend("DELETE", "", true);
+}
+Test(calls, a_call_for_once_with_a_big_body_is_not_sent_again) {
+  refusesToResend("POST", std::string(3u << 20, 'x'), false);
+  refusesToResend("POST", std::string(100u << 10, 'x'), true);
+}
+
+Test(calls, a_call_for_once_is_not_sent_again_over_another_kept_connection) {
+  Bench bench;
+  std::vector<RawServer::Held> waiting;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/first") == std::string::npos) return held->close();
+    waiting.push_back(held);
+    if (waiting.size() == 8)
+      for (auto& each : waiting) each->say(okay("fine"));
+  });
+  std::vector<std::shared_ptr<Seen>> firsts;
+  for (int count = 0; count < 8; ++count) firsts.push_back(bench.start(bench.call(server, "/first")));
+  cr_assert(bench.until([&] {
+    return std::all_of(firsts.begin(), firsts.end(), [](const auto& each) { return each->ends == 1; });
+  }));
+  cr_assert_eq(bench.calls.connectionsOpened(), 8u);
+  auto call = bench.call(server, "/second", "POST", "some body");
+  call.once = true;
+  auto seen = bench.finish(call);
+  bench.pass(20ms);
+  cr_assert(seen->end.how == HttpHow::broken);
+  cr_assert_eq(server.copies("/second"), 1u);
+  cr_assert_eq(server.copies("some body"), 1u);
+}
+
+Test(calls, a_call_for_once_cut_off_midway_through_its_body_is_not_sent_again) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine")); });
+  server.onPiece = [](const RawServer::Held& held) {
+    if (held->got.find("/second") != std::string::npos) held->reset();
+  };
+  cr_assert(bench.finish(bench.call(server, "/first"))->end.how == HttpHow::whole);
+  auto call = bench.call(server, "/second", "POST", std::string(8u << 20, 'x'));
+  call.once = true;
+  auto seen = bench.finish(call);
+  bench.pass(20ms);
+  cr_assert(seen->end.how == HttpHow::broken);
+  cr_assert_eq(server.copies("/second"), 1u);
+}
+
+Test(calls, without_once_the_library_sends_again_which_shows_that_the_tests_above_see_it) {
+  Bench bench;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/first") != std::string::npos || held->number > 0) return held->say(okay("fine"));
+    held->close();
+  });
+  bench.finish(bench.call(server, "/first"));
+  auto seen = bench.finish(bench.call(server, "/second", "POST", "some body"));
+  cr_assert(seen->end.how == HttpHow::whole);
+  cr_assert_eq(server.copies("/second"), 2u);
+}
+
+Test(calls, an_idle_connection_that_the_peer_closed_is_not_used) {
+  for (bool byReset : {false, true}) {
+    Bench bench;
+    RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine")); });
+    cr_assert(bench.finish(bench.call(server, "/first"))->end.how == HttpHow::whole);
+    byReset ? server.connections[0]->reset() : server.connections[0]->close();
+    bench.pass(10ms);
+    auto call = bench.call(server, "/second", "POST", "some body");
+    call.once = true;
+    auto seen = bench.finish(call);
+    cr_assert(seen->end.how == HttpHow::whole);
+    cr_assert_eq(seen->body, "fine");
+    cr_assert_eq(server.copies("/second"), 1u);
+    cr_assert_eq(bench.calls.connectionsOpened(), 2u);
+  }
+}
+
+Test(calls, bytes_that_came_unasked_on_an_idle_connection_are_no_answer) {
+  for (bool closes : {false, true}) {
+    Bench bench;
+    RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine")); });
+    cr_assert(bench.finish(bench.call(server, "/first"))->end.how == HttpHow::whole);
+    server.connections[0]->say("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+    if (closes) server.connections[0]->close();
+    bench.pass(10ms);
+    auto call = bench.call(server, "/second", "POST", "some body");
+    call.once = true;
+    auto seen = bench.finish(call);
+    cr_assert(seen->end.how == HttpHow::whole);
+    cr_assert_eq(seen->head.status, 200, "got %d", seen->head.status);
+    cr_assert_eq(server.copies("/second"), 1u);
+  }
+}
+
+Test(calls, a_refused_connection_is_unsent_and_so_is_one_that_never_stands) {
+  Bench bench;
+  std::string address;
+  {
+    asio::ip::tcp::acceptor gone(bench.io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    address = "127.0.0.1:" + std::to_string(gone.local_endpoint().port());
+  }
+  HttpCall call;
+  call.address = address;
+  auto seen = bench.finish(call);
+  cr_assert(seen->end.how == HttpHow::unsent);
+  cr_assert(!seen->end.trouble.empty());
+
+  // A listening socket with a full queue lets no further connection stand.
+  asio::ip::tcp::acceptor full(bench.io, asio::ip::tcp::v4());
+  full.bind(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  full.listen(0);
+  std::vector<asio::ip::tcp::socket> filling;
+  for (int count = 0; count < 4; ++count) {
+    filling.emplace_back(bench.io);
+    filling.back().async_connect(full.local_endpoint(), [](const asio::error_code&) {});
+  }
+  bench.pass(5ms);
+  call.address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+  call.connectWait = 40ms;
+  seen = bench.finish(call);
+  cr_assert(seen->end.how == HttpHow::unsent);
+  cr_assert_eq(bench.calls.connectionsOpened(), 0u);
+}
+
+Test(calls, what_cannot_be_sent_ends_unsent_and_not_within_start) {
+  Bench bench;
+  std::vector<HttpCall> wrong(5);
+  for (auto& call : wrong) call.address = "127.0.0.1:1";
+  wrong[0].address = "localhost:80";
+  wrong[1].target = "/a b";
+  wrong[2].headers = {{"X-A", "1\r\nX-B: 2"}};
+  wrong[3].method = "GET /";
+  wrong[4].headers = {{"X A", "1"}};
+  for (auto& call : wrong) {
+    auto seen = bench.start(call);
+    cr_assert_eq(seen->ends, 0);
+    cr_assert(bench.until([&] { return seen->ends == 1; }));
+    cr_assert(seen->end.how == HttpHow::unsent);
+  }
+  auto dropped = bench.start(wrong[0]);
+  bench.calls.drop(dropped->id);
+  bench.pass(5ms);
+  cr_assert_eq(dropped->ends, 0);
+}
+
+Test(calls, the_request_goes_out_byte_for_byte) {
+  Bench bench;
+  std::string got;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    got = request;
+    held->say(okay(""));
+  });
+  auto call = bench.call(server, "/a/../b/./%7Ec//d?q=%20&r=[x]|{y}", "POST", "{\"a\": 1}");
+  call.headers = {{"x-Lower", "1"}, {"X-UPPER", "two  words "}, {"Accept", "text/event-stream"}, {"x-empty", ""}, {"x-Lower", "again"}};
+  bench.finish(call);
+  cr_assert_eq(got, "POST /a/../b/./%7Ec//d?q=%20&r=[x]|{y} HTTP/1.1\r\nHost: " + server.address() +
+                    "\r\nx-Lower: 1\r\nX-UPPER: two  words \r\nAccept: text/event-stream\r\nx-empty:\r\nx-Lower: again\r\n"
+                    "Content-Length: 8\r\n\r\n{\"a\": 1}");
+
+  bench.finish(bench.call(server, "/plain"));
+  cr_assert_eq(got, "GET /plain HTTP/1.1\r\nHost: " + server.address() + "\r\n\r\n");
+  bench.finish(bench.call(server, "/plain", "PUT"));
+  cr_assert_eq(got, "PUT /plain HTTP/1.1\r\nHost: " + server.address() + "\r\nContent-Length: 0\r\n\r\n");
+
+  call = bench.call(server, "/hosted", "POST", std::string(2u << 20, 'x'));
+  call.headers = {{"Host", "models.example"}, {"Content-Length", "3"}, {"Transfer-Encoding", "chunked"}, {"Expect", "100-continue"}};
+  bench.finish(call);
+  cr_assert_eq(headOf(got), "POST /hosted HTTP/1.1\r\nHost: models.example\r\nContent-Length: 2097152\r\n\r\n");
+  cr_assert_eq(got.size(), headOf(got).size() + (2u << 20));
+}
+
+Test(calls, the_answer_is_given_as_it_was_sent) {
+  Bench bench;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("HEAD") == 0) return held->say("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+    held->say(
+        "HTTP/1.1 103 Early Hints\r\nLink: early\r\n\r\nHTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nx-odd-Case: One\r\n"
+        "X-Twice: a\r\nX-Twice: b\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\n\x1f\x8b!!");
+  });
+  auto seen = bench.finish(bench.call(server));
+  cr_assert(seen->end.how == HttpHow::whole);
+  cr_assert_eq(seen->heads, 1);
+  cr_assert_eq(seen->head.status, 302);
+  HttpHeaders expected{{"Location", "/elsewhere"}, {"x-odd-Case", "One"}, {"X-Twice", "a"},
+                       {"X-Twice", "b"}, {"Content-Encoding", "gzip"}, {"Content-Length", "4"}};
+  cr_assert(seen->head.headers == expected);
+  cr_assert(seen->end.head.headers == expected);
+  cr_assert_eq(*seen->head.find("X-ODD-case"), "One");
+  cr_assert_null(seen->head.find("Link"));
+  cr_assert_eq(seen->body, "\x1f\x8b!!");
+  auto headOnly = bench.finish(bench.call(server, "/", "HEAD"));
+  cr_assert(headOnly->end.how == HttpHow::whole);
+  cr_assert_eq(*headOnly->head.find("content-length"), "99");
+  cr_assert_eq(headOnly->body, "");
+  cr_assert_eq(bench.calls.connectionsOpened(), 1u);
+}
+
+Test(calls, chunks_come_piece_by_piece_before_the_end) {
+  Bench bench;
+  RawServer::Held open;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string&) {
+    open = held;
+    held->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  });
+  auto seen = bench.start(bench.call(server));
+  cr_assert(bench.until([&] { return seen->heads == 1; }), "the head comes before any of the body");
+  for (std::size_t count = 1; count <= 5; ++count) {
+    open->say("7\r\npiece " + std::to_string(count) + "\r\n");
+    cr_assert(bench.until([&] { return seen->pieces.size() == count; }));
+    cr_assert_eq(seen->pieces.back(), "piece " + std::to_string(count));
+    cr_assert_eq(seen->ends, 0);
+  }
+  open->say("0\r\nX-Trailer: 1\r\n\r\n");
+  cr_assert(bench.until([&] { return seen->ends == 1; }));
+  cr_assert(seen->end.how == HttpHow::whole);
+  cr_assert_eq(seen->heads, 1);
+  cr_assert_null(seen->end.head.find("X-Trailer"));
+}
+
+Test(calls, cut_answers_are_broken) {
+  const std::vector<std::string> cut{
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive.",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfive.\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfi",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfive.\r\n0\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+      "HTTP/1.1 200",
+      "HTTP/1.1 100 Continue\r\n\r\n",
+      "no HTTP at all\r\n\r\n",
+      "",
+  };
+  for (const auto& text : cut) {
+    for (bool kept : {false, true}) {
+      Bench bench;
+      RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+        if (request.find("/first") != std::string::npos) return held->say(okay("fine"));
+        held->say(text);
+        held->close();
+      });
+      if (kept) bench.finish(bench.call(server, "/first"));
+      auto call = bench.call(server, "/second");
+      call.once = true;
+      auto seen = bench.finish(call);
+      cr_assert(seen->end.how == HttpHow::broken, "must be broken: %s", text.c_str());
+      cr_assert_eq(server.copies("/second"), 1u, "sent again after: %s", text.c_str());
+    }
+  }
+}
+
+Test(calls, a_body_without_a_length_ends_with_its_connection) {
+  Bench bench;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string&) {
+    held->say("HTTP/1.1 200 OK\r\n\r\nuntil the close");
+    held->close();
+  });
+  auto seen = bench.finish(bench.call(server));
+  cr_assert(seen->end.how == HttpHow::whole);
+  cr_assert_eq(seen->body, "until the close");
+}
+
+Test(calls, a_call_may_drop_itself_and_others_in_any_callback) {
+  Bench bench;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/whole") != std::string::npos) return held->say(okay("fine"));
+    held->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfive.\r\n");
+  });
+  for (std::string where : {"head", "bytes", "end"}) {
+    int heads = 0, pieces = 0, ends = 0;
+    std::uint64_t own = 0;
+    auto other = bench.start(bench.call(server, "/other"));
+    cr_assert(bench.until([&] { return other->pieces.size() == 1; }));
+    auto otherConnection = server.connections.back();
+    std::shared_ptr<Seen> next;
+    auto leave = [&](const std::string& at) {
+      if (at != where) return;
+      auto dropAtOnce = bench.start(bench.call(server, "/at-once"));
+      bench.calls.drop(dropAtOnce->id);
+      bench.calls.drop(own);
+      bench.calls.drop(other->id);
+      bench.calls.drop(own);
+      next = bench.start(bench.call(server, "/whole/next"));
+    };
+    auto held = std::make_shared<std::string>("the callbacks keep this");
+    own = bench.calls.start(
+        bench.call(server, where == "end" ? "/whole/own" : "/own"),
+        [&, held](const HttpHead&) {
+          ++heads;
+          leave("head");
+          cr_assert_eq(held->size(), 23u);
+        },
+        [&, held](std::string_view) {
+          ++pieces;
+          leave("bytes");
+          cr_assert_eq(held->size(), 23u);
+        },
+        [&, held](const HttpEnd&) {
+          ++ends;
+          leave("end");
+          cr_assert_eq(held->size(), 23u);
+        });
+    cr_assert(bench.until([&] { return next && next->ends == 1; }));
+    cr_assert(next->end.how == HttpHow::whole);
+    cr_assert(bench.until([&] { return otherConnection->ended; }), "the dropped call's connection is closed");
+    bench.pass(5ms);
+    cr_assert_eq(heads, 1);
+    cr_assert_eq(pieces, where == "head" ? 0 : 1);
+    cr_assert_eq(ends, where == "end" ? 1 : 0);
+    cr_assert_eq(other->ends, 0);
+    cr_assert_eq(held.use_count(), 1, "the callbacks are let go");
+  }
+  cr_assert_eq(server.copies("/at-once"), 0u);
+}
+
+Test(calls, dropping_before_and_during_the_connect_and_leaving_calls_open_is_safe) {
+  asio::io_context io;
+  int callbacks = 0;
+  {
+    HttpCalls calls(io);
+    RawServer server(io, [](const RawServer::Held& held, const std::string&) { held->say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"); });
+    for (int count = 0; count < 20; ++count) {
+      HttpCall call;
+      call.address = server.address();
+      auto id = calls.start(call, {}, {}, [&](const HttpEnd&) { ++callbacks; });
+      for (int turn = 0; turn < count % 5; ++turn) io.poll_one();
+      if (count % 2) calls.drop(id);
+    }
+    calls.drop(12345);
+    io.run_for(10ms);
+  }
+  io.restart();
+  io.run_for(10ms);
+  cr_assert_eq(callbacks, 0);
+}
+
+Test(calls, many_calls_run_at_the_same_time) {
+  Bench bench;
+  std::vector<RawServer::Held> waiting;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    waiting.push_back(held);
+    auto target = request.substr(5, request.find(" HTTP") - 5);
+    held->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (waiting.size() < 200) return;
+    for (auto& each : waiting) {
+      auto asked = each->got.substr(each->got.rfind("POST /") + 6);
+      auto said = asked.substr(0, asked.find(' '));
+      each->say("3\r\n" + said + "\r\n0\r\n\r\n");
+    }
+    waiting.clear();
+  });
+  for (int round = 0; round < 2; ++round) {
+    std::vector<std::shared_ptr<Seen>> all;
+    for (int count = 0; count < 200; ++count) {
+      auto call = bench.call(server, "/" + std::to_string(100 + count), "POST", "body");
+      call.once = count % 2;
+      all.push_back(bench.start(call));
+    }
+    cr_assert(bench.until([&] { return std::all_of(all.begin(), all.end(), [](const auto& each) { return each->ends == 1; }); }));
+    for (int count = 0; count < 200; ++count) {
+      cr_assert(all[static_cast<std::size_t>(count)]->end.how == HttpHow::whole);
+      cr_assert_eq(all[static_cast<std::size_t>(count)]->body, std::to_string(100 + count));
+    }
+  }
+  cr_assert_eq(bench.calls.connectionsOpened(), 200u, "the second round reuses the first one's connections");
+  cr_assert_eq(bench.calls.callsStarted(), 400u);
+}
+
+Test(calls, calls_one_after_the_other_share_a_connection) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine", "Keep-Alive: timeout=5\r\n")); });
+  for (int count = 0; count < 50; ++count) {
+    auto call = bench.call(server, "/", count % 2 ? "POST" : "GET", count % 2 ? "body" : "");
+    call.once = count % 3 == 0;
+    cr_assert(bench.finish(call)->end.how == HttpHow::whole);
+  }
+  cr_assert_eq(bench.calls.connectionsOpened(), 1u);
+  cr_assert_eq(server.connections.size(), 1u);
+  cr_assert_eq(bench.calls.callsStarted(), 50u);
+}
+
+Test(calls, a_peer_that_keeps_connections_a_second_or_less_gets_a_new_one_each_time) {
+  Bench bench;
+  std::string told = "Keep-Alive: max=9, Timeout=1\r\n";
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string&) { held->say(okay("fine", told)); });
+  for (int count = 0; count < 3; ++count) cr_assert(bench.finish(bench.call(server))->end.how == HttpHow::whole);
+  cr_assert_eq(bench.calls.connectionsOpened(), 3u);
+  told = "Keep-Alive: timeout=30\r\n";
+  bench.finish(bench.call(server));
+  bench.finish(bench.call(server));
+  cr_assert_eq(bench.calls.connectionsOpened(), 4u, "what the peer said last counts");
+}
+
+Test(calls, the_whole_wait_ends_a_call_as_broken) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/first") != std::string::npos) return held->say(okay("fine"));
+    if (request.find("/begun") != std::string::npos) held->say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive.");
+  });
+  bench.finish(bench.call(server, "/first"));
+  for (std::string target : {"/silent", "/begun"}) {
+    auto call = bench.call(server, target, "POST", "body");
+    call.wholeWait = 30ms;
+    call.once = true;
+    auto from = Clock::now();
+    auto seen = bench.finish(call);
+    cr_assert(seen->end.how == HttpHow::broken);
+    cr_assert_geq(inMs(Clock::now() - from), 29);
+    cr_assert_lt(inMs(Clock::now() - from), 1000);
+    cr_assert_eq(server.copies(target), 1u);
+  }
+}
+
+Test(calls, a_socket_number_used_again_gets_no_stale_wait) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string& request) {
+    held->say(okay("fine"));
+    if (request.find("/close") != std::string::npos) held->close();
+  });
+  for (int count = 0; count < 100; ++count) {
+    auto call = bench.call(server, count % 3 ? "/close" : "/keep");
+    if (count % 4 == 0) call.headers = {{"Connection", "close"}};
+    cr_assert(bench.finish(call)->end.how == HttpHow::whole);
+    auto dropped = bench.start(bench.call(server, "/dropped"));
+    bench.io.poll_one();
+    bench.calls.drop(dropped->id);
+  }
+}
--- /dev/null
+++ b/tests/gate.cpp
@@ -0,0 +1,828 @@
+#include "gate.hpp"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace tt;
+
+namespace {
+
+/// A gate on its own thread; everything that touches it goes through run.
+class Door {
+ public:
+  explicit Door(GateHandler handler, GateLimits limits = {}) : gate(io, "127.0.0.1:0", std::move(handler)) {
+    gate.setLimits(limits);
+    cr_assert(bool(gate.open()));
+    port = gate.port();
+    thread = std::thread([this] { io.run(); });
+  }
+  ~Door() {
+    run([this] { gate.close(); });
+    io.stop();
+    thread.join();
+  }
+  template <class Deed>
+  auto run(Deed deed) -> decltype(deed()) {
+    std::packaged_task<decltype(deed())()> task(std::move(deed));
+    auto result = task.get_future();
+    asio::post(io, [&task] { task(); });
+    return result.get();
+  }
+  std::size_t connections() {
+    return run([this] { return gate.connections(); });
+  }
+  std::size_t exchanges() {
+    return run([this] { return gate.exchanges(); });
+  }
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
+  Gate gate;
+  unsigned short port{0};
+  std::thread thread;
+};
+
+class Caller {
+ public:
+  explicit Caller(unsigned short port) : socket(io) {
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    socket.set_option(asio::ip::tcp::no_delay(true));
+  }
+  void send(std::string_view text) {
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(text.data(), text.size()), ignored);
+  }
+  /// What has come within the wait, or null at the connection's end.
+  std::optional<std::string> receive(Span wait = 3s) {
+    timeval span{inMs(wait) / 1000, inMs(wait) % 1000 * 1000};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &span, sizeof span);
+    char bytes[16384];
+    auto size = ::recv(socket.native_handle(), bytes, sizeof bytes, 0);
+    if (size > 0) return std::string(bytes, static_cast<std::size_t>(size));
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return std::string();
+    reset = size < 0;
+    return std::nullopt;
+  }
+  /// Reads until some text has come, or the end; returns all that was read since the last call.
+  std::string until(std::string_view text) {
+    while (unread.find(text) == std::string::npos) {
+      auto got = receive();
+      if (!got || got->empty()) break;
+      unread += *got;
+    }
+    return std::exchange(unread, {});
+  }
+  /// Reads to the connection's end.
+  std::string all() {
+    while (auto got = receive()) {
+      if (got->empty()) {
+        timedOut = true;
+        break;
+      }
+      unread += *got;
+    }
+    return std::exchange(unread, {});
+  }
+  std::string askAll(std::string_view text) {
+    send(text);
+    return all();
+  }
+  void close() {
+    asio::error_code ignored;
+    socket.close(ignored);
+  }
+  void resetConnection() {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    close();
+  }
+  asio::io_context io;
+  asio::ip::tcp::socket socket;
+  std::string unread;
+  bool reset{false}, timedOut{false};
+};
+
+template <class Condition>
+bool soon(Condition condition, Span wait = 3s) {
+  for (Moment end = Clock::now() + wait; Clock::now() < end; std::this_thread::sleep_for(2ms))
+    if (condition()) return true;
+  return condition();
+}
+bool has(std::string_view text, std::string_view part) { return text.find(part) != std::string_view::npos; }
+std::size_t count(std::string_view text, std::string_view part) {
+  std::size_t found = 0;
+  for (std::size_t at = 0; (at = text.find(part, at)) != std::string_view::npos; at += part.size()) ++found;
+  return found;
+}
+void answerWhole(const std::shared_ptr<GateAnswer>& answer, std::string_view body, int status = 200) {
+  answer->head(status, {{"Content-Type", "text/plain"}}, body.size());
+  answer->bytes(body);
+  answer->end();
+}
+void echo(GateRequest request, std::shared_ptr<GateAnswer> answer) {
+  answerWhole(answer, request.method + " " + request.target + " [" + request.body + "]");
+}
+int statusOf(std::string_view text) {
+  return text.substr(0, 9) == "HTTP/1.1 " && text.size() > 12 ? std::stoi(std::string(text.substr(9, 3))) : 0;
+}
+std::string post(std::string_view fields, std::string_view body = {}) {
+  return "POST /v1 HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\n" + std::string(body);
+}
+const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string getClose = "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+/// Keeps the exchanges it is handed, for the test to answer.
+struct Kept {
+  std::vector<std::shared_ptr<GateAnswer>> answers;
+  std::atomic<int> taken{0}, gone{0};
+  GateHandler handler() {
+    return [this](GateRequest, std::shared_ptr<GateAnswer> answer) {
+      answer->onGone([this, answer] { ++gone; });
+      answers.push_back(answer);
+      ++taken;
+    };
+  }
+};
+
+}  // namespace
+
+Test(gate, refuses_malformed_requests) {
+  struct Row {
+    const char* name;
+    std::string input;
+    int status{400};
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::vector<Row> rows{
+      {"no method", " / HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"no target", "GET HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"two spaces before the target", "GET  /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"two spaces after the target", "GET /x  HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"space at the request line's end", "GET /x HTTP/1.1 \r\nHost: a\r\n\r\n"},
+      {"tab in the request line", "GET\t/x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"HTTP/0.9", "GET /x\r\n\r\n"},
+      {"HTTP/1.2", "GET /x HTTP/1.2\r\nHost: a\r\n\r\n"},
+      {"HTTP/2.0", "GET /x HTTP/2.0\r\nHost: a\r\n\r\n"},
+      {"HTTP/1.10", "GET /x HTTP/1.10\r\nHost: a\r\n\r\n"},
+      {"lower-case version", "GET /x http/1.1\r\nHost: a\r\n\r\n"},
+      {"HTTP/2 preface", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"},
+      {"unknown method", "FETCH /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"lower-case method", "get /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"CONNECT", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"CONNECT with a path", "CONNECT /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"absolute target", "GET http://a/x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"asterisk target", "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"target without a slash", "GET x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"fragment", "GET /x#y HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"control byte in the target", "GET /x\x01y HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"DEL in the target", "GET /x\x7fy HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"high byte in the target", "GET /x\xc3\xa9 HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"NUL in the target", std::string("GET /x\0y HTTP/1.1\r\nHost: a\r\n\r\n", 33)},
+      {"no Host", "GET /x HTTP/1.1\r\n\r\n"},
+      {"two Hosts", "GET /x HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n"},
+      {"two Hosts in HTTP/1.0", "GET /x HTTP/1.0\r\nHost: a\r\nhost: a\r\n\r\n"},
+      {"list as Host", "GET /x HTTP/1.1\r\nHost: a, b\r\n\r\n"},
+      {"header without a colon", "GET /x HTTP/1.1\r\nHost: a\r\nOdd\r\n\r\n"},
+      {"header without a name", "GET /x HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n"},
+      {"space before the colon", "GET /x HTTP/1.1\r\nHost: a\r\nOdd : b\r\n\r\n"},
+      {"space before the first header", "GET /x HTTP/1.1\r\n Host: a\r\n\r\n"},
+      {"odd byte in a header's name", "GET /x HTTP/1.1\r\nHost: a\r\nO(d: b\r\n\r\n"},
+      {"folded header", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\r\n c\r\n\r\n"},
+      {"folded header with a tab", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\r\n\tc\r\n\r\n"},
+      {"NUL in a value", std::string("GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\0c\r\n\r\n", 39)},
+      {"control byte in a value", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\x02\r\n\r\n"},
+      {"DEL in a value", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\x7f\r\n\r\n"},
+      {"bare CR in a value", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: b\rc\r\n\r\n"},
+      {"two CRs", "GET /x HTTP/1.1\r\r\nHost: a\r\n\r\n"},
+      {"bare LF after the request line", "GET /x HTTP/1.1\nHost: a\r\n\r\n"},
+      {"bare LF after a header", "GET /x HTTP/1.1\r\nHost: a\nOdd: b\r\n\r\n"},
+      {"bare LF at the head's end", "GET /x HTTP/1.1\r\nHost: a\r\n\n"},
+      {"bare LFs only", "GET /x HTTP/1.1\nHost: a\n\n"},
+      {"bare LF first", "\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"two empty lines first", "\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"a TLS hello", "\x16\x03\x01\x02"},
+      {"length and coding", post("Content-Length: 5\r\n" + chunked, "0\r\n\r\n")},
+      {"coding and length", post(chunked + "Content-Length: 5\r\n", "0\r\n\r\n")},
+      {"two equal lengths", post("Content-Length: 2\r\nContent-Length: 2\r\n", "ab")},
+      {"two unequal lengths", post("Content-Length: 2\r\ncontent-length: 3\r\n", "abc")},
+      {"list of lengths", post("Content-Length: 2, 2\r\n", "ab")},
+      {"empty length", post("Content-Length:\r\n")},
+      {"negative length", post("Content-Length: -1\r\n")},
+      {"signed length", post("Content-Length: +2\r\n", "ab")},
+      {"hex length", post("Content-Length: 0x2\r\n", "ab")},
+      {"spaced length", post("Content-Length: 1 2\r\n", "ab")},
+      {"length with a fraction", post("Content-Length: 2.0\r\n", "ab")},
+      {"endless length", post("Content-Length: 99999999999999999999999\r\n")},
+      {"gzip coding", post("Transfer-Encoding: gzip\r\n")},
+      {"gzip and chunked", post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n")},
+      {"chunked twice", post("Transfer-Encoding: chunked, chunked\r\n", "0\r\n\r\n")},
+      {"two chunked fields", post(chunked + chunked, "0\r\n\r\n")},
+      {"identity", post("Transfer-Encoding: identity\r\n")},
+      {"xchunked", post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")},
+      {"chunked with a parameter", post("Transfer-Encoding: chunked;q=1\r\n", "0\r\n\r\n")},
+      {"empty coding", post("Transfer-Encoding:\r\n", "0\r\n\r\n")},
+      {"vertical tab before chunked", post("Transfer-Encoding: \x0b" "chunked\r\n", "0\r\n\r\n")},
+      {"chunked in HTTP/1.0", "POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"no chunk size", post(chunked, "\r\nab\r\n0\r\n\r\n")},
+      {"chunk size that is no number", post(chunked, "zz\r\nab\r\n0\r\n\r\n")},
+      {"negative chunk size", post(chunked, "-2\r\nab\r\n0\r\n\r\n")},
+      {"chunk size with 0x", post(chunked, "0x2\r\nab\r\n0\r\n\r\n")},
+      {"space before the chunk size", post(chunked, " 2\r\nab\r\n0\r\n\r\n")},
+      {"space after the chunk size", post(chunked, "2 \r\nab\r\n0\r\n\r\n")},
+      {"chunk size that wraps round", post(chunked, "10000000000000002\r\nab\r\n0\r\n\r\n")},
+      {"bare LF after the chunk size", post(chunked, "2\nab\r\n0\r\n\r\n")},
+      {"bare CR in a chunk extension", post(chunked, "2;a\rb\r\nab\r\n0\r\n\r\n")},
+      {"endless chunk extension", post(chunked, "2;" + std::string(400, 'a'))},
+      {"bare LF after a chunk", post(chunked, "2\r\nab\n0\r\n\r\n")},
+      {"chunk longer than its size", post(chunked, "2\r\nabc\r\n0\r\n\r\n")},
+      {"bare LF after the last chunk", post(chunked, "2\r\nab\r\n0\n\r\n")},
+      {"bare LF as the last line", post(chunked, "2\r\nab\r\n0\r\n\n")},
+      {"malformed trailer", post(chunked, "0\r\nOdd : b\r\n\r\n")},
+      {"folded trailer", post(chunked, "0\r\nOdd: b\r\n c\r\n\r\n")},
+      {"endless trailer", post(chunked, "0\r\nOdd: " + std::string(20000, 'b')), 431},
+      {"endless head", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: " + std::string(20000, 'b'), 431},
+      {"long head in many lines", [] {
+         std::string text = "GET /x HTTP/1.1\r\nHost: a\r\n";
+         for (int line = 0; line < 2000; ++line) text += "Odd: line\r\n";
+         return text + "\r\n";
+       }(), 431},
+      {"endless target", "GET /" + std::string(20000, 'x'), 431},
+      {"length beyond the limit", post("Content-Length: 4194305\r\n"), 413},
+      {"chunk beyond the limit", post(chunked, "400001\r\n"), 413},
+      {"huge chunk", post(chunked, "ffffffffffffffff\r\n"), 413},
+  };
+  std::atomic<int> handled{0};
+  Door door([&](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+    ++handled;
+    echo(std::move(request), std::move(answer));
+  });
+  for (const auto& row : rows) {
+    Caller caller(door.port);
+    auto got = caller.askAll(row.input);
+    cr_expect_eq(statusOf(got), row.status, "%s: expected %d, got \"%s\"", row.name, row.status, got.c_str());
+    cr_expect_eq(count(got, "HTTP/1.1 "), 1u, "%s: one answer", row.name);
+    cr_expect(has(got, "\r\nConnection: close\r\n"), "%s: must say close", row.name);
+    cr_expect(!caller.timedOut && !caller.reset, "%s: must end in order", row.name);
+    cr_expect_eq(handled.load(), 0, "%s: must not reach the handler", row.name);
+    handled = 0;
+  }
+  cr_expect(soon([&] { return door.connections() == 0; }));
+  Caller caller(door.port);
+  cr_assert_eq(statusOf(caller.askAll(getClose)), 200, "a sound request is answered");
+}
+
+Test(gate, an_answer_of_refusal_arrives_though_the_caller_goes_on_sending) {
+  Door door(echo);
+  Caller caller(door.port);
+  caller.send(post("Content-Length: 99999999\r\n"));
+  for (int part = 0; part < 8; ++part) caller.send(std::string(65536, 'x'));
+  auto got = caller.until("\r\n\r\n");
+  cr_assert_eq(statusOf(got), 413, "got \"%s\"", got.c_str());
+}
+
+Test(gate, hands_over_requests_as_they_came) {
+  GateRequest seen;
+  Door door([&](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+    seen = request;
+    answerWhole(answer, "ok");
+  });
+  Caller caller(door.port);
+  auto got = caller.askAll(
+      "\r\nPOST /a/b?c=d%20e HTTP/1.1\r\nhOST: a:80\r\nX-Empty:\r\nX-Spaced: \t b c \t\r\nX-Two: 1\r\nx-two: 2\r\n"
+      "X-High: \xc3\xa9\r\nUpgrade: h2c\r\nConnection: Upgrade, close\r\nContent-Length: 3\r\n\r\nxyz");
+  cr_assert_eq(statusOf(got), 200, "got \"%s\"", got.c_str());
+  cr_assert_eq(seen.method, "POST");
+  cr_assert_eq(seen.target, "/a/b?c=d%20e");
+  cr_assert_eq(seen.body, "xyz");
+  HttpHeaders expected{{"hOST", "a:80"}, {"X-Empty", ""}, {"X-Spaced", "b c"}, {"X-Two", "1"}, {"x-two", "2"},
+                       {"X-High", "\xc3\xa9"}, {"Upgrade", "h2c"}, {"Connection", "Upgrade, close"}, {"Content-Length", "3"}};
+  cr_assert(seen.headers == expected);
+  cr_assert_eq(*findHeader(seen.headers, "X-TWO"), "1");
+  cr_assert_null(findHeader(seen.headers, "X-Three"));
+}
+
+Test(gate, takes_requests_in_single_bytes) {
+  Door door(echo);
+  for (const auto& input : {post("Content-Length: 5\r\nConnection: close\r\n", "hello"),
+                            post("Transfer-Encoding: chunked\r\nConnection: close\r\n", "2;x=y\r\nhe\r\n03\r\nllo\r\n0\r\nTrailer: t\r\n\r\n")}) {
+    Caller caller(door.port);
+    for (char letter : input) caller.send(std::string_view(&letter, 1));
+    auto got = caller.all();
+    cr_assert(has(got, "\r\n\r\nPOST /v1 [hello]"), "got \"%s\"", got.c_str());
+  }
+}
+
+Test(gate, a_request_cut_at_any_byte_reaches_nobody) {
+  std::atomic<int> handled{0};
+  Door door([&](GateRequest, std::shared_ptr<GateAnswer> answer) {
+    ++handled;
+    answerWhole(answer, "ok");
+  });
+  for (const auto& input : {post("Content-Length: 5\r\n", "hello"), post("Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n")}) {
+    for (std::size_t size = 1; size < input.size(); ++size) {
+      Caller caller(door.port);
+      caller.send(std::string_view(input).substr(0, size));
+      caller.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+      cr_assert_eq(caller.all(), "", "cut at %zu", size);
+      cr_assert_eq(handled.load(), 0, "cut at %zu", size);
+    }
+    Caller caller(door.port);
+    caller.send(input);
+    cr_assert_eq(statusOf(caller.until("ok")), 200);
+    handled = 0;
+  }
+}
+
+Test(gate, a_large_chunked_body_is_decoded) {
+  std::string body, framed;
+  for (int number = 0; body.size() < 1000000; ++number) {
+    std::string part(static_cast<std::size_t>(number % 3000 + 1), static_cast<char>('a' + number % 26));
+    char size[20];
+    std::snprintf(size, sizeof size, "%zX\r\n", part.size());
+    framed += size + part + "\r\n";
+    body += part;
+  }
+  std::string seen;
+  Door door([&](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+    seen = request.body;
+    answerWhole(answer, "ok");
+  });
+  Caller caller(door.port);
+  caller.send(post("Transfer-Encoding: chunked\r\n", framed + "0\r\n\r\n"));
+  cr_assert_eq(statusOf(caller.until("ok")), 200);
+  cr_assert(seen == body);
+}
+
+Test(gate, a_body_that_is_mostly_framing_is_refused) {
+  Door door(echo);
+  std::string framed;
+  for (int number = 0; number < 400; ++number) framed += "1;" + std::string(200, 'a') + "\r\nx\r\n";
+  Caller caller(door.port);
+  cr_assert_eq(statusOf(caller.askAll(post("Transfer-Encoding: chunked\r\n", framed + "0\r\n\r\n"))), 400);
+  std::string fair;
+  for (int number = 0; number < 20000; ++number) fair += "1\r\nx\r\n";
+  Caller other(door.port);
+  cr_assert_eq(statusOf(other.askAll(post("Connection: close\r\nTransfer-Encoding: chunked\r\n", fair + "0\r\n\r\n"))), 200);
+}
+
+Test(gate, pipelined_requests_are_answered_one_at_a_time_and_in_order) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(post("Content-Length: 3\r\n", "one") + get + "GET /z HTTP/1.1\r\nHost:");
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  cr_assert_eq(caller.receive(30ms).value(), "");
+  cr_assert_eq(kept.taken.load(), 1, "the second waits for the first's answer");
+  door.run([&] { answerWhole(kept.answers[0], "first"); });
+  cr_assert(has(caller.until("first"), "Content-Length: 5\r\n"));
+  cr_assert(soon([&] { return kept.taken == 2; }));
+  door.run([&] { answerWhole(kept.answers[1], "second"); });
+  cr_assert(has(caller.until("second"), "Content-Length: 6\r\n"));
+  caller.send(" a\r\nConnection: close\r\n\r\n");
+  cr_assert(soon([&] { return kept.taken == 3; }));
+  door.run([&] { answerWhole(kept.answers[2], "third"); });
+  auto last = caller.all();
+  cr_assert(has(last, "Connection: close\r\n") && has(last, "third"));
+  cr_assert_eq(kept.gone.load(), 0);
+}
+
+Test(gate, many_pipelined_requests_beyond_the_buffer_are_all_answered) {
+  Door door(echo);
+  Caller caller(door.port);
+  const int requests = 3000;
+  std::thread sender([&] {
+    std::string text;
+    for (int number = 0; number < requests; ++number) text += "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    caller.send(text + getClose);
+  });
+  auto got = caller.all();
+  sender.join();
+  cr_assert_eq(count(got, "HTTP/1.1 200 OK\r\n"), static_cast<std::size_t>(requests) + 1);
+  std::size_t at = 0;
+  for (int number = 0; number < requests; ++number) {
+    at = got.find("GET /" + std::to_string(number) + " []", at);
+    cr_assert_neq(at, std::string::npos, "answer %d in order", number);
+  }
+}
+
+Test(gate, keeps_connections_and_says_for_how_long) {
+  GateLimits limits;
+  limits.idleWait = 2500ms;
+  Door door(echo, limits);
+  Caller caller(door.port);
+  for (int time = 0; time < 5; ++time) {
+    caller.send(get);
+    auto got = caller.until("[]");
+    cr_assert(has(got, "\r\nConnection: keep-alive\r\n") && has(got, "\r\nKeep-Alive: timeout=2\r\n"), "got \"%s\"", got.c_str());
+  }
+  cr_assert_eq(door.connections(), 1u);
+  cr_assert_eq(door.exchanges(), 0u);
+  Caller old(door.port);
+  old.send("GET /x HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  cr_assert(has(old.until("[]"), "\r\nConnection: keep-alive\r\n"));
+  auto got = old.askAll("GET /x HTTP/1.0\r\n\r\n");
+  cr_assert(has(got, "\r\nConnection: close\r\n") && has(got, "[]"));
+  Caller both(door.port);
+  got = both.askAll("GET /x HTTP/1.0\r\nConnection: keep-alive, close\r\n\r\n");
+  cr_assert(has(got, "\r\nConnection: close\r\n") && !both.timedOut);
+}
+
+Test(gate, idle_connections_are_closed_without_a_word) {
+  GateLimits limits;
+  limits.idleWait = 100ms;
+  Door door(echo, limits);
+  Caller fresh(door.port), used(door.port), blank(door.port);
+  blank.send("\r\n");
+  used.send(get);
+  cr_assert(has(used.until("[]"), "Keep-Alive: timeout=1\r\n"));
+  cr_assert_eq(used.all(), "");
+  cr_assert_eq(fresh.all(), "");
+  cr_assert_eq(blank.all(), "");
+  cr_assert(!used.timedOut && !fresh.timedOut && !blank.timedOut && !used.reset && !fresh.reset);
+  cr_assert(soon([&] { return door.connections() == 0; }));
+}
+
+Test(gate, slow_heads_and_stalled_bodies_are_timed_out) {
+  GateLimits limits;
+  limits.headerWait = 120ms;
+  std::atomic<int> handled{0};
+  Door door([&](GateRequest, std::shared_ptr<GateAnswer> answer) {
+    ++handled;
+    answerWhole(answer, "ok");
+  }, limits);
+  for (const auto& input : {std::string("G"), std::string("GET /x HTTP/1.1\r\nHost: a\r\n"), post("Content-Length: 5\r\n", "hell"),
+                            post("Transfer-Encoding: chunked\r\n", "2\r\nhe")}) {
+    Caller caller(door.port);
+    auto got = caller.askAll(input);
+    cr_assert_eq(statusOf(got), 408, "got \"%s\"", got.c_str());
+  }
+  Caller dribble(door.port);
+  Moment began = Clock::now();
+  for (char letter : get) {
+    dribble.send(std::string_view(&letter, 1));
+    if (dribble.receive(20ms) != "") break;
+  }
+  cr_assert_lt(inMs(Clock::now() - began), 450, "a head that dribbles has no more time");
+  Caller slow(door.port);
+  slow.send(post("Content-Length: 8\r\n"));
+  for (int part = 0; part < 8; ++part) {
+    cr_assert_eq(slow.receive(50ms).value_or("end"), "");
+    slow.send("x");
+  }
+  cr_assert_eq(statusOf(slow.until("ok")), 200, "a body that goes on has its time");
+  cr_assert_eq(handled.load(), 1);
+}
+
+Test(gate, limits_hold_for_requests_that_begin_later) {
+  Door door(echo);
+  GateLimits limits;
+  limits.bodyBytes = 4;
+  limits.headerBytes = 100;
+  Caller caller(door.port);
+  caller.send(post("Content-Length: 5\r\n", "hel"));
+  cr_assert(soon([&] { return caller.receive(20ms).value_or("") == ""; }));
+  door.run([&] { door.gate.setLimits(limits); });
+  caller.send("lo");
+  cr_assert_eq(statusOf(caller.until("[hello]")), 200);
+  cr_assert_eq(statusOf(caller.askAll(post("Content-Length: 5\r\n", "hello"))), 413);
+  std::string head = "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nOdd: ";
+  Caller fits(door.port), tooLong(door.port);
+  cr_assert_eq(statusOf(fits.askAll(head + std::string(96 - head.size(), 'b') + "\r\n\r\n")), 200);
+  cr_assert_eq(statusOf(tooLong.askAll(head + std::string(97 - head.size(), 'b') + "\r\n\r\n")), 431);
+}
+
+Test(gate, asks_on_for_a_body_that_waits_for_it) {
+  Door door(echo);
+  Caller caller(door.port);
+  caller.send(post("Expect: 100-continue\r\nContent-Length: 5\r\n"));
+  cr_assert_eq(caller.until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+  caller.send("hello");
+  cr_assert_eq(statusOf(caller.until("[hello]")), 200);
+  caller.send(post("Expect: 100-continue\r\nContent-Length: 5\r\n", "hello"));
+  cr_assert_eq(statusOf(caller.until("[hello]")), 200, "what is there need not be asked for");
+  cr_assert_eq(statusOf(caller.askAll(post("Expect: 100-continue\r\nContent-Length: 5000000\r\n"))), 413);
+}
+
+Test(gate, a_stream_arrives_piece_by_piece) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(get);
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  cr_assert_eq(door.exchanges(), 1u);
+  auto answer = kept.answers[0];
+  cr_assert(!door.run([&] { return answer->started(); }));
+  door.run([&] {
+    answer->head(200, {{"X-odd-Case", "One"}, {"Connection", "bad"}, {"content-length", "7"}, {"transfer-encoding", "bad"},
+                       {"Keep-Alive", "bad"}, {"Proxy-Thing", "bad"}, {"TE", "bad"}, {"Trailer", "bad"}, {"Upgrade", "bad"},
+                       {"X-Split", "a\r\nX-Bad: bad"}, {"X-Two", "1"}, {"X-Two", "2"}}, std::nullopt);
+  });
+  cr_assert_eq(caller.until("\r\n\r\n"),
+               "HTTP/1.1 200 OK\r\nX-odd-Case: One\r\nX-Two: 1\r\nX-Two: 2\r\nTransfer-Encoding: chunked\r\n"
+               "Connection: keep-alive\r\nKeep-Alive: timeout=15\r\n\r\n");
+  for (int number = 0; number < 3; ++number) {
+    door.run([&] {
+      answer->bytes("piece " + std::to_string(number));
+      answer->bytes("");
+    });
+    cr_assert_eq(caller.until("\r\npiece " + std::to_string(number) + "\r\n"), "7\r\npiece " + std::to_string(number) + "\r\n");
+  }
+  door.run([&] {
+    answer->bytes("a");
+    answer->bytes(std::string(20, 'b'));
+    answer->end();
+    answer->bytes("late");
+    answer->end();
+    answer->cut();
+  });
+  cr_assert_eq(caller.until("\r\n0\r\n\r\n"), "1\r\na\r\n14\r\n" + std::string(20, 'b') + "\r\n0\r\n\r\n");
+  cr_assert(soon([&] { return door.exchanges() == 0; }));
+  caller.send(get);
+  cr_assert(soon([&] { return kept.taken == 2; }), "the connection is kept");
+}
+
+Test(gate, answers_without_a_body_have_none) {
+  Door door([](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+    int status = std::stoi(request.target.substr(1));
+    answer->head(status, {}, status == 201 ? std::optional<std::size_t>() : 4);
+    answer->bytes("body");
+    answer->end();
+  });
+  Caller caller(door.port);
+  auto ask = [&](const std::string& line) {
+    caller.send(line + " HTTP/1.1\r\nHost: a\r\n\r\nGET /299 HTTP/1.1\r\nHost: a\r\n\r\n");
+    return caller.until("body");
+  };
+  for (const auto& line : {"HEAD /200", "HEAD /201", "GET /204", "GET /304", "HEAD /304"}) {
+    auto got = ask(line);
+    cr_assert_eq(count(got, "HTTP/1.1 "), 2u, "%s: got \"%s\"", line, got.c_str());
+    cr_assert_eq(count(got, "body"), 1u, "%s: got \"%s\"", line, got.c_str());
+    cr_assert(has(got, "\r\n\r\nHTTP/1.1 299 Success\r\n"), "%s: got \"%s\"", line, got.c_str());
+    auto first = got.substr(0, got.find("\r\n\r\n"));
+    cr_assert_eq(has(first, "Content-Length: 4"), std::string(line) == "HEAD /200", "%s", line);
+    cr_assert_eq(has(first, "chunked"), std::string(line) == "HEAD /201", "%s", line);
+  }
+}
+
+Test(gate, http_1_0_streams_end_with_the_connection) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send("GET /x HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  door.run([&] {
+    kept.answers[0]->head(200, {}, std::nullopt);
+    kept.answers[0]->bytes("one ");
+  });
+  cr_assert_eq(caller.until("one "), "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\none ");
+  door.run([&] {
+    kept.answers[0]->bytes("two");
+    kept.answers[0]->end();
+  });
+  cr_assert_eq(caller.all(), "two");
+  cr_assert(!caller.reset && !caller.timedOut);
+}
+
+Test(gate, a_cut_answer_never_looks_whole) {
+  Kept kept;
+  Door door(kept.handler());
+  auto cutAfter = [&](const std::string& request, Caller& caller, const std::function<void(GateAnswer&)>& deed, bool inOneTurn) {
+    int before = kept.taken;
+    caller.send(request);
+    cr_assert(soon([&] { return kept.taken > before; }));
+    auto answer = kept.answers.back();
+    door.run([&] {
+      deed(*answer);
+      if (inOneTurn) answer->cut();
+    });
+    std::string got;
+    if (!inOneTurn) {
+      while (true) {
+        auto part = caller.receive(30ms);
+        if (!part || part->empty()) break;
+        got += *part;
+      }
+      door.run([&] { answer->cut(); });
+    }
+    got += caller.all();
+    cr_assert(!caller.timedOut);
+    door.run([&] {
+      answer->bytes("late");
+      answer->end();
+    });
+    return got;
+  };
+  const std::string old = "GET /x HTTP/1.0\r\n\r\n", head = "HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (bool inOneTurn : {true, false}) {
+    Caller silent(door.port);
+    cr_assert_eq(cutAfter(get, silent, [](GateAnswer&) {}, inOneTurn), "", "nothing written");
+    Caller chunks(door.port);
+    auto got = cutAfter(get, chunks, [](GateAnswer& answer) {
+      answer.head(200, {}, std::nullopt);
+      answer.bytes("abc");
+    }, inOneTurn);
+    cr_assert(has(got, "3\r\nabc\r\n") && !has(got, "0\r\n\r\n"), "got \"%s\"", got.c_str());
+    Caller filled(door.port);
+    got = cutAfter(get, filled, [](GateAnswer& answer) {
+      answer.head(200, {}, 3);
+      answer.bytes("abc");
+    }, inOneTurn);
+    cr_assert(has(got, "\r\n\r\nab") && !has(got, "abc"), "got \"%s\"", got.c_str());
+    for (const auto& request : {get, head}) {
+      Caller empty(door.port);
+      got = cutAfter(request, empty, [](GateAnswer& answer) { answer.head(200, {}, 0); }, inOneTurn);
+      cr_assert(!has(got, "\r\n\r\n"), "got \"%s\"", got.c_str());
+    }
+    Caller none(door.port);
+    got = cutAfter(get, none, [](GateAnswer& answer) { answer.head(204, {}, std::nullopt); }, inOneTurn);
+    cr_assert(!has(got, "\r\n\r\n"), "got \"%s\"", got.c_str());
+    Caller untilClose(door.port);
+    cutAfter(old, untilClose, [](GateAnswer& answer) {
+      answer.head(200, {}, std::nullopt);
+      answer.bytes("abc");
+    }, inOneTurn);
+    cr_assert(untilClose.reset, "an answer that ends with its connection must end in a reset");
+  }
+  cr_assert_eq(kept.gone.load(), 0, "the gate cut, nobody left");
+  cr_assert_eq(door.exchanges(), 0u);
+}
+
+Test(gate, answers_that_do_not_keep_to_their_length_are_cut) {
+  Door door([](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+    if (request.target == "/short") {
+      answer->head(200, {}, 5);
+      answer->bytes("abcd");
+      answer->end();
+    } else if (request.target == "/long") {
+      answer->head(200, {}, 3);
+      answer->bytes("ab");
+      answer->bytes("cdef");
+      answer->end();
+    } else if (request.target == "/silent") {
+      answer->end();
+    } else if (request.target == "/dropped") {
+      answer->head(200, {}, std::nullopt);
+      answer->bytes("ab");
+    }
+  });
+  for (const auto& [target, least] : std::vector<std::pair<std::string, std::string>>{
+           {"/short", "abcd"}, {"/long", "ab"}, {"/silent", ""}, {"/dropped", "2\r\nab\r\n"}, {"/untouched", ""}}) {
+    Caller caller(door.port);
+    auto got = caller.askAll("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(!caller.timedOut, "%s must end", target.c_str());
+    if (least.empty()) cr_assert_eq(got, "", "%s: got \"%s\"", target.c_str(), got.c_str());
+    else cr_assert_eq(got.substr(std::min(got.size(), got.find("\r\n\r\n") + 4)), least, "%s: got \"%s\"", target.c_str(), got.c_str());
+  }
+  cr_assert_eq(door.exchanges(), 0u);
+}
+
+Test(gate, a_caller_who_leaves_is_noticed) {
+  enum Way { closing, resetting, halfClosing };
+  for (Way way : {closing, resetting, halfClosing}) {
+    for (bool midStream : {false, true}) {
+      for (bool pipelined : {false, true}) {
+        Kept kept;
+        Door door(kept.handler());
+        Caller caller(door.port);
+        caller.send(pipelined ? get + get : get);
+        cr_assert(soon([&] { return kept.taken == 1; }));
+        auto answer = kept.answers[0];
+        if (midStream) {
+          door.run([&] {
+            answer->head(200, {}, std::nullopt);
+            answer->bytes("abc");
+          });
+          cr_assert(has(caller.until("abc\r\n"), "abc"));
+        }
+        cr_assert_eq(kept.gone.load(), 0);
+        Moment left = Clock::now();
+        if (way == closing) caller.close();
+        else if (way == resetting) caller.resetConnection();
+        else caller.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        cr_assert(soon([&] { return kept.gone == 1; }), "way %d, mid-stream %d", way, midStream);
+        cr_assert_lt(inMs(Clock::now() - left), 200);
+        std::atomic<int> told{0};
+        door.run([&] {
+          cr_assert_eq(answer->started(), midStream);
+          answer->head(200, {}, 3);
+          answer->bytes("abc");
+          answer->end();
+          answer->cut();
+          cr_assert_eq(answer->unwritten(), 0u);
+          answer->onGone([&] { ++told; });
+        });
+        cr_assert(soon([&] { return told == 1; }), "who asks late is told too");
+        cr_assert_eq(door.connections(), 0u);
+        cr_assert_eq(door.exchanges(), 0u);
+        cr_assert_eq(kept.taken.load(), 1);
+        cr_assert_eq(kept.gone.load(), 1);
+      }
+    }
+  }
+}
+
+Test(gate, a_caller_who_leaves_behind_a_full_buffer_is_noticed) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(get);
+  for (int part = 0; part < 20; ++part) caller.send(std::string(4096, 'x'));
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  cr_assert_eq(caller.receive(50ms).value(), "");
+  caller.resetConnection();
+  cr_assert(soon([&] { return kept.gone == 1; }));
+}
+
+Test(gate, what_the_socket_does_not_take_is_counted) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(get);
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  auto answer = kept.answers[0];
+  const std::string part(1 << 20, 'x');
+  door.run([&] {
+    answer->head(200, {}, 32 * part.size());
+    for (int time = 0; time < 32; ++time) answer->bytes(part);
+  });
+  std::this_thread::sleep_for(50ms);
+  auto left = door.run([&] { return answer->unwritten(); });
+  cr_assert_gt(left, 1u << 20);
+  cr_assert_lt(left, 32 * part.size());
+  std::size_t got = 0;
+  auto head = caller.until("\r\n\r\n");
+  got += head.size() - head.find("\r\n\r\n") - 4;
+  while (got < 32 * part.size() - 1) got += caller.receive()->size();
+  cr_assert_eq(door.run([&] { return answer->unwritten(); }), 1u, "the last byte waits for the end");
+  door.run([&] { answer->end(); });
+  cr_assert_eq(caller.receive()->size(), 1u);
+  cr_assert_eq(kept.gone.load(), 0);
+}
+
+Test(gate, leaving_closes_idle_connections_and_serves_the_rest) {
+  Kept kept;
+  GateLimits limits;
+  limits.idleClose = 150ms;
+  Door door(kept.handler(), limits);
+  Caller idle(door.port), busy(door.port), late(door.port);
+  idle.send(get);
+  late.send(get);
+  cr_assert(soon([&] { return kept.taken == 2; }));
+  door.run([&] {
+    answerWhole(kept.answers[0], "ok");
+    answerWhole(kept.answers[1], "ok");
+  });
+  cr_assert(has(idle.until("ok"), "keep-alive"));
+  cr_assert(has(late.until("ok"), "keep-alive"));
+  busy.send(get);
+  cr_assert(soon([&] { return kept.taken == 3; }));
+  Moment left = Clock::now();
+  door.run([&] { door.gate.leave(); });
+  late.send(get);
+  cr_assert(soon([&] { return kept.taken == 4; }));
+  door.run([&] { answerWhole(kept.answers[3], "late"); });
+  auto got = late.all();
+  cr_assert(has(got, "\r\nConnection: close\r\n") && !has(got, "Keep-Alive") && has(got, "late"));
+  cr_assert(!late.timedOut && !late.reset);
+  cr_assert_eq(idle.all(), "");
+  cr_assert(!idle.timedOut);
+  cr_assert_geq(inMs(Clock::now() - left), 145);
+  cr_assert_lt(inMs(Clock::now() - left), 600);
+  Caller fresh(door.port);
+  fresh.send(get);
+  cr_assert(soon([&] { return kept.taken == 5; }), "new connections are still served");
+  door.run([&] {
+    answerWhole(kept.answers[4], "fresh");
+    answerWhole(kept.answers[2], "busy");
+  });
+  got = fresh.all();
+  cr_assert(has(got, "\r\nConnection: close\r\n") && has(got, "fresh"));
+  got = busy.all();
+  cr_assert(has(got, "\r\nConnection: close\r\n") && has(got, "busy"));
+  cr_assert(soon([&] { return door.connections() == 0; }));
+}
+
+Test(gate, closing_ends_everything_and_calls_nobody_back) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller idle(door.port), busy(door.port);
+  busy.send(get);
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  door.run([&] { door.gate.close(); });
+  cr_assert_eq(idle.all(), "");
+  cr_assert_eq(busy.all(), "");
+  door.run([&] { answerWhole(kept.answers[0], "late"); });
+  cr_assert_eq(door.connections(), 0u);
+  cr_assert_eq(door.exchanges(), 0u);
+  cr_assert_eq(kept.gone.load(), 0);
+}
+
+Test(gate, an_address_that_cannot_be_taken_is_told) {
+  asio::io_context io;
+  Gate first(io, "127.0.0.1:0", echo);
+  cr_assert(bool(first.open()));
+  Gate second(io, "127.0.0.1:" + std::to_string(first.port()), echo), third(io, "nowhere", echo);
+  cr_assert_eq(static_cast<int>(second.open().error().code), static_cast<int>(Code::badProps));
+  cr_assert_eq(static_cast<int>(third.open().error().code), static_cast<int>(Code::badProps));
+}
