--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -301,6 +301,12 @@
   return true;
 }
 
+bool Cell::startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now) {
+  auto& known = wantedByModel[model];
+  if (known.weights != wanted) known = Wanted{wanted, now};
+  return workers > 0 && now - known.since < props.rolloutSpan * started / workers;
+}
+
 bool Cell::waitsItsTurn(const std::string& model, const std::string& wanted, Moment now) {
   auto& known = wantedByModel[model];
   if (known.weights != wanted) known = Wanted{wanted, now};
@@ -369,6 +375,7 @@
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
       if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
       if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, desk.now)) continue;
+      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model], busy[report.model] + successes[report.model], desk.now)) continue;
       ++busy[report.model];
       rollout.weights = *wanted;
       rollout.model = report.model;
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -36,6 +36,8 @@
   Span askEvery{50ms}, sweepEvery{1s}, lateAfter{1s}, goneAfter{1500ms}, publishEvery{60ms}, markWait{1s};
   /// How many workers of a model in this locality may be taken to other weights at once: one in so many.
   int rolloutParts{3};
+  /// Over how long a locality's workers are started on other weights, one after the other; 0 starts all that there is room for.
+  Span rolloutSpan{0};
 };
 
 /// A locality's cell: its workers, its exact block index, and the commands to its workers. Every core has one for
@@ -122,6 +124,7 @@
   void askCondition(Desk& desk, Keeper& keeper);
   void onCondition(Desk& desk, Keeper& keeper, const Report& report);
   void moveRollouts(Desk& desk, const Blueprint& blueprint);
+  bool startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now);
   bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
   void moveWatches(Desk& desk);
   void publishNews(Desk& desk);
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -265,7 +265,6 @@
   bool oldToo = order.ask.model.empty() || mayUseOld(order.ask.model, desk.now);
   std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   std::vector<Choice> ranked;
-  std::vector<Plan::Candidate> candidates;
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
@@ -275,18 +274,21 @@
     }
   std::sort(ranked.begin(), ranked.end(), [](const Choice& one, const Choice& other) { return one.rank > other.rank; });
   const WorkerView* best = nullptr;
-  double bestCost = 0;
+  double bestCost = 0, sharedMs = 0;
+  for (std::size_t at = 0; at + 1 < order.ask.partTokens.size(); ++at) sharedMs += order.ask.partTokens[at] / props.tokensPerMs;
+  std::vector<std::size_t> drawable;
+  std::size_t bestAt = 0;
   for (std::size_t at = 0; at < ranked.size(); ++at) {
     const auto& worker = *ranked[at].worker;
-    if (at < ranksAsked) candidates.push_back(Plan::Candidate{worker.name, worker.address, worker.locality, false, 0, 0, 0, static_cast<int>(at), false});
     if (worker.held || (!order.ask.model.empty() && !oldToo && worker.weights != wanted)) continue;
     anyAlive = true;
     if (order.tried.count(worker.name)) continue;
     if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
-    if (at < ranksAsked) candidates.back().drawable = true;
-    double cost = loadOf(worker.name, desk.now) + (at == 0 ? 0 : at == 1 ? secondMs : otherMs);
+    double cost = loadOf(worker.name, desk.now) + (drawable.empty() ? 0 : otherMs + sharedMs * readAgainX);
+    drawable.push_back(at);
     if (!best || cost < bestCost) {
       best = &worker;
+      bestAt = drawable.size() - 1;
       bestCost = cost;
     }
   }
@@ -304,11 +306,12 @@
     for (const auto& part : order.ask.parts) plan.hashes.push_back(hashPart(plan.salt, part));
     plan.tokens = order.ask.partTokens;
     for (int tokens : plan.tokens) plan.unread += tokens;
-    for (auto& candidate : candidates)
-      if (const auto* view = workerView(candidate.name); candidate.name != plan.worker && view->weights == plan.weights) plan.candidates.push_back(candidate);
-    auto own = std::find_if(candidates.begin(), candidates.end(), [&](const auto& row) { return row.name == plan.worker; });
-    int rank = own == candidates.end() ? static_cast<int>(ranksAsked) : own->rank;
-    plan.candidates.push_back(Plan::Candidate{plan.worker, plan.address, plan.locality, false, 0, 0, 0, rank, true});
+    std::size_t others = 0;
+    for (std::size_t at = 0; at < drawable.size(); ++at) {
+      const auto& worker = *ranked[drawable[at]].worker;
+      if (worker.weights != plan.weights || (at != bestAt && ++others > ranksAsked)) continue;
+      plan.candidates.push_back(Plan::Candidate{worker.name, worker.address, worker.locality, false, 0, 0, 0, static_cast<int>(at)});
+    }
   }
   order.plan = std::move(plan);
   countOpen(order);
@@ -339,7 +342,7 @@
         store = &keeper;
         storeRank = rank;
       }
-  if (store) plan.candidates.push_back(Plan::Candidate{store->name, store->address, store->locality, true, 0, 0, 0, 0, false});
+  if (store) plan.candidates.push_back(Plan::Candidate{store->name, store->address, store->locality, true, 0, 0, 0, 0});
   auto silent = [&](const Plan::Candidate& candidate) {
     auto found = indexSilent.find(candidate.locality);
     return found != indexSilent.end() && now < found->second;
@@ -382,7 +385,7 @@
   const Plan::Candidate* target = nullptr;
   double leastCost = 0;
   for (const auto& candidate : plan.candidates) {
-    if (!candidate.drawable || order.tried.count(candidate.name)) continue;
+    if (candidate.store) continue;
     int own = tokensOf(candidate);
     auto [source, fetched] = sourceFor(candidate, own);
     int missing = shared - std::max(own, fetched);
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -39,9 +39,8 @@
     bool store{false};
     std::size_t guessedHits{0};
     double busyness{0}, speed{0};
-    /// Its place among the prompt's keepers, and whether it may be drawn itself.
+    /// Its place among the workers that may be drawn for the prompt.
     int rank{0};
-    bool drawable{false};
   };
   std::vector<Candidate> candidates;
   std::optional<Candidate> source;
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -746,6 +746,21 @@
   cr_assert(soon([&] { return kept.gone == 1; }));
 }
 
+Test(gate, an_ended_answer_is_written_to_a_caller_who_has_shut_down_sending) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(get);
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  const std::string body(16 << 20, 'x');
+  door.run([&] { answerWhole(kept.answers[0], body); });
+  caller.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  cr_assert_eq(caller.receive(30ms)->substr(0, 12), "HTTP/1.1 200");
+  cr_assert_gt(caller.all().size(), body.size() - 16384);
+  cr_assert(!caller.reset && !caller.timedOut);
+  cr_assert_eq(kept.gone.load(), 0);
+}
+
 Test(gate, what_the_socket_does_not_take_is_counted) {
   Kept kept;
   Door door(kept.handler());
