--- a/src/accord.cpp
+++ b/src/accord.cpp
@@ -198,6 +198,7 @@
     Entry entry = *found;
     ++commitIndex;
     applied.apply(entry);
+    if (entry.kind == static_cast<int>(EntryKind::members)) desk.save(captureRecord(applied.capture()));
     if (entryApplied) entryApplied(desk, entry);
   }
   std::vector<Waiter> left;
@@ -283,6 +284,7 @@
   }
   ballot.seeTerm(desk, message.term);
   if (ballot.won()) return;
+  leaderHeard = desk.now;
   if (message.prevIndex > logEnd() || (message.prevIndex >= base.index && termAt(message.prevIndex) != message.prevTerm)) {
     std::uint64_t hint = message.prevIndex > logEnd() ? logEnd() : commitIndex;
     desk.send(from, AppendReply{ballot.term(), selfRow.id, false, hint});
--- a/src/accord.hpp
+++ b/src/accord.hpp
@@ -24,6 +24,8 @@
   bool leads(Moment now) const { return ballot.holds(now); }
   /// Whether what this core says of commits covers all earlier terms.
   bool speaksForTerm() const;
+  /// When a sound word of the leader last came.
+  Moment heardLeaderAt() const { return leaderHeard; }
   std::uint64_t syncedEnd() const { return syncedIndex; }
   std::uint64_t commit() const { return commitIndex; }
   std::uint64_t logEnd() const;
@@ -63,6 +65,7 @@
   std::vector<Waiter> waiters;
   std::size_t logBytes{0};
   std::uint64_t verifiedTerm{0}, verifiedEnd{0};
+  Moment leaderHeard{};
 
   std::uint64_t termAt(std::uint64_t index) const;
   const Entry* entryAt(std::uint64_t index) const;
--- a/src/blueprint.cpp
+++ b/src/blueprint.cpp
@@ -167,7 +167,7 @@
     auto item = found->second.find(name);
     return item == found->second.end() ? nullptr : &item->second;
   };
-  std::map<std::string, std::string> secretOwners;
+  std::map<std::string, std::string> secretOwners, hashOwners;
   std::map<std::pair<std::string, std::string>, std::string> prefixOwners;
   auto untouched = [&](const std::string& sectionName, const auto& deed) {
     auto found = sections.find(sectionName);
@@ -229,6 +229,7 @@
       if (known != keyIdByHash.end() && known->second != name && find("keys", known->second) &&
           textOr(*find("keys", known->second), "hash") == hash.value())
         return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
+      if (!hashOwners.emplace(hash.value(), name).second) return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
     } else if (sectionName == "services") {
       auto store = textOr(item, "storeAddress");
       if (fields.count("storeAddress") && store.empty()) return fault(Code::badField, path + ".storeAddress", "must be ip:port");
@@ -304,7 +305,8 @@
   foldItem(sectionName, name, old == items.end() ? nullptr : &old->second, value);
   if (old != items.end()) {
     weight -= std::min(weight, name.size() + old->second.serialize().size());
-    if (sectionName == "keys") keyIdByHash.erase(textOr(old->second, "hash"));
+    if (sectionName == "keys")
+      if (auto known = keyIdByHash.find(textOr(old->second, "hash")); known != keyIdByHash.end() && known->second == name) keyIdByHash.erase(known);
     if (sectionName == "policies") policies.erase(name);
   }
   if (!value) {
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -94,7 +94,6 @@
   std::uint64_t lastId{0}, opened{0};
   bool insideLibrary{false}, timerSet{false};
 
-  // Waiting for sockets and times on the library's behalf.
 
   static int onSocket(CURL*, curl_socket_t socket, int what, void* owner, void*) {
     auto* self = static_cast<Inner*>(owner);
@@ -193,7 +192,6 @@
     return ::close(socket);
   }
 
-  // What the library says about a call.
 
   static int onRequest(void* owner, char* peerIp, char* localIp, int peerPort, int localPort) {
     auto* row = static_cast<Row*>(owner);
@@ -266,7 +264,6 @@
     return row->dropped ? 0 : bytes;
   }
 
-  // The course of a call.
 
   void act(curl_socket_t socket, int events) {
     insideLibrary = true;
@@ -398,7 +395,6 @@
     if (call.connectWait > Span(0)) curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, wholeMs(call.connectWait));
     if (call.wholeWait > Span(0)) curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, wholeMs(call.wholeWait));
 
-    // The library compares whole seconds rounded down, so one more second off keeps the bound.
     auto told = keepAlive.find(call.address);
     long keep = told == keepAlive.end() ? keepAliveUntold : told->second - 1;
     if (keep <= 0) {
--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -189,6 +189,7 @@
     keeper.last.incarnation = report.incarnation;
     keeper.last.sequence = report.sequence;
     if (report.lost) doubt(desk, keeper, "gap");
+    if (keeper.confirmed && !report.whole && report.sequence < keeper.applied) return desk.note("report late", report.worker);
   } else {
     keeper.last = report;
     keeper.last.kept.clear();
@@ -330,7 +331,7 @@
 
 bool Cell::startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now) {
   auto& known = wantedByModel[model];
-  if (known.weights != wanted) known = Wanted{wanted, now};
+  if (known.weights != wanted) known = Wanted{wanted, now - (workers > 0 ? props.rolloutSpan * started / workers : Span(0))};
   return workers > 0 && now - known.since < props.rolloutSpan * started / workers;
 }
 
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr Span helloEvery = 300ms;
 constexpr Span joinEvery = 1s;
+constexpr Span leaderSilent = 3s;
 constexpr Span agentKept = 2s;
 constexpr Span followerKept = 1s;
 constexpr Span platformFirst = 600ms;
@@ -113,7 +114,7 @@
   }
   bool member = false;
   for (const auto& row : accord->members()) member = member || (row.id == self.id && row.address == self.address);
-  if (accord->formed() && member) return;
+  if (accord->formed() && member && (accord->ballot.won() || desk.now - accord->heardLeaderAt() < leaderSilent)) return;
   if (desk.now - helloAt >= helloEvery) {
     helloAt = desk.now;
     for (const auto& seed : props.seeds)
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -584,7 +584,7 @@
     auto found = orders.find(orderId);
     if (found == orders.end()) continue;
     auto& order = *found->second;
-    if (desk.now - order.takenAt >= pendingMostOf(order) || !fresh(desk.now) || stopping) {
+    if (desk.now - order.takenAt >= pendingMostOf(order) || overdue(order, desk.now) || !fresh(desk.now) || stopping) {
       if (!fresh(desk.now)) order.lastCode = Code::staleEdge;
       happen(desk, orderId, "late");
       continue;
@@ -797,7 +797,7 @@
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   if (order.route.byPath() && static_cast<Outcome>(order.end.outcome) == Outcome::brokenUnsent && ++order.unsent <= mostUnsent) --order.tries;
-  order.retryAsked = order.tries < mostTriesOf(order);
+  order.retryAsked = order.tries < mostTriesOf(order) && !overdue(order, desk.now);
   if (!order.retryAsked) denyOrUnknown(desk, order, Code::noWorker);
 }
 
@@ -806,7 +806,7 @@
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   order.mayHaveRun = true;
-  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(desk.now);
+  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(desk.now) && !overdue(order, desk.now);
   if (!order.retryAsked) verdict(desk, order, "failed", Code::workerBroke, order.plan.worker);
 }
 
@@ -816,7 +816,7 @@
   orderBySend.erase(order.sendId);
   order.mayHaveRun = props.defences.stands(Defence::unknownOnceSent);
   bool mayRepeat = order.ask.repeatable || !props.defences.stands(Defence::retryOnlyRepeatable);
-  order.retryAsked = mayRepeat && order.tries < mostTriesOf(order);
+  order.retryAsked = mayRepeat && order.tries < mostTriesOf(order) && !overdue(order, desk.now);
   if (!order.retryAsked) denyOrUnknown(desk, order, Code::workerBroke, order.plan.worker);
 }
 
--- a/src/edge.hpp
+++ b/src/edge.hpp
@@ -177,6 +177,7 @@
   bool savesTo(const std::string& store, const BlockHash& prefix, Moment now);
   void noteDelay(const Order& order, Moment now);
   bool sheds(Desk& desk, const Order& order);
+  static bool overdue(const Order& order, Moment now) { return order.route.byPath() && now >= order.deadline; }
   void readDone(Order& order);
   int mostTriesOf(const Order& order) const;
   Span pendingMostOf(const Order& order) const;
