--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -546,7 +546,6 @@
       auto size = readChunkSize(line);
       if (!size) return refuse(400);
       if (*size > limits.bodyBytes - request.body.size()) return refuse(413);
-      // A body that is mostly framing is no body: small chunks may be many, long lines may not.
       std::size_t excess = chunkExcess + line.size() + 2, fair = 16 + 2 * static_cast<std::size_t>(*size);
       chunkExcess = excess > fair ? excess - fair : 0;
       if (chunkExcess > chunkExcessBytes) return refuse(400);
