--- a/src/cell.cpp
+++ b/src/cell.cpp
@@ -80,6 +80,7 @@
   watches.clear();
   agentMarks.clear();
   sequence = 0;
+  said.clear();
   newsDue = true;
 }
 
@@ -494,6 +495,28 @@
   }
 }
 
+void Cell::tellChanges(CellNews& news) {
+  std::map<std::string, WorkerView> now;
+  for (auto& worker : news.workers) {
+    worker.kept = worker.reportSequence = 0;
+    worker.running = std::min(worker.running, 8) + std::max(0, worker.running - 8) / 4 * 4;
+    now[worker.name] = worker;
+  }
+  bool whole = sequence <= 1 || said.empty();
+  auto stated = [](const WorkerView& row) {
+    return std::tie(row.address, row.kind, row.weights, row.model, row.running, row.slots, row.held, row.alive, row.confirmed, row.service, row.waiting, row.savedShare);
+  };
+  if (!whole) {
+    news.base = news.sequence - 1;
+    news.workers.clear();
+    for (const auto& [name, worker] : now)
+      if (auto old = said.find(name); old == said.end() || stated(old->second) != stated(worker)) news.workers.push_back(worker);
+    for (const auto& [name, worker] : said)
+      if (!now.count(name)) news.gone.push_back(name);
+  }
+  said = std::move(now);
+}
+
 void Cell::publishNews(Desk& desk) {
   if (desk.now - publishedAt < (newsDue ? props.publishEvery : publishIdle)) return;
   if (!ballot.holds(desk.now)) return;
@@ -515,6 +538,7 @@
                                       keeper.confirmed, keeper.kept.size(), keeper.last.sequence, light ? std::string() : keeper.summary, keeper.machine.service,
                                       keeper.last.waiting, keeper.last.memory, keeper.savedShare});
   }
+  if (!props.summaries) tellChanges(news);
   for (auto speed = speeds.begin(); speed != speeds.end();) {
     if (desk.now - speed->second.at > speedKept) {
       speed = speeds.erase(speed);
--- a/src/cell.hpp
+++ b/src/cell.hpp
@@ -101,6 +101,8 @@
   };
   std::map<std::pair<std::string, std::string>, Speed> speeds;
   std::uint64_t sequence{0};
+  /// What the last news said, so that the next need only say what has changed.
+  std::map<std::string, WorkerView> said;
   Moment publishedAt{}, summariesAt{}, sweptAt{};
   std::string sweptLast;
   bool newsDue{true};
@@ -136,6 +138,7 @@
   bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
   void moveWatches(Desk& desk);
   void publishNews(Desk& desk);
+  void tellChanges(CellNews& news);
   void whenHolds(Desk& desk, bool won);
   bool agentsHave(std::uint64_t markSequence, Moment now) const;
   void doubt(Desk& desk, Keeper& keeper, const char* why);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -6,6 +6,9 @@
 namespace {
 constexpr Span helloEvery = 300ms;
 constexpr Span joinEvery = 1s;
+constexpr Span missedEvery = 200ms;
+constexpr Span watchKept = 2s;
+constexpr Span watchSought = 250ms;
 constexpr Span leaderSilent = 3s;
 constexpr Span agentKept = 2s;
 constexpr Span followerKept = 1s;
@@ -97,13 +100,22 @@
 
 void Core::keepNews(Desk& desk, const CellNews& news, bool own) {
   auto& kept = lastNews[news.locality];
-  if (!takeCellNews(kept, news)) return;
+  if (!takeCellNews(kept, news)) return askMissed(desk, news);
   spread(desk, news);
   if (!own) return;
   for (const auto& member : accord->members())
     if (member.id != self.id) desk.send(member.address, news);
 }
 
+void Core::askMissed(Desk& desk, const CellNews& news) {
+  const auto& kept = lastNews[news.locality];
+  if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence) || desk.now - missedAt < missedEvery) return;
+  missedAt = desk.now;
+  std::vector<CellMark> marks;
+  for (const auto& [locality, row] : lastNews) marks.push_back(CellMark{locality, row.term, row.sequence});
+  desk.send(news.holder, NewsAsk{self.address, accord->blueprint().index(), marks});
+}
+
 void Core::seekFleet(Desk& desk) {
   if (!idSynced) {
     if (idSavedAt == Moment{}) {
@@ -156,13 +168,23 @@
 }
 
 void Core::onEnds(Desk& desk, const std::string& from, const EndsAsk& ask) {
-  agents[from] = AgentRow{ask.agent, ask.locality, ask.applied, ask.fresh, ask.relays, desk.now};
+  auto& row = agents[from];
+  row.id = ask.agent;
+  row.locality = ask.locality;
+  row.applied = ask.applied;
+  row.fresh = ask.fresh;
+  row.relays = ask.relays;
+  row.at = desk.now;
   for (const auto& mark : ask.cells)
     if (auto cell = cells.find(mark.locality); cell != cells.end()) cell->second->agentHas(from, mark, desk.now);
   if (!accord->formed()) return;
   if (!platformHeard && !props.platformAddress.empty() && desk.now - startedAt < platformFirst) return;
+  if (ask.relays && desk.now - row.watchAt >= (row.watch.empty() ? watchSought : watchKept)) {
+    row.watch = watchFor(from, desk.now);
+    row.watchAt = desk.now;
+  }
   EndsReply reply{ask.askId, self.id, accord->ballot.term(), accord->speaksForTerm(), accord->syncedEnd(),
-                  accord->commit(), accord->members(), ask.relays ? watchFor(from, desk.now) : Strings{}, outlook->marksKnown(),
+                  accord->commit(), accord->members(), ask.relays ? row.watch : Strings{}, outlook->marksKnown(),
                   0, outlook->marksDigest(), {}};
   if (reply.marksKnown) reply.marksAge = (desk.now - outlook->marksAt()).count();
   if (reply.marksKnown && ask.marksDigest != reply.marksDigest) reply.machines = outlook->machines();
--- a/src/core.hpp
+++ b/src/core.hpp
@@ -37,6 +37,9 @@
  private:
   struct AgentRow {
     std::string id, locality;
+    /// Whom it was last told to watch, and when that was drawn.
+    Strings watch;
+    Moment watchAt{};
     std::uint64_t applied{0};
     bool fresh{false}, relays{true};
     Moment at{};
@@ -65,6 +68,7 @@
     std::map<std::string, std::uint64_t> appliedByReader;
   };
   ReadersRound round;
+  Moment missedAt{};
   Count cellDigest{0}, storesDigest{0};
   std::map<std::string, HelloReply> hellos;
   std::map<std::string, Asked> asked;
@@ -89,6 +93,7 @@
   std::vector<Machine> machinesWithStores() const;
   void spread(Desk& desk, const Message& message);
   void keepNews(Desk& desk, const CellNews& news, bool own);
+  void askMissed(Desk& desk, const CellNews& news);
   Strings watchFor(const std::string& agent, Moment now) const;
 };
 
--- a/src/desk.cpp
+++ b/src/desk.cpp
@@ -23,6 +23,20 @@
 
 bool takeCellNews(CellNews& kept, const CellNews& news) {
   if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence)) return false;
+  if (news.base > 0) {
+    if (kept.term != news.term || kept.sequence != news.base) return false;
+    std::map<std::string, WorkerView> rows;
+    for (auto& worker : kept.workers) rows[worker.name] = std::move(worker);
+    for (const auto& name : news.gone) rows.erase(name);
+    for (const auto& worker : news.workers) rows[worker.name] = worker;
+    kept.workers.clear();
+    for (auto& [name, worker] : rows) kept.workers.push_back(std::move(worker));
+    kept.sequence = news.sequence;
+    kept.holder = news.holder;
+    kept.links = news.links;
+    kept.givenUp = news.givenUp;
+    return true;
+  }
   CellNews taken = news;
   if (news.light)
     for (auto& worker : taken.workers)
--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -139,7 +139,9 @@
 
 int Edge::comeBackMs(Desk& desk, Code code) const {
   int least = 300;
-  if (code == Code::staleEdge || code == Code::stopping) {
+  if (code == Code::staleEdge) {
+    least = props.sourceRides ? 1200 : 500;
+  } else if (code == Code::stopping) {
     least = 500;
   } else if (code == Code::pendingFull) {
     double pace = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(props.retrySpan).count());
--- a/src/messages.hpp
+++ b/src/messages.hpp
@@ -74,7 +74,7 @@
   X(NewsAsk, ((std::string, agent))((Count, applied))((std::vector<CellMark>, cells)))                              \
   X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Capture>, captures)))                    \
   X(CellNews, ((std::string, locality))((Count, term))((Count, sequence))((std::string, holder))                    \
-                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Strings, givenUp)))        \
+                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Strings, givenUp))((Count, base))((Strings, gone)))        \
   X(MarksMsg, ((std::int64_t, age))((std::vector<Machine>, machines)))                                              \
   X(FeedAsk, ((std::int64_t, sentAt))((Count, applied))((std::vector<CellMark>, cells))((Count, marksDigest)))      \
   X(FeedReply, ((std::int64_t, sentAt))((std::int64_t, age))((Count, needed))((bool, known)))                       \
@@ -133,7 +133,8 @@
 
 /// The name of what a message is.
 const char* messageName(const Message& message);
-/// Takes newer cell news in. Light ones carry no summaries, so those that were known stay.
+/// Takes newer cell news in. Light ones carry no summaries, so those that were known stay. Ones with a base hold only what
+/// has changed since that sequence, and are not taken by who does not have just that.
 bool takeCellNews(CellNews& kept, const CellNews& news);
 /// Tells one list of machines from another.
 Count digestOf(const std::vector<Machine>& machines);
