--- a/src/edge.cpp
+++ b/src/edge.cpp
@@ -264,11 +264,8 @@
 bool Edge::savesTo(const std::string& store, const BlockHash& prefix, Moment now) {
   const auto* keeper = workerView(store);
   if (!keeper || static_cast<int>(prefix.high % 1000) >= keeper->savedShare) return false;
-  if (savedAt.size() > savedMost) savedAt.clear();
-  auto [row, isNew] = savedAt.try_emplace(prefix, now);
-  if (!isNew && now - row->second < savedSure) return false;
-  row->second = now;
-  return true;
+  auto row = savedAt.find(prefix);
+  return row == savedAt.end() || now - row->second >= savedSure;
 }
 
 void Edge::noteDelay(const Order& order, Moment now) {
@@ -663,6 +660,10 @@
     sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - desk.now));
     if (order.plan.source) sent.sourceAddress = order.plan.source->address;
     order.sentAt = desk.now;
+    if (!order.plan.sinkAddress.empty()) {
+      if (savedAt.size() > savedMost) savedAt.clear();
+      savedAt[order.plan.hashes.back()] = desk.now;
+    }
     locals[order.plan.worker].unread += order.plan.unread;
     order.unreadCounted = true;
   }
@@ -795,6 +796,7 @@
 void Edge::dropOrder(Desk& desk, Order& order) { desk.send(order.plan.address, WorkerDrop{order.sendId}); }
 
 void Edge::weighUnsent(Desk& desk, Order& order) {
+  if (!order.plan.sinkAddress.empty()) savedAt.erase(order.plan.hashes.back());
   freeWorker(desk, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
