--- a/src/chart.hpp
+++ b/src/base/chart.hpp
@@ -27,18 +27,18 @@
 template <class Owner, class... Args>
 class ChartWalk {
  public:
-  using Deed = void (Owner::*)(Args...);
-  using Deeds = std::map<std::string, Deed>;
-  ChartWalk(const std::string& chartName, const Deeds& deeds, std::string startState)
-      : chart(&Chart::named(chartName)), deedsByName(&deeds), current(std::move(startState)) {}
+  using Action = void (Owner::*)(Args...);
+  using Actions = std::map<std::string, Action>;
+  ChartWalk(const std::string& chartName, const Actions& actions, std::string startState)
+      : chart(&Chart::named(chartName)), actionsByName(&actions), current(std::move(startState)) {}
   /// Whether the event meant anything in this state.
   bool happen(Owner& owner, const std::string& event, Args... args) {
     const auto* step = chart->step(current, event);
     if (!step) return false;
     current = step->next;
-    for (const auto& action : step->actions) {
-      auto deed = deedsByName->find(action);
-      if (deed != deedsByName->end()) (owner.*(deed->second))(args...);
+    for (const auto& name : step->actions) {
+      auto action = actionsByName->find(name);
+      if (action != actionsByName->end()) (owner.*(action->second))(args...);
     }
     return true;
   }
@@ -47,7 +47,7 @@
 
  private:
   const Chart* chart;
-  const Deeds* deedsByName;
+  const Actions* actionsByName;
   std::string current;
 };
 
--- a/src/desk.cpp
+++ b/src/base/effects.cpp
@@ -1,4 +1,4 @@
-#include "desk.hpp"
+#include "effects.hpp"
 
 #include <cstring>
 
@@ -61,7 +61,7 @@
 Record voteRecord(const std::string& duty, const Vote& vote) { return {RecordKind::vote, packVote(duty, vote)}; }
 Record entryRecord(const Entry& entry) { return {RecordKind::entry, encodeEntry(entry)}; }
 Record cutRecord(std::uint64_t firstGone) { return {RecordKind::cut, std::to_string(firstGone)}; }
-Record captureRecord(const Capture& capture) { return {RecordKind::capture, encodeCapture(capture)}; }
+Record snapshotRecord(const Snapshot& snapshot) { return {RecordKind::snapshot, encodeSnapshot(snapshot)}; }
 
 bool Recovered::fold(const Record& record) {
   switch (record.kind) {
@@ -87,13 +87,13 @@
       while (!entries.empty() && entries.back().index >= firstGone) entries.pop_back();
       return true;
     }
-    case RecordKind::capture: {
-      auto made = decodeCapture(record.bytes);
+    case RecordKind::snapshot: {
+      auto made = decodeSnapshot(record.bytes);
       if (!made) return false;
-      capture = std::move(made).value();
+      snapshot = std::move(made).value();
       std::vector<Entry> kept;
       for (auto& entry : entries)
-        if (entry.index > capture->index) kept.push_back(std::move(entry));
+        if (entry.index > snapshot->index) kept.push_back(std::move(entry));
       entries = std::move(kept);
       return true;
     }
@@ -107,7 +107,7 @@
   std::vector<Record> rows;
   rows.push_back(identityRecord(identity));
   for (const auto& [duty, vote] : votes) rows.push_back(voteRecord(duty, vote));
-  if (capture) rows.push_back(captureRecord(*capture));
+  if (snapshot) rows.push_back(snapshotRecord(*snapshot));
   for (const auto& entry : entries) rows.push_back(entryRecord(entry));
   return rows;
 }
--- a/src/desk.hpp
+++ b/src/base/effects.hpp
@@ -31,7 +31,7 @@
 };
 
 /// One record for the ring.
-enum class RecordKind : int { identity = 1, vote = 2, entry = 3, cut = 4, capture = 5, checkpointEnd = 6 };
+enum class RecordKind : int { identity = 1, vote = 2, entry = 3, cut = 4, snapshot = 5, checkpointEnd = 6 };
 struct Record {
   RecordKind kind{RecordKind::identity};
   std::string bytes;
@@ -44,7 +44,7 @@
 struct Recovered {
   std::string identity;
   std::map<std::string, Vote> votes;
-  std::optional<Capture> capture;
+  std::optional<Snapshot> snapshot;
   std::vector<Entry> entries;
   bool fold(const Record& record);
   std::vector<Record> records() const;
@@ -54,23 +54,23 @@
 Record voteRecord(const std::string& duty, const Vote& vote);
 Record entryRecord(const Entry& entry);
 Record cutRecord(std::uint64_t firstGone);
-Record captureRecord(const Capture& capture);
+Record snapshotRecord(const Snapshot& snapshot);
 
-/// What a part of the logic may do: send, save, look at the clock, throw dice. The host carries it out.
-struct Desk {
+/// What a part of the logic may do: send, save, look at the clock, throw random source. The host carries it out.
+struct Effects {
   struct Save {
     Record record;
-    std::function<void(Desk&)> then;
+    std::function<void(Effects&)> then;
   };
   Moment now;
-  std::mt19937_64& dice;
+  std::mt19937_64& randomSource;
   Journal& journal;
   std::vector<std::pair<std::string, Message>> sends;
   std::vector<Save> saves;
 
   void send(const std::string& to, Message message) { sends.emplace_back(to, std::move(message)); }
-  void save(Record record, std::function<void(Desk&)> then = {}) { saves.push_back({std::move(record), std::move(then)}); }
-  std::uint64_t roll(std::uint64_t below) { return below ? dice() % below : 0; }
+  void save(Record record, std::function<void(Effects&)> then = {}) { saves.push_back({std::move(record), std::move(then)}); }
+  std::uint64_t roll(std::uint64_t below) { return below ? randomSource() % below : 0; }
   void note(std::string kind, std::string subject = {}, std::int64_t number = 0) {
     journal.append(now, std::move(kind), std::move(subject), number);
   }
@@ -80,8 +80,8 @@
 class Node {
  public:
   virtual ~Node() = default;
-  virtual void take(Desk& desk, const std::string& from, const Message& message) = 0;
-  virtual void tick(Desk& desk) = 0;
+  virtual void take(Effects& effects, const std::string& from, const Message& message) = 0;
+  virtual void tick(Effects& effects) = 0;
   Journal journal;
 };
 
--- a/src/messages.hpp
+++ b/src/base/messages.hpp
@@ -10,6 +10,7 @@
 using Hashes = std::vector<BlockHash>;
 using Count = std::uint64_t;
 
+/* clang-format off */
 #define TT_FIELD(r, data, pair) BOOST_PP_TUPLE_ELEM(2, 0, pair) BOOST_PP_TUPLE_ELEM(2, 1, pair){};
 #define TT_STOW(r, data, pair) stow(archive, BOOST_PP_TUPLE_ELEM(2, 1, pair));
 #define TT_STRUCT(Name, fields)                      \
@@ -38,41 +39,41 @@
 TT_STRUCT(LinkSpeed, ((std::string, source))((std::string, target))((double, blocksPerSecond)))
 TT_STRUCT(KeptEvent, ((Count, sequence))((int, kind))((Hashes, hashes)))
 TT_STRUCT(Reader, ((std::string, address))((Count, applied))((std::int64_t, age)))
-TT_STRUCT(Capture,
-          ((Count, index))((Count, term))((Count, revision))((std::string, blueprint))((std::vector<Member>, members))
+TT_STRUCT(Snapshot,
+          ((Count, index))((Count, term))((Count, revision))((std::string, configuration))((std::vector<Member>, members))
           ((Strings, changeIds))((std::vector<Count>, changeRevisions)))
 
 /// Name, then fields. One table makes the structs, the variant and the wire form.
 #define TT_MESSAGES(X)                                                                                              \
   /* duties */                                                                                                      \
-  X(BallotAsk, ((std::string, duty))((Count, term))((std::string, candidate))((bool, probe))((Count, lastTerm))     \
+  X(VoteRequest, ((std::string, duty))((Count, term))((std::string, candidate))((bool, probe))((Count, lastTerm))     \
                    ((Count, lastIndex)))                                                                            \
-  X(BallotReply, ((std::string, duty))((Count, term))((std::string, voter))((bool, probe))((bool, granted)))        \
-  X(HoldMsg, ((std::string, duty))((Count, term))((std::string, holder))((std::int64_t, sentAt)))                   \
-  X(HoldReply, ((std::string, duty))((Count, term))((std::string, voter))((std::int64_t, sentAt))((bool, granted))) \
+  X(VoteResponse, ((std::string, duty))((Count, term))((std::string, voter))((bool, probe))((bool, granted)))        \
+  X(Heartbeat, ((std::string, duty))((Count, term))((std::string, holder))((std::int64_t, sentAt)))                   \
+  X(HeartbeatResponse, ((std::string, duty))((Count, term))((std::string, voter))((std::int64_t, sentAt))((bool, granted))) \
   /* the agreed log */                                                                                              \
-  X(AppendMsg, ((Count, term))((std::string, leader))((Count, prevIndex))((Count, prevTerm))((Count, commit))       \
+  X(AppendRequest, ((Count, term))((std::string, leader))((Count, prevIndex))((Count, prevTerm))((Count, commit))       \
                    ((std::vector<Entry>, entries)))                                                                 \
-  X(AppendReply, ((Count, term))((std::string, voter))((bool, matched))((Count, index)))                            \
-  X(CaptureMsg, ((Count, term))((std::string, leader))((Capture, capture)))                                         \
-  X(HelloAsk, ((Member, self))((bool, formed)))                                                                     \
-  X(HelloReply, ((Member, self))((bool, formed))((std::vector<Member>, members)))                                   \
-  X(FormMsg, ((std::vector<Member>, members)))                                                                      \
-  X(JoinAsk, ((Member, self)))                                                                                      \
-  X(ChangeAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))               \
+  X(AppendResponse, ((Count, term))((std::string, voter))((bool, matched))((Count, index)))                            \
+  X(InstallSnapshot, ((Count, term))((std::string, leader))((Snapshot, snapshot)))                                         \
+  X(HelloRequest, ((Member, self))((bool, formed)))                                                                     \
+  X(HelloResponse, ((Member, self))((bool, formed))((std::vector<Member>, members)))                                   \
+  X(FormRequest, ((std::vector<Member>, members)))                                                                      \
+  X(JoinRequest, ((Member, self)))                                                                                      \
+  X(ChangeRequest, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))               \
                    ((std::string, changeId))((std::int64_t, sinceRevision))((int, manner))((std::int64_t, toRevision)))                                        \
-  X(ChangeReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))((Count, revision))\
+  X(ChangeResponse, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))((Count, revision))\
                      ((Count, index))((Count, term)))                                                                              \
   /* news */                                                                                                        \
-  X(EndsAsk, ((Count, askId))((std::string, agent))((std::string, locality))((Count, applied))                      \
+  X(LogEndRequest, ((Count, askId))((std::string, agent))((std::string, locality))((Count, applied))                      \
                  ((std::vector<CellMark>, cells))((bool, fresh))((bool, relays))((Count, marksDigest)))             \
-  X(EndsReply, ((Count, askId))((std::string, core))((Count, term))((bool, leads))((Count, lastIndex))              \
+  X(LogEndResponse, ((Count, askId))((std::string, core))((Count, term))((bool, leads))((Count, lastIndex))              \
                    ((Count, commit))((std::vector<Member>, members))((Strings, watch))((bool, marksKnown))          \
                    ((std::int64_t, marksAge))((Count, marksDigest))((std::vector<Machine>, machines)))              \
-  X(ReadersAsk, ((Count, roundId))((Count, index))((Count, term)))                                                  \
-  X(ReadersReply, ((Count, roundId))((std::string, core))((bool, has))((std::vector<Reader>, readers)))             \
+  X(ReadersRequest, ((Count, roundId))((Count, index))((Count, term)))                                                  \
+  X(ReadersResponse, ((Count, roundId))((std::string, core))((bool, has))((std::vector<Reader>, readers)))             \
   X(NewsAsk, ((std::string, agent))((Count, applied))((std::vector<CellMark>, cells)))                              \
-  X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Capture>, captures)))                    \
+  X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Snapshot>, snapshots)))                    \
   X(CellNews, ((std::string, locality))((Count, term))((Count, sequence))((std::string, holder))                    \
                   ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Strings, givenUp))((Count, base))((Strings, gone)))        \
   X(MarksMsg, ((std::int64_t, age))((std::vector<Machine>, machines)))                                              \
@@ -118,11 +119,12 @@
   X(CallerVerdict, ((std::string, orderId))((std::string, verdict))((int, code))((std::string, subject))            \
                        ((std::string, text))((int, retryAfterMs))((int, tries))((int, local))((int, fetched))       \
                        ((int, computed))((std::string, worker))((bool, began)))                                    \
-  X(OperatorAsk, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
+  X(OperatorRequest, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
                      ((std::string, changeId))((std::int64_t, sinceRevision))((int, manner))((std::int64_t, toRevision)))                                      \
-  X(OperatorReply, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
+  X(OperatorResponse, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
                        ((Count, revision))((Count, reached)))
 
+/* clang-format on */
 #define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
 TT_MESSAGES(TT_MESSAGE_STRUCT)
 #undef TT_MESSAGE_STRUCT
@@ -142,9 +144,9 @@
 std::string encodeMessage(const Message& message);
 /// A frame's bytes as a message; a malformed frame is a fault, and costs memory in step with its size only.
 Result<Message> decodeMessage(std::string_view frame);
-/// A capture as bytes, for the ring.
-std::string encodeCapture(const Capture& capture);
-Result<Capture> decodeCapture(std::string_view bytes);
+/// A snapshot as bytes, for the ring.
+std::string encodeSnapshot(const Snapshot& snapshot);
+Result<Snapshot> decodeSnapshot(std::string_view bytes);
 std::string encodeEntry(const Entry& entry);
 Result<Entry> decodeEntry(std::string_view bytes);
 
--- a/src/wire.cpp
+++ b/src/base/wire.cpp
@@ -148,8 +148,8 @@
   return unpackKind<>(kind, frame);
 }
 
-std::string encodeCapture(const Capture& capture) { return pack(capture, 0); }
-Result<Capture> decodeCapture(std::string_view bytes) { return unpack<Capture>(bytes); }
+std::string encodeSnapshot(const Snapshot& snapshot) { return pack(snapshot, 0); }
+Result<Snapshot> decodeSnapshot(std::string_view bytes) { return unpack<Snapshot>(bytes); }
 std::string encodeEntry(const Entry& entry) { return pack(entry, 0); }
 Result<Entry> decodeEntry(std::string_view bytes) { return unpack<Entry>(bytes); }
 
--- a/src/outlook.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -1,34 +1,34 @@
-#include "outlook.hpp"
+#include "cluster_view.hpp"
 
 #include <algorithm>
 
 namespace tt {
 
-Outlook::Outlook(ReaderProps readerProps) : props(std::move(readerProps)) {}
+ClusterView::ClusterView(ReaderSettings readerSettings) : settings(std::move(readerSettings)) {}
 
-Strings Outlook::coreAddresses(const Blueprint& view) const {
+Strings ClusterView::coreAddresses(const Configuration& view) const {
   std::set<std::string> addresses(toldAddresses.begin(), toldAddresses.end());
   for (const auto& member : view.members()) addresses.insert(member.address);
   if (addresses.empty() || outOfTouch)
-    for (const auto& seed : props.seeds) addresses.insert(seed);
+    for (const auto& seed : settings.seeds) addresses.insert(seed);
   return Strings(addresses.begin(), addresses.end());
 }
 
-void Outlook::ask(Desk& desk, Count applied, const std::vector<CellMark>& cells, const Blueprint& view) {
-  outOfTouch = !fresh(desk.now);
-  if (!props.defences.stands(Defence::freshnessWeighed)) weigh(desk.now, view);
+void ClusterView::ask(Effects& effects, Count applied, const std::vector<CellMark>& cells, const Configuration& view) {
+  outOfTouch = !fresh(effects.now);
+  if (!settings.defences.stands(Defence::freshnessWeighed)) weigh(effects.now, view);
   auto addresses = coreAddresses(view);
   for (auto row = cores.begin(); row != cores.end();)
     row = std::find(addresses.begin(), addresses.end(), row->first) == addresses.end() ? cores.erase(row) : std::next(row);
   for (const auto& address : addresses) {
     auto& core = cores[address];
     while (core.asks.size() > 16) core.asks.erase(core.asks.begin());
-    core.asks[++askCount] = desk.now;
-    desk.send(address, EndsAsk{askCount, props.name, props.locality, applied, cells, fresh(desk.now), props.relays, digest});
+    core.asks[++askCount] = effects.now;
+    effects.send(address, LogEndRequest{askCount, settings.name, settings.locality, applied, cells, fresh(effects.now), settings.relays, digest});
   }
 }
 
-void Outlook::take(Desk& desk, const std::string& from, const EndsReply& reply, const Blueprint& view) {
+void ClusterView::take(Effects& effects, const std::string& from, const LogEndResponse& reply, const Configuration& view) {
   auto found = cores.find(from);
   if (found == cores.end()) return;
   auto& core = found->second;
@@ -43,7 +43,7 @@
     else if (digestOf(reply.machines) == reply.marksDigest)
       offerMarks(reply.machines, listedAt);
   } else if (!reply.marksKnown && marksKnown()) {
-    desk.send(from, MarksMsg{(desk.now - marksAskedAt).count(), machineRows});
+    effects.send(from, MarksMsg{(effects.now - marksAskedAt).count(), machineRows});
   }
   if (!core.heard || askedAt >= core.askedAt) {
     core.askedAt = askedAt;
@@ -58,12 +58,12 @@
     for (const auto& member : reply.members) toldAddresses.push_back(member.address);
   }
   watchRows = reply.watch;
-  weigh(desk.now, view);
+  weigh(effects.now, view);
 }
 
-bool Outlook::offerMarks(const std::vector<Machine>& machines, Moment askedAt) {
+bool ClusterView::offerMarks(const std::vector<Machine>& machines, Moment askedAt) {
   if (machines.empty()) return false;
-  if (marksKnown() && askedAt <= marksAskedAt && props.defences.stands(Defence::listOrder)) return false;
+  if (marksKnown() && askedAt <= marksAskedAt && settings.defences.stands(Defence::listOrder)) return false;
   marksAskedAt = askedAt;
   Count newDigest = digestOf(machines);
   if (newDigest == digest) return false;
@@ -72,7 +72,7 @@
   return true;
 }
 
-std::string Outlook::furthestCore(Moment now, Count beyond) const {
+std::string ClusterView::furthestCore(Moment now, Count beyond) const {
   std::string best;
   Count most = beyond;
   for (const auto& [address, core] : cores)
@@ -83,7 +83,7 @@
   return best;
 }
 
-std::optional<Count> Outlook::neededBy(const std::vector<const CoreRow*>& heard, std::size_t voters) const {
+std::optional<Count> ClusterView::neededBy(const std::vector<const CoreRow*>& heard, std::size_t voters) const {
   std::size_t quorum = voters / 2 + 1;
   if (heard.size() < voters - quorum + 1) return std::nullopt;
   Count highest = 0;
@@ -97,8 +97,8 @@
   return ends[quorum - silent - 1];
 }
 
-void Outlook::weigh(Moment now, const Blueprint& view) {
-  if (!props.defences.stands(Defence::freshnessWeighed)) {
+void ClusterView::weigh(Moment now, const Configuration& view) {
+  if (!settings.defences.stands(Defence::freshnessWeighed)) {
     completeUntil = view.members().empty() ? Moment{} : now;
     return;
   }
--- a/src/outlook.hpp
+++ b/src/cluster/cluster_view.hpp
@@ -1,12 +1,12 @@
 #pragma once
-#include "ballot.hpp"
-#include "blueprint.hpp"
+#include "election.hpp"
+#include "configuration.hpp"
 #include "defences.hpp"
 
 namespace tt {
 
-/// How one reader of the blueprint (an agent, or a core that reads back to operators) is known to the cores.
-struct ReaderProps {
+/// How one reader of the configuration (an agent, or a core that reads back to operators) is known to the cores.
+struct ReaderSettings {
   std::string name, address, locality;
   Strings seeds;
   /// Whether other agents may follow it.
@@ -16,20 +16,20 @@
 
 /// What a reader knows of the cores: who they are, how far they have got, up to which moment its own view is complete,
 /// and the newest list of machines. All is timed from before asking, on the reader's own steady clock.
-class Outlook {
+class ClusterView {
  public:
-  explicit Outlook(ReaderProps readerProps);
+  explicit ClusterView(ReaderSettings readerSettings);
   /// Asks every core known for its log's end.
-  void ask(Desk& desk, Count applied, const std::vector<CellMark>& cells, const Blueprint& view);
-  void take(Desk& desk, const std::string& from, const EndsReply& reply, const Blueprint& view);
+  void ask(Effects& effects, Count applied, const std::vector<CellMark>& cells, const Configuration& view);
+  void take(Effects& effects, const std::string& from, const LogEndResponse& reply, const Configuration& view);
   /// Looks again at how complete the view is, after it has moved on.
-  void weigh(Moment now, const Blueprint& view);
+  void weigh(Moment now, const Configuration& view);
   /// Takes a list of machines that was asked of the platform at this moment; an older or empty one is not taken.
   bool offerMarks(const std::vector<Machine>& machines, Moment askedAt);
   /// The moment up to which the view is known to be complete.
   Moment stamp() const { return completeUntil; }
-  bool fresh(Moment now) const { return completeUntil != Moment{} && now < completeUntil + pace.freshFor; }
-  Strings coreAddresses(const Blueprint& view) const;
+  bool fresh(Moment now) const { return completeUntil != Moment{} && now < completeUntil + timing.freshFor; }
+  Strings coreAddresses(const Configuration& view) const;
   /// The core that has lately told of the highest commit beyond an index; empty if none has.
   std::string furthestCore(Moment now, Count beyond) const;
   Count knownCommit() const { return highestCommit; }
@@ -45,10 +45,10 @@
   struct CoreRow {
     std::map<Count, Moment> asks;
     Moment askedAt{};
-    EndsReply reply;
+    LogEndResponse reply;
     bool heard{false};
   };
-  ReaderProps props;
+  ReaderSettings settings;
   std::map<std::string, CoreRow> cores;
   Strings toldAddresses, watchRows;
   std::vector<Machine> machineRows;
--- /dev/null
+++ b/src/cluster/core.cpp
@@ -0,0 +1,266 @@
+#include "core.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr Span missedEvery = 200ms;
+constexpr Span watchKept = 2s;
+constexpr Span watchSought = 250ms;
+constexpr Span agentKept = 2s;
+constexpr Span followerKept = 1s;
+constexpr Span platformFirst = 600ms;
+constexpr Span stallAfter = 800ms;
+constexpr std::size_t rootRanks = 4;
+}  // namespace
+
+Strings drawWatch(const std::string& agent, const Strings& fellows, std::size_t most) {
+  std::uint64_t ownRank = rendezvous("rank", agent);
+  std::vector<std::pair<std::uint64_t, std::string>> lower;
+  for (const auto& fellow : fellows)
+    if (std::uint64_t rank = rendezvous("rank", fellow); fellow != agent && rank < ownRank) lower.emplace_back(rank, fellow);
+  if (lower.size() < rootRanks) return {};
+  std::sort(lower.begin(), lower.end());
+  lower.resize(std::max(rootRanks, lower.size() * 3 / 4));
+  for (auto& [weight, fellow] : lower) weight = rendezvous(agent, fellow);
+  std::sort(lower.rbegin(), lower.rend());
+  Strings drawn;
+  for (std::size_t at = 0; at < lower.size() && at < most; ++at) drawn.push_back(lower[at].second);
+  return drawn;
+}
+
+Core::Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now)
+    : settings(std::move(coreSettings)), startedAt(now) {
+  std::string id = recovered.identity;
+  if (id.empty()) {
+    char mark[20];
+    std::snprintf(mark, sizeof mark, "%08x", static_cast<unsigned>(randomSource()));
+    id = settings.name + "-" + mark;
+  } else {
+    idSynced = true;
+  }
+  self = Member{id, settings.name, settings.address, settings.locality, true};
+  replicatedLog = std::make_unique<ReplicatedLog>(self, settings.recordRoom, settings.defences);
+  clusterView = std::make_unique<ClusterView>(ReaderSettings{self.id, self.address, self.locality, settings.seeds, false, settings.defences});
+  replicatedLog->restore(recovered, now);
+  for (const auto& locality : settings.localities) cellFor(locality);
+  for (const auto& [duty, vote] : recovered.votes)
+    if (duty.rfind("cell/", 0) == 0) cellFor(duty.substr(5)).election.restore(vote, now);
+  replicatedLog->entryApplied = [this](Effects& effects, const Entry& entry) {
+    effects.note("applied", self.id, static_cast<std::int64_t>(entry.index));
+    if (entry.kind == static_cast<int>(EntryKind::whole)) return;
+    spread(effects, NewsMsg{replicatedLog->commit(), {entry}, {}});
+  };
+  replicatedLog->membersChanged = [this](Effects& effects) {
+    membersMovedAt = effects.now;
+    for (auto& [locality, cell] : cells) cell->election.setVoters(replicatedLog->members());
+  };
+}
+
+Cell& Core::cellFor(const std::string& locality) {
+  auto& cell = cells[locality];
+  if (!cell) {
+    cell = std::make_unique<Cell>(locality, self, locality == settings.locality, settings.defences, settings.cell);
+    cell->election.restore(Vote{}, startedAt);
+    cell->election.setVoters(replicatedLog->members());
+    cell->setMachines(machinesWithStores());
+    cell->allNews = &lastNews;
+    cell->publish = [this](Effects& effects, const CellNews& news) { keepNews(effects, news, true); };
+  }
+  return *cell;
+}
+
+void Core::spread(Effects& effects, const Message& message) {
+  for (const auto& [address, at] : followers)
+    if (effects.now - at < followerKept) effects.send(address, message);
+}
+
+void Core::keepNews(Effects& effects, const CellNews& news, bool own) {
+  auto& kept = lastNews[news.locality];
+  if (!takeCellNews(kept, news)) return askMissed(effects, news);
+  spread(effects, news);
+  if (!own) return;
+  for (const auto& member : replicatedLog->members())
+    if (member.id != self.id) effects.send(member.address, news);
+}
+
+void Core::askMissed(Effects& effects, const CellNews& news) {
+  const auto& kept = lastNews[news.locality];
+  if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence) || effects.now - missedAt < missedEvery) return;
+  missedAt = effects.now;
+  std::vector<CellMark> marks;
+  for (const auto& [locality, row] : lastNews) marks.push_back(CellMark{locality, row.term, row.sequence});
+  effects.send(news.holder, NewsAsk{self.address, replicatedLog->configuration().index(), marks});
+}
+
+Strings Core::watchFor(const std::string& agent, Moment now) const {
+  Strings fellows;
+  for (const auto& [address, row] : agents)
+    if (row.relays && now - row.at < agentKept) fellows.push_back(address);
+  return drawWatch(agent, fellows, 3);
+}
+
+void Core::onEnds(Effects& effects, const std::string& from, const LogEndRequest& ask) {
+  auto& row = agents[from];
+  row.id = ask.agent;
+  row.locality = ask.locality;
+  row.applied = ask.applied;
+  row.fresh = ask.fresh;
+  row.relays = ask.relays;
+  row.at = effects.now;
+  for (const auto& mark : ask.cells)
+    if (auto cell = cells.find(mark.locality); cell != cells.end()) cell->second->agentHas(from, mark, effects.now);
+  if (!replicatedLog->formed()) return;
+  if (!platformHeard && !settings.platformAddress.empty() && effects.now - startedAt < platformFirst) return;
+  if (ask.relays && effects.now - row.watchAt >= (row.watch.empty() ? watchSought : watchKept)) {
+    row.watch = watchFor(from, effects.now);
+    row.watchAt = effects.now;
+  }
+  LogEndResponse reply{ask.askId, self.id, replicatedLog->election.term(), replicatedLog->speaksForTerm(), replicatedLog->syncedEnd(),
+                  replicatedLog->commit(), replicatedLog->members(), ask.relays ? row.watch : Strings{}, clusterView->marksKnown(),
+                  0, clusterView->marksDigest(), {}};
+  if (reply.marksKnown) reply.marksAge = (effects.now - clusterView->marksAt()).count();
+  if (reply.marksKnown && ask.marksDigest != reply.marksDigest) reply.machines = clusterView->machines();
+  effects.send(from, reply);
+}
+
+void Core::onNewsAsk(Effects& effects, const std::string& from, const NewsAsk& ask) {
+  followers[from] = effects.now;
+  auto news = replicatedLog->newsAfter(ask.applied);
+  effects.send(from, news);
+  std::map<std::string, CellMark> marksByLocality;
+  for (const auto& mark : ask.cells) marksByLocality[mark.locality] = mark;
+  for (const auto& [locality, kept] : lastNews) {
+    auto found = marksByLocality.find(locality);
+    if (found == marksByLocality.end() ||
+        std::make_pair(found->second.term, found->second.sequence) < std::make_pair(kept.term, kept.sequence))
+      effects.send(from, kept);
+  }
+}
+
+void Core::takeMarks(Effects& effects) {
+  Count stores = 1;
+  for (const auto& store : replicatedLog->configuration().stores()) stores = rendezvous(std::to_string(stores) + store.address, store.service + store.locality);
+  if (cellDigest == clusterView->marksDigest() && stores == storesDigest) return;
+  cellDigest = clusterView->marksDigest();
+  storesDigest = stores;
+  auto machines = machinesWithStores();
+  for (const auto& machine : machines) cellFor(machine.locality);
+  for (auto& [locality, cell] : cells) cell->setMachines(machines);
+  effects.note("machines", self.id, static_cast<std::int64_t>(machines.size()));
+}
+
+std::vector<Machine> Core::machinesWithStores() const {
+  auto machines = clusterView->machines();
+  for (const auto& store : replicatedLog->configuration().stores()) {
+    Machine row{store.service + "@" + store.address, store.address, store.locality, "store", false, {}, {}, {}, 0};
+    row.service = store.service;
+    machines.push_back(std::move(row));
+  }
+  return machines;
+}
+
+void Core::tick(Effects& effects) {
+  seekFleet(effects);
+  bool stalled = diskWait > stallAfter;
+  if (stalled != diskStalled) {
+    diskStalled = stalled;
+    effects.note(stalled ? "disk stalled" : "disk well", self.id, inMs(diskWait));
+  }
+  replicatedLog->election.mayStand = !diskStalled;
+  for (auto& [locality, cell] : cells) cell->election.mayStand = !diskStalled;
+  replicatedLog->tick(effects);
+  for (auto& [locality, cell] : cells) cell->tick(effects, replicatedLog->configuration());
+  bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() || effects.now - clusterView->marksAt() >= timing.listOld;
+  if (!settings.platformAddress.empty() && lists && effects.now - platformAt >= timing.listEvery) {
+    platformAt = effects.now;
+    effects.send(settings.platformAddress, MachinesAsk{inNs(effects.now)});
+  }
+  if (replicatedLog->formed() && effects.now - endsAt >= timing.roundEvery) {
+    endsAt = effects.now;
+    clusterView->ask(effects, replicatedLog->configuration().index(), {}, replicatedLog->configuration());
+  }
+  takeMarks(effects);
+  settleAsked(effects);
+  askReaders(effects);
+  for (auto row = agents.begin(); row != agents.end();)
+    row = effects.now - row->second.at > 10s ? agents.erase(row) : std::next(row);
+  for (auto row = followers.begin(); row != followers.end();)
+    row = effects.now - row->second > followerKept ? followers.erase(row) : std::next(row);
+}
+
+void Core::take(Effects& effects, const std::string& from, const Message& message) {
+  if (auto* ask = std::get_if<LogEndRequest>(&message)) {
+    onEnds(effects, from, *ask);
+  } else if (auto* news = std::get_if<NewsAsk>(&message)) {
+    onNewsAsk(effects, from, *news);
+  } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
+    keepNews(effects, *cellNews, false);
+  } else if (std::holds_alternative<HelloRequest>(message)) {
+    if (idSynced || replicatedLog->formed())
+      effects.send(from, HelloResponse{self, replicatedLog->formed(), replicatedLog->members()});
+  } else if (auto* reply = std::get_if<HelloResponse>(&message)) {
+    hellos[from] = *reply;
+  } else if (auto* form = std::get_if<FormRequest>(&message)) {
+    for (const auto& row : form->members)
+      if (row.id == self.id && idSynced) replicatedLog->form(effects, form->members);
+  } else if (auto* join = std::get_if<JoinRequest>(&message)) {
+    auto leader = replicatedLog->leaderAddress();
+    if (replicatedLog->leads(effects.now))
+      replicatedLog->take(effects, from, message);
+    else if (!leader.empty() && leader != self.address && from == join->self.address)
+      effects.send(leader, message);
+  } else if (auto* machines = std::get_if<MachinesReply>(&message)) {
+    platformHeard = true;
+    clusterView->offerMarks(machines->machines, fromNs(machines->askedAt));
+    takeMarks(effects);
+  } else if (auto* listed = std::get_if<MarksMsg>(&message)) {
+    if (listed->age >= 0) clusterView->offerMarks(listed->machines, effects.now - Span(listed->age));
+    takeMarks(effects);
+  } else if (auto* ends = std::get_if<LogEndResponse>(&message)) {
+    clusterView->take(effects, from, *ends, replicatedLog->configuration());
+    takeMarks(effects);
+  } else if (auto* readersAsk = std::get_if<ReadersRequest>(&message)) {
+    onReadersAsk(effects, from, *readersAsk);
+  } else if (auto* readersReply = std::get_if<ReadersResponse>(&message)) {
+    onReadersReply(effects, from, *readersReply);
+  } else if (auto* operatorAsk = std::get_if<OperatorRequest>(&message)) {
+    onOperator(effects, from, *operatorAsk);
+  } else if (auto* change = std::get_if<ChangeRequest>(&message)) {
+    replicatedLog->takeChange(effects, from, *change);
+  } else if (auto* changeReply = std::get_if<ChangeResponse>(&message)) {
+    onChangeReply(effects, from, *changeReply);
+  } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
+    if (auto cell = cells.find(lookup->locality); cell != cells.end()) cell->second->take(effects, from, message);
+  } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
+    if (auto cell = cells.find(watch->locality); cell != cells.end()) cell->second->take(effects, from, message);
+  } else if (auto* report = std::get_if<Report>(&message)) {
+    for (auto& [locality, cell] : cells)
+      if (cell->keepers().count(report->worker)) cell->take(effects, from, message);
+  } else if (auto* control = std::get_if<ControlReply>(&message)) {
+    for (auto& [locality, cell] : cells)
+      if (cell->keepers().count(control->worker)) cell->take(effects, from, message);
+  } else {
+    auto duty = std::visit(
+        [](const auto& value) -> std::string {
+          using T = std::decay_t<decltype(value)>;
+          if constexpr (std::is_same_v<T, VoteRequest> || std::is_same_v<T, VoteResponse> || std::is_same_v<T, Heartbeat> ||
+                        std::is_same_v<T, HeartbeatResponse>)
+            return value.duty;
+          else
+            return "accord";
+        },
+        message);
+    if (duty == "accord")
+      replicatedLog->take(effects, from, message);
+    else if (duty.rfind("cell/", 0) == 0 && (cells.size() < 256 || cells.count(duty.substr(5))))
+      cellFor(duty.substr(5)).take(effects, from, message);
+  }
+}
+
+void Core::resign(Effects& effects) {
+  for (auto& [locality, cell] : cells) cell->election.resign(effects);
+  replicatedLog->election.resign(effects);
+}
+
+}  // namespace tt
--- a/src/core.hpp
+++ b/src/cluster/core.hpp
@@ -1,38 +1,38 @@
 #pragma once
-#include "accord.hpp"
+#include "replicated_log.hpp"
 #include "cell.hpp"
-#include "outlook.hpp"
+#include "cluster_view.hpp"
 
 namespace tt {
 
-struct CoreProps {
+struct CoreSettings {
   std::string name, address, locality, platformAddress;
   std::vector<std::string> seeds;
   std::vector<std::string> localities;
   std::size_t recordRoom{1 << 20};
   /// Whether this core may take part in forming a new fleet; one that comes back empty may not.
   bool mayForm{true};
-  CellProps cell;
+  CellSettings cell;
   Defences defences;
 };
 
-/// What a core does: one voice in the accord, one cell for each locality, the root of the news tree, the operators' door.
+/// What a core does: one voice in the replicated log, one cell for each locality, the root of the news tree, the operators' door.
 class Core : public Node {
  public:
-  Core(CoreProps coreProps, const Recovered& recovered, std::mt19937_64& dice, Moment now);
-  void take(Desk& desk, const std::string& from, const Message& message) override;
-  void tick(Desk& desk) override;
+  Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now);
+  void take(Effects& effects, const std::string& from, const Message& message) override;
+  void tick(Effects& effects) override;
   /// Gives up all duties, for a clean stop.
-  void resign(Desk& desk);
-  const Accord& agreement() const { return *accord; }
+  void resign(Effects& effects);
+  const ReplicatedLog& agreement() const { return *replicatedLog; }
   const std::map<std::string, std::unique_ptr<Cell>>& cellsByLocality() const { return cells; }
   /// Everything an operator may want to see, as JSON text.
   std::string condition(Moment now) const;
   /// The host's word on how long the oldest write has waited for its sync.
   void diskWaits(Span span) { diskWait = span; }
   const std::string& id() const { return self.id; }
-  /// Whether what this core would read back of the blueprint is known to be complete.
-  bool readsConfirmed(Moment now) const { return outlook->fresh(now); }
+  /// Whether what this core would read back of the configuration is known to be complete.
+  bool readsConfirmed(Moment now) const { return clusterView->fresh(now); }
 
  private:
   struct AgentRow {
@@ -48,18 +48,18 @@
     std::string from, askId, leaderAddress;
     Moment at{}, agreedAt{};
     std::uint64_t revision{0}, index{0}, term{0};
-    OperatorAsk ask;
+    OperatorRequest ask;
     bool agreed{false};
     Moment sentAt{};
   };
-  CoreProps props;
+  CoreSettings settings;
   Member self;
-  std::unique_ptr<Accord> accord;
+  std::unique_ptr<ReplicatedLog> replicatedLog;
   std::map<std::string, std::unique_ptr<Cell>> cells;
   std::map<std::string, AgentRow> agents;
   std::map<std::string, Moment> followers;
   std::map<std::string, CellNews> lastNews;
-  std::unique_ptr<Outlook> outlook;
+  std::unique_ptr<ClusterView> clusterView;
   /// One round of asking all cores which readers they know, for all acknowledgements that wait.
   struct ReadersRound {
     std::uint64_t id{0}, index{0}, term{0};
@@ -70,7 +70,7 @@
   ReadersRound round;
   Moment missedAt{};
   Count cellDigest{0}, storesDigest{0};
-  std::map<std::string, HelloReply> hellos;
+  std::map<std::string, HelloResponse> hellos;
   std::map<std::string, Asked> asked;
   Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{}, membersMovedAt{};
   bool idSynced{false}, diskStalled{false}, platformHeard{false};
@@ -78,22 +78,22 @@
   std::uint64_t askCount{0};
 
   Cell& cellFor(const std::string& locality);
-  void seekFleet(Desk& desk);
-  void considerForming(Desk& desk);
-  void onEnds(Desk& desk, const std::string& from, const EndsAsk& ask);
-  void onNewsAsk(Desk& desk, const std::string& from, const NewsAsk& ask);
-  void onOperator(Desk& desk, const std::string& from, const OperatorAsk& ask);
-  void onChangeReply(Desk& desk, const std::string& from, const ChangeReply& reply);
-  void settleAsked(Desk& desk);
+  void seekFleet(Effects& effects);
+  void considerForming(Effects& effects);
+  void onEnds(Effects& effects, const std::string& from, const LogEndRequest& ask);
+  void onNewsAsk(Effects& effects, const std::string& from, const NewsAsk& ask);
+  void onOperator(Effects& effects, const std::string& from, const OperatorRequest& ask);
+  void onChangeReply(Effects& effects, const std::string& from, const ChangeResponse& reply);
+  void settleAsked(Effects& effects);
   bool readersHave(const Asked& row, Moment now) const;
-  void askReaders(Desk& desk);
-  void onReadersAsk(Desk& desk, const std::string& from, const ReadersAsk& ask);
-  void onReadersReply(Desk& desk, const std::string& from, const ReadersReply& reply);
-  void takeMarks(Desk& desk);
+  void askReaders(Effects& effects);
+  void onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask);
+  void onReadersReply(Effects& effects, const std::string& from, const ReadersResponse& reply);
+  void takeMarks(Effects& effects);
   std::vector<Machine> machinesWithStores() const;
-  void spread(Desk& desk, const Message& message);
-  void keepNews(Desk& desk, const CellNews& news, bool own);
-  void askMissed(Desk& desk, const CellNews& news);
+  void spread(Effects& effects, const Message& message);
+  void keepNews(Effects& effects, const CellNews& news, bool own);
+  void askMissed(Effects& effects, const CellNews& news);
   Strings watchFor(const std::string& agent, Moment now) const;
 };
 
--- a/src/blueprint.cpp
+++ b/src/config/configuration.cpp
@@ -1,4 +1,4 @@
-#include "blueprint.hpp"
+#include "configuration.hpp"
 
 namespace tt {
 namespace {
@@ -67,7 +67,7 @@
 }
 }  // namespace
 
-Result<std::string> Blueprint::preparePatch(const std::string& text, Manner manner) const {
+Result<std::string> Configuration::preparePatch(const std::string& text, Manner manner) const {
   bool whole = manner == Manner::whole;
   auto read = readJson(text);
   if (!read) return read.error();
@@ -169,12 +169,12 @@
   };
   std::map<std::string, std::string> secretOwners, hashOwners;
   std::map<std::pair<std::string, std::string>, std::string> prefixOwners;
-  auto untouched = [&](const std::string& sectionName, const auto& deed) {
+  auto untouched = [&](const std::string& sectionName, const auto& action) {
     auto found = sections.find(sectionName);
     auto changed = overlay.find(sectionName);
     if (found == sections.end() || changed == overlay.end()) return;
     for (const auto& [name, item] : found->second)
-      if (!changed->second.count(name)) deed(name, item);
+      if (!changed->second.count(name)) action(name, item);
   };
   untouched("tenants", [&](const std::string& name, const Json& item) {
     const auto& fields = item.get<JsonObject>();
@@ -299,7 +299,7 @@
   return Json(asked).serialize();
 }
 
-void Blueprint::setItem(const std::string& sectionName, const std::string& name, const Json* value) {
+void Configuration::setItem(const std::string& sectionName, const std::string& name, const Json* value) {
   auto& items = sections[sectionName];
   auto old = items.find(name);
   foldItem(sectionName, name, old == items.end() ? nullptr : &old->second, value);
@@ -320,7 +320,7 @@
     if (auto policy = Policy::read(value->get<std::string>())) policies[name] = policy.value();
 }
 
-void Blueprint::foldItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value) {
+void Configuration::foldItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value) {
   auto secretsOf = [](const Json& item) {
     Strings rows;
     const auto& fields = item.get<JsonObject>();
@@ -364,7 +364,7 @@
   }
 }
 
-void Blueprint::applyPatch(const JsonObject& patch) {
+void Configuration::applyPatch(const JsonObject& patch) {
   for (const auto& [sectionName, content] : patch) {
     if (!content.is<JsonObject>()) continue;
     for (bool removing : {true, false})
@@ -383,15 +383,15 @@
   }
 }
 
-void Blueprint::apply(const Entry& entry) {
+void Configuration::apply(const Entry& entry) {
   if (entry.index <= appliedIndex) return;
   appliedIndex = entry.index;
   appliedTerm = entry.term;
   auto kind = static_cast<EntryKind>(entry.kind);
   if (kind == EntryKind::members) {
     Entry unpacked = entry;
-    auto capture = decodeCapture(unpacked.body);
-    if (capture) memberRows = capture.value().members;
+    auto snapshot = decodeSnapshot(unpacked.body);
+    if (snapshot) memberRows = snapshot.value().members;
   } else if (kind == EntryKind::change) {
     currentRevision = entry.revision ? entry.revision : currentRevision + 1;
     auto patch = readJson(entry.body);
@@ -407,12 +407,12 @@
   }
 }
 
-Capture Blueprint::capture() const {
-  Capture made;
+Snapshot Configuration::snapshot() const {
+  Snapshot made;
   made.index = appliedIndex;
   made.term = appliedTerm;
   made.revision = currentRevision;
-  made.blueprint = text();
+  made.configuration = text();
   made.members = memberRows;
   for (const auto& id : changeOrder) {
     made.changeIds.push_back(id);
@@ -421,53 +421,53 @@
   return made;
 }
 
-Result<void> Blueprint::adopt(const Capture& capture) {
-  auto read = readJson(capture.blueprint);
+Result<void> Configuration::adopt(const Snapshot& snapshot) {
+  auto read = readJson(snapshot.configuration);
   if (!read) return read.error();
   if (!read.value().is<JsonObject>()) return fault(Code::badField, "capture");
-  *this = Blueprint();
+  *this = Configuration();
   applyPatch(read.value().get<JsonObject>());
-  appliedIndex = capture.index;
-  appliedTerm = capture.term;
-  currentRevision = capture.revision;
-  memberRows = capture.members;
-  for (std::size_t at = 0; at < capture.changeIds.size() && at < capture.changeRevisions.size(); ++at) {
-    changeOrder.push_back(capture.changeIds[at]);
-    changeRevisions[capture.changeIds[at]] = capture.changeRevisions[at];
+  appliedIndex = snapshot.index;
+  appliedTerm = snapshot.term;
+  currentRevision = snapshot.revision;
+  memberRows = snapshot.members;
+  for (std::size_t at = 0; at < snapshot.changeIds.size() && at < snapshot.changeRevisions.size(); ++at) {
+    changeOrder.push_back(snapshot.changeIds[at]);
+    changeRevisions[snapshot.changeIds[at]] = snapshot.changeRevisions[at];
   }
   return boost::outcome_v2::success();
 }
 
-std::optional<std::uint64_t> Blueprint::takenAs(const std::string& changeId) const {
+std::optional<std::uint64_t> Configuration::takenAs(const std::string& changeId) const {
   auto found = changeRevisions.find(changeId);
   if (changeId.empty() || found == changeRevisions.end()) return std::nullopt;
   return found->second;
 }
 
-std::uint64_t Blueprint::forgottenRevision() const {
+std::uint64_t Configuration::forgottenRevision() const {
   return changeOrder.size() < changesRemembered ? 0 : changeRevisions.at(changeOrder.front()) - 1;
 }
 
-std::string Blueprint::text() const {
+std::string Configuration::text() const {
   JsonObject whole;
   for (const auto& [name, items] : sections)
     if (!items.empty()) whole[name] = Json(items);
   return Json(whole).serialize();
 }
 
-JsonObject Blueprint::section(const std::string& name) const {
+JsonObject Configuration::section(const std::string& name) const {
   auto found = sections.find(name);
   return found == sections.end() ? JsonObject() : found->second;
 }
 
-const JsonObject* Blueprint::sectionAt(const std::string& name) const {
+const JsonObject* Configuration::sectionAt(const std::string& name) const {
   auto found = sections.find(name);
   return found == sections.end() || found->second.empty() ? nullptr : &found->second;
 }
 
-bool Blueprint::asksKeys() const { return sectionAt("tenants") || sectionAt("keys"); }
+bool Configuration::asksKeys() const { return sectionAt("tenants") || sectionAt("keys"); }
 
-std::optional<TenantView> Blueprint::findTenant(const std::string& name) const {
+std::optional<TenantView> Configuration::findTenant(const std::string& name) const {
   const auto* tenants = sectionAt("tenants");
   if (!tenants) return std::nullopt;
   auto found = tenants->find(name);
@@ -477,7 +477,7 @@
   return tenant;
 }
 
-const RouteView* Blueprint::routeFor(const std::string& host, const std::string& path) const {
+const RouteView* Configuration::routeFor(const std::string& host, const std::string& path) const {
   auto prefixes = routeByPrefix.find(host);
   if (prefixes == routeByPrefix.end()) return nullptr;
   std::string known = path.substr(0, path.find('?'));
@@ -488,34 +488,34 @@
   return nullptr;
 }
 
-std::optional<KeyView> Blueprint::findKey(const std::string& secretHash) const {
+std::optional<KeyView> Configuration::findKey(const std::string& secretHash) const {
   if (auto own = tenantByHash.find(secretHash); own != tenantByHash.end()) return KeyView{own->second, own->second};
   auto found = keyIdByHash.find(secretHash);
   if (found == keyIdByHash.end()) return std::nullopt;
   return KeyView{found->second, textOr(sections.at("keys").at(found->second), "tenant")};
 }
 
-std::optional<RouteView> Blueprint::findRoute(const std::string& name) const {
+std::optional<RouteView> Configuration::findRoute(const std::string& name) const {
   auto found = routeRows.find(name);
   if (found == routeRows.end()) return std::nullopt;
   return found->second;
 }
 
-std::optional<std::string> Blueprint::weightsOf(const std::string& model) const {
+std::optional<std::string> Configuration::weightsOf(const std::string& model) const {
   auto found = sections.find("models");
   if (found == sections.end() || !found->second.count(model)) return std::nullopt;
   return textOr(found->second.at(model), "weights");
 }
 
-bool Blueprint::knowsModel(const std::string& model) const { return weightsOf(model).has_value(); }
+bool Configuration::knowsModel(const std::string& model) const { return weightsOf(model).has_value(); }
 
-std::string Blueprint::domainOf(const std::string& tenant) const {
+std::string Configuration::domainOf(const std::string& tenant) const {
   auto found = sections.find("tenants");
   if (found == sections.end() || !found->second.count(tenant)) return "own:" + tenant;
   return flagOr(found->second.at(tenant), "isolated", false) ? "own:" + tenant : "shared";
 }
 
-Policy Blueprint::policyOf(const std::string& name) const {
+Policy Configuration::policyOf(const std::string& name) const {
   auto found = policies.find(name);
   return found == policies.end() ? Policy() : found->second;
 }
--- a/src/blueprint.hpp
+++ b/src/config/configuration.hpp
@@ -7,7 +7,7 @@
 
 namespace tt {
 
-/// A key as the blueprint keeps it: hashed.
+/// A key as the configuration keeps it: hashed.
 struct KeyView {
   std::string id;
   std::string tenant;
@@ -42,7 +42,7 @@
 };
 
 /// What operators declare, as agreed: sections of named items, a revision, and the changes already taken.
-class Blueprint {
+class Configuration {
  public:
   /// Turns an operator's text into a patch ready for the log: secrets hashed, a whole one made into a difference,
   /// everything it touches checked. Nothing is applied.
@@ -52,8 +52,8 @@
   Result<std::string> preparePatch(const std::string& text, Manner manner) const;
   /// Applies one agreed entry; entries come in order and are never undone.
   void apply(const Entry& entry);
-  Capture capture() const;
-  Result<void> adopt(const Capture& capture);
+  Snapshot snapshot() const;
+  Result<void> adopt(const Snapshot& snapshot);
 
   std::uint64_t index() const { return appliedIndex; }
   std::uint64_t term() const { return appliedTerm; }
--- a/src/policy.cpp
+++ b/src/config/policy.cpp
@@ -24,12 +24,12 @@
     Line made;
     std::size_t at = 0;
     if (row[0] == "recompute") {
-      made.deed = Line::Deed::recompute;
+      made.action = Line::Action::recompute;
       at = 1;
     } else if (row[0] == "fetch") {
       if (row.size() < 2 || (row[1] != "peer" && row[1] != "store"))
         return wrong("after 'fetch' comes 'peer' or 'store'");
-      made.deed = row[1] == "peer" ? Line::Deed::fetchPeer : Line::Deed::fetchStore;
+      made.action = row[1] == "peer" ? Line::Action::fetchPeer : Line::Action::fetchStore;
       at = 2;
     } else {
       return wrong("a line starts with 'fetch' or 'recompute', not '" + row[0] + "'");
@@ -61,8 +61,8 @@
 
 bool Policy::fetches(const FetchFacts& facts) const {
   for (const auto& line : lines) {
-    if (line.deed == Line::Deed::fetchPeer && facts.fromStore) continue;
-    if (line.deed == Line::Deed::fetchStore && !facts.fromStore) continue;
+    if (line.action == Line::Action::fetchPeer && facts.fromStore) continue;
+    if (line.action == Line::Action::fetchStore && !facts.fromStore) continue;
     bool fits = true;
     for (const auto& test : line.tests) {
       double value = test.field == "hits" ? facts.hits : test.field == "speed" ? facts.speed : facts.busyness;
@@ -71,7 +71,7 @@
                       : test.sign == ">"  ? value > test.bound
                                           : value < test.bound);
     }
-    if (fits) return line.deed != Line::Deed::recompute;
+    if (fits) return line.action != Line::Action::recompute;
   }
   return false;
 }
--- a/src/policy.hpp
+++ b/src/config/policy.hpp
@@ -25,7 +25,7 @@
     double bound{0};
   };
   struct Line {
-    enum class Deed { fetchPeer, fetchStore, recompute } deed{Deed::recompute};
+    enum class Action { fetchPeer, fetchStore, recompute } action{Action::recompute};
     std::vector<Test> tests;
   };
   std::vector<Line> lines;
--- a/src/ballot.hpp
+++ b/src/consensus/election.hpp
@@ -1,14 +1,14 @@
 #pragma once
 #include "chart.hpp"
 #include "defences.hpp"
-#include "desk.hpp"
+#include "effects.hpp"
 
 namespace tt {
 
 /// The spans that duties, freshness and news keep to: one set for a whole fleet, set before a process starts its logic.
-struct Pace {
-  Span holdEvery{150ms}, lease{900ms}, promise{1100ms}, ballotWait{300ms};
-  /// How much of its own disk's slowness a ballot waits for, at most.
+struct Timing {
+  Span holdEvery{150ms}, lease{900ms}, promise{1100ms}, voteWait{300ms};
+  /// How much of its own disk's slowness a election waits for, at most.
   Span slowDiskMost{700ms};
   /// How long a reader serves on what it last knew to be complete.
   Span freshFor{1500ms};
@@ -26,13 +26,13 @@
   Span memberGone{0};
   std::size_t votersLeast{3};
 };
-inline Pace pace;
+inline Timing timing;
 
-/// One core's part in one duty. A duty is won by ballot, kept by a lease that a quorum renews, and told apart by term.
-class Ballot {
+/// One core's part in one duty. A duty is won by election, kept by a lease that a quorum renews, and told apart by term.
+class Election {
  public:
   using LogEnd = std::function<std::pair<std::uint64_t, std::uint64_t>()>;
-  Ballot(std::string dutyName, std::string selfId, Span waitBeforeStanding, Defences defencesGiven = {});
+  Election(std::string dutyName, std::string selfId, Span waitBeforeStanding, Defences defencesGiven = {});
   void restore(const Vote& vote, Moment now);
   /// Who votes, by id and address; the quorum is more than half of them.
   void setVoters(const std::vector<Member>& members);
@@ -40,16 +40,16 @@
   LogEnd logEnd;
   /// Whether this core may stand now.
   bool mayStand{true};
-  void tick(Desk& desk);
-  void take(Desk& desk, const std::string& from, const Message& message);
+  void tick(Effects& effects);
+  void take(Effects& effects, const std::string& from, const Message& message);
   /// Whether the lease is good at this moment: asked just before every command that leaves.
   bool holds(Moment now) const;
-  /// Whether this core won the current term's ballot, lease good or not.
+  /// Whether this core won the current term's election, lease good or not.
   bool won() const { return walk.in("holding"); }
   /// Gives the duty up at once, so that others need not wait for the lease.
-  void resign(Desk& desk);
+  void resign(Effects& effects);
   /// Learns of a higher term.
-  void seeTerm(Desk& desk, std::uint64_t term);
+  void seeTerm(Effects& effects, std::uint64_t term);
   std::uint64_t term() const { return vote.term; }
   const std::string& holder() const { return knownHolder; }
   const std::string& duty() const { return dutyName; }
@@ -58,7 +58,7 @@
   /// Whether this core itself votes.
   bool voter() const { return addressById.count(selfId) > 0; }
   /// Told when the duty is won or lost.
-  std::function<void(Desk&, bool)> changed;
+  std::function<void(Effects&, bool)> changed;
 
  private:
   std::string dutyName, selfId;
@@ -72,24 +72,24 @@
   bool started{false};
   /// How long this core's last vote took to be synced; others' disks are taken to be no faster.
   Span syncSpan{};
-  Span slowness() const { return std::min(syncSpan, pace.slowDiskMost); }
+  Span slowness() const { return std::min(syncSpan, timing.slowDiskMost); }
   std::set<std::string> grants;
   std::map<std::string, Moment> renewals;
   std::uint64_t seenTerm{0};
-  ChartWalk<Ballot, Desk&> walk;
+  ChartWalk<Election, Effects&> walk;
 
-  static const ChartWalk<Ballot, Desk&>::Deeds& deeds();
-  void askProbe(Desk& desk);
-  void voteSelf(Desk& desk);
-  void takeDuty(Desk& desk);
-  void loseDuty(Desk& desk);
-  void adoptTerm(Desk& desk);
-  void waitAgain(Desk& desk);
-  void sendHolds(Desk& desk);
-  void toOthers(Desk& desk, const Message& message);
+  static const ChartWalk<Election, Effects&>::Actions& actions();
+  void askProbe(Effects& effects);
+  void voteSelf(Effects& effects);
+  void takeDuty(Effects& effects);
+  void loseDuty(Effects& effects);
+  void adoptTerm(Effects& effects);
+  void waitAgain(Effects& effects);
+  void sendHolds(Effects& effects);
+  void toOthers(Effects& effects, const Message& message);
   Moment leaseStart(Moment now) const;
-  void onAsk(Desk& desk, const std::string& from, const BallotAsk& ask);
-  void onHold(Desk& desk, const std::string& from, const HoldMsg& hold);
+  void onAsk(Effects& effects, const std::string& from, const VoteRequest& ask);
+  void onHold(Effects& effects, const std::string& from, const Heartbeat& hold);
 };
 
 }  // namespace tt
--- /dev/null
+++ b/src/consensus/replicated_log.cpp
@@ -0,0 +1,291 @@
+#include "replicated_log.hpp"
+
+#include "members.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr std::size_t entriesPerMessage = 128;
+constexpr std::size_t bytesPerMessage = 512 * 1024;
+constexpr Span appendAgain = 150ms;
+}  // namespace
+
+ReplicatedLog::ReplicatedLog(Member self, std::size_t recordRoom, Defences defencesGiven)
+    : election("accord", self.id, 0ms, defencesGiven), selfRow(std::move(self)), room(recordRoom), defences(defencesGiven) {
+  election.logEnd = [this] {
+    return std::make_pair(termAt(syncedIndex), syncedIndex);
+  };
+  election.changed = [this](Effects& effects, bool won) { whenLeads(effects, won); };
+}
+
+void ReplicatedLog::restore(const Recovered& recovered, Moment now) {
+  if (recovered.snapshot) {
+    base = *recovered.snapshot;
+    (void)applied.adopt(base);
+    commitIndex = base.index;
+  }
+  log = recovered.entries;
+  for (const auto& entry : log) logBytes += entry.body.size();
+  syncedIndex = logEnd();
+  auto vote = recovered.votes.find("accord");
+  election.restore(vote == recovered.votes.end() ? Vote{} : vote->second, now);
+  readMembers(nullptr);
+}
+
+std::uint64_t ReplicatedLog::logEnd() const { return log.empty() ? base.index : log.back().index; }
+
+const Entry* ReplicatedLog::entryAt(std::uint64_t index) const {
+  if (log.empty() || index < log.front().index || index > log.back().index) return nullptr;
+  return &log[index - log.front().index];
+}
+
+std::uint64_t ReplicatedLog::termAt(std::uint64_t index) const {
+  if (index == base.index) return base.term;
+  auto* entry = entryAt(index);
+  return entry ? entry->term : 0;
+}
+
+bool ReplicatedLog::hasSynced(std::uint64_t index, std::uint64_t term) const {
+  return index <= syncedIndex && (base.index >= index || termAt(index) == term);
+}
+
+std::string ReplicatedLog::leaderAddress() const {
+  for (const auto& member : memberRows)
+    if (member.id == election.holder()) return member.address;
+  return {};
+}
+
+bool ReplicatedLog::speaksForTerm() const { return election.won() && termAt(commitIndex) == election.term(); }
+
+void ReplicatedLog::store(Effects& effects, const Entry& entry) {
+  log.push_back(entry);
+  logBytes += entry.body.size();
+  std::uint64_t index = entry.index, term = entry.term;
+  if (!defences.stands(Defence::syncBeforeCount)) syncedIndex = index;
+  effects.save(entryRecord(entry), [this, index, term](Effects& later) {
+    if (termAt(index) != term || index < syncedIndex || (index == syncedIndex && defences.stands(Defence::syncBeforeCount))) return;
+    syncedIndex = index;
+    if (election.won())
+      advance(later);
+    else
+      tellSynced(later);
+  });
+  if (entry.kind == static_cast<int>(EntryKind::members)) readMembers(&effects);
+}
+
+void ReplicatedLog::tellSynced(Effects& effects) {
+  auto address = leaderAddress();
+  if (address.empty() || verifiedTerm != election.term() || verifiedEnd == 0) return;
+  effects.send(address, AppendResponse{election.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
+}
+
+void ReplicatedLog::append(Effects& effects, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision) {
+  Entry entry{logEnd() + 1, election.term(), static_cast<int>(kind), std::move(body), std::move(changeId), revision};
+  head.apply(entry);
+  store(effects, entry);
+}
+
+void ReplicatedLog::form(Effects& effects, const std::vector<Member>& firstMembers) {
+  if (formed()) return;
+  store(effects, Entry{1, 0, static_cast<int>(EntryKind::members), packMembers(firstMembers), {}});
+  effects.note("formed", selfRow.id, static_cast<std::int64_t>(firstMembers.size()));
+}
+
+void ReplicatedLog::whenLeads(Effects& effects, bool won) {
+  followers.clear();
+  if (!won) {
+    for (const auto& waiter : waiters)
+      effects.send(waiter.from, ChangeResponse{waiter.askId, static_cast<int>(Code::changeUnsure), "accord",
+                                         codeText(Code::changeUnsure), 0, 0, 0});
+    waiters.clear();
+    return;
+  }
+  head = applied;
+  for (const auto& entry : log) head.apply(entry);
+  for (const auto& member : memberRows) {
+    followers[member.id].next = logEnd() + 1;
+    heardFrom[member.id] = effects.now;
+  }
+  append(effects, EntryKind::empty, {}, {});
+  sendAll(effects);
+}
+
+void ReplicatedLog::sendTo(Effects& effects, const Member& member, bool again) {
+  auto& follower = followers[member.id];
+  if (follower.next == 0) follower.next = logEnd() + 1;
+  if (follower.pending && !again) return;
+  follower.sentAt = effects.now;
+  if (follower.next <= base.index) {
+    follower.pending = true;
+    effects.send(member.address, InstallSnapshot{election.term(), selfRow.id, base});
+    return;
+  }
+  AppendRequest message{election.term(), selfRow.id, follower.next - 1, termAt(follower.next - 1), commitIndex, {}};
+  std::size_t bytes = 0;
+  for (std::uint64_t index = follower.next; index <= logEnd() && message.entries.size() < entriesPerMessage; ++index) {
+    const auto* entry = entryAt(index);
+    bytes += entry->body.size();
+    if (!message.entries.empty() && bytes > bytesPerMessage) break;
+    message.entries.push_back(*entry);
+  }
+  follower.pending = !message.entries.empty();
+  follower.toldCommit = commitIndex;
+  effects.send(member.address, std::move(message));
+}
+
+void ReplicatedLog::sendAll(Effects& effects) {
+  if (!election.won()) return;
+  for (const auto& member : memberRows)
+    if (member.id != selfRow.id) sendTo(effects, member, false);
+}
+
+std::uint64_t ReplicatedLog::agreedAmong(const std::vector<Member>& voters) const {
+  std::vector<std::uint64_t> ends;
+  for (const auto& member : voters) {
+    if (!member.votes) continue;
+    auto follower = followers.find(member.id);
+    ends.push_back(member.id == selfRow.id ? syncedIndex : follower == followers.end() ? 0 : follower->second.matched);
+  }
+  std::size_t quorum = ends.size() / 2 + 1;
+  if (!defences.stands(Defence::commitByThree)) quorum = std::min<std::size_t>(quorum, 2);
+  if (ends.size() < quorum) return 0;
+  std::sort(ends.rbegin(), ends.rend());
+  return ends[quorum - 1];
+}
+
+void ReplicatedLog::advance(Effects& effects) {
+  std::uint64_t agreed = agreedAmong(memberRows);
+  auto passing = std::find_if(log.rbegin(), log.rend(), [](const Entry& entry) { return entry.kind == static_cast<int>(EntryKind::members); });
+  if (passing != log.rend() && passing->index > commitIndex && agreed >= passing->index && defences.stands(Defence::jointMembers)) {
+    auto before = membersBefore(passing->index);
+    if (!before.empty() && agreedAmong(before) < passing->index) agreed = passing->index - 1;
+  }
+  if (agreed > commitIndex && termAt(agreed) == election.term()) {
+    applyUpTo(effects, agreed);
+    sendAll(effects);
+  }
+}
+
+void ReplicatedLog::applyUpTo(Effects& effects, std::uint64_t index) {
+  index = std::min(index, logEnd());
+  while (commitIndex < index) {
+    const auto* found = entryAt(commitIndex + 1);
+    if (!found) break;
+    Entry entry = *found;
+    ++commitIndex;
+    applied.apply(entry);
+    if (entry.kind == static_cast<int>(EntryKind::members)) effects.save(snapshotRecord(applied.snapshot()));
+    if (entryApplied) entryApplied(effects, entry);
+  }
+  std::vector<Waiter> left;
+  for (auto& waiter : waiters) {
+    if (waiter.index > commitIndex)
+      left.push_back(waiter);
+    else
+      effects.send(waiter.from, ChangeResponse{waiter.askId, static_cast<int>(Code::changeTaken), {}, {}, waiter.revision,
+                                         waiter.index, termAt(waiter.index)});
+  }
+  waiters = std::move(left);
+  trim(effects);
+}
+
+NewsMsg ReplicatedLog::newsAfter(std::uint64_t index, std::size_t most) const {
+  NewsMsg news;
+  news.commit = commitIndex;
+  if (index < base.index) {
+    news.snapshots.push_back(base);
+    index = base.index;
+  }
+  for (std::uint64_t at = index + 1; at <= commitIndex && news.entries.size() < most; ++at)
+    if (auto* entry = entryAt(at)) news.entries.push_back(*entry);
+  return news;
+}
+
+void ReplicatedLog::onAppend(Effects& effects, const std::string& from, const AppendRequest& message) {
+  if (message.term < election.term()) {
+    effects.send(from, AppendResponse{election.term(), selfRow.id, false, syncedIndex});
+    return;
+  }
+  election.seeTerm(effects, message.term);
+  if (election.won()) return;
+  leaderHeard = effects.now;
+  if (message.prevIndex > logEnd() || (message.prevIndex >= base.index && termAt(message.prevIndex) != message.prevTerm)) {
+    std::uint64_t hint = message.prevIndex > logEnd() ? logEnd() : commitIndex;
+    effects.send(from, AppendResponse{election.term(), selfRow.id, false, hint});
+    return;
+  }
+  std::uint64_t last = message.prevIndex;
+  for (const auto& entry : message.entries) {
+    last = entry.index;
+    if (entry.index <= base.index) continue;
+    if (auto* mine = entryAt(entry.index)) {
+      if (mine->term == entry.term) continue;
+      if (entry.index <= commitIndex) return;
+      while (!log.empty() && log.back().index >= entry.index) {
+        logBytes -= std::min(logBytes, log.back().body.size());
+        log.pop_back();
+      }
+      syncedIndex = std::min(syncedIndex, logEnd());
+      effects.save(cutRecord(entry.index));
+      readMembers(&effects);
+    }
+    if (entry.index != logEnd() + 1) return;
+    store(effects, entry);
+  }
+  std::uint64_t shared = std::min(last, logEnd());
+  verifiedEnd = verifiedTerm == message.term ? std::max(verifiedEnd, shared) : shared;
+  verifiedTerm = message.term;
+  if (message.commit > commitIndex) applyUpTo(effects, std::min(message.commit, shared));
+  if (shared <= syncedIndex) effects.send(from, AppendResponse{election.term(), selfRow.id, true, shared});
+}
+
+void ReplicatedLog::onReply(Effects& effects, const AppendResponse& reply) {
+  if (reply.term > election.term()) {
+    election.seeTerm(effects, reply.term);
+    return;
+  }
+  if (!election.won() || reply.term != election.term()) return;
+  heardFrom[reply.voter] = effects.now;
+  auto& follower = followers[reply.voter];
+  follower.pending = false;
+  if (reply.matched) {
+    follower.matched = std::max(follower.matched, reply.index);
+    follower.next = std::max(follower.next, follower.matched + 1);
+    if (follower.next > logEnd() + 1) follower.next = logEnd() + 1;
+  } else {
+    follower.next = std::max<std::uint64_t>(1, std::min(follower.next - 1, reply.index + 1));
+  }
+  advance(effects);
+  if (follower.next <= logEnd() || follower.toldCommit < commitIndex)
+    for (const auto& member : memberRows)
+      if (member.id == reply.voter) sendTo(effects, member, false);
+}
+
+void ReplicatedLog::tick(Effects& effects) {
+  election.tick(effects);
+  if (!election.won()) return;
+  for (const auto& member : memberRows) {
+    if (member.id == selfRow.id) continue;
+    auto& follower = followers[member.id];
+    if (effects.now - follower.sentAt >= appendAgain) sendTo(effects, member, true);
+  }
+  advance(effects);
+  mendMembers(effects);
+  dropGone(effects);
+}
+
+void ReplicatedLog::take(Effects& effects, const std::string& from, const Message& message) {
+  if (auto* append = std::get_if<AppendRequest>(&message))
+    onAppend(effects, from, *append);
+  else if (auto* reply = std::get_if<AppendResponse>(&message))
+    onReply(effects, *reply);
+  else if (auto* snapshot = std::get_if<InstallSnapshot>(&message))
+    onInstallSnapshot(effects, from, *snapshot);
+  else if (auto* join = std::get_if<JoinRequest>(&message))
+    onJoin(effects, from, *join);
+  else
+    election.take(effects, from, message);
+}
+
+}  // namespace tt
--- a/src/accord.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -1,27 +1,27 @@
 #pragma once
-#include "ballot.hpp"
-#include "blueprint.hpp"
+#include "election.hpp"
+#include "configuration.hpp"
 #include "defences.hpp"
 
 namespace tt {
 
-/// The thin layer over the cells: a replicated log on which the cores agree on the blueprint and on who they are.
-class Accord {
+/// The thin layer over the cells: a replicated log on which the cores agree on the configuration and on who they are.
+class ReplicatedLog {
  public:
-  Accord(Member self, std::size_t recordRoom, Defences defencesGiven = {});
+  ReplicatedLog(Member self, std::size_t recordRoom, Defences defencesGiven = {});
   void restore(const Recovered& recovered, Moment now);
-  void tick(Desk& desk);
-  void take(Desk& desk, const std::string& from, const Message& message);
+  void tick(Effects& effects);
+  void take(Effects& effects, const std::string& from, const Message& message);
   /// Writes the first entry of a fleet: who its cores are.
-  void form(Desk& desk, const std::vector<Member>& firstMembers);
+  void form(Effects& effects, const std::vector<Member>& firstMembers);
   /// Takes a change if this core leads; the answer goes to whoever asked once it is agreed.
-  void takeChange(Desk& desk, const std::string& from, const ChangeAsk& ask);
+  void takeChange(Effects& effects, const std::string& from, const ChangeRequest& ask);
 
   bool formed() const { return !memberRows.empty(); }
   const std::vector<Member>& members() const { return memberRows; }
   const Member& self() const { return selfRow; }
   std::string leaderAddress() const;
-  bool leads(Moment now) const { return ballot.holds(now); }
+  bool leads(Moment now) const { return election.holds(now); }
   /// Whether what this core says of commits covers all earlier terms.
   bool speaksForTerm() const;
   /// When a sound word of the leader last came.
@@ -31,15 +31,15 @@
   std::uint64_t logEnd() const;
   /// Whether this very entry, and with it all before it, is on this core's disk.
   bool hasSynced(std::uint64_t index, std::uint64_t term) const;
-  const Blueprint& blueprint() const { return applied; }
+  const Configuration& configuration() const { return applied; }
   const std::vector<Entry>& entries() const { return log; }
   std::size_t pendingChanges() const { return waiters.size(); }
-  /// Entries after an index, or a capture where the log no longer reaches back that far.
+  /// Entries after an index, or a snapshot where the log no longer reaches back that far.
   NewsMsg newsAfter(std::uint64_t index, std::size_t most = 256) const;
-  Ballot ballot;
+  Election election;
   /// Told of each entry as it is applied.
-  std::function<void(Desk&, const Entry&)> entryApplied;
-  std::function<void(Desk&)> membersChanged;
+  std::function<void(Effects&, const Entry&)> entryApplied;
+  std::function<void(Effects&)> membersChanged;
 
  private:
   struct Follower {
@@ -57,9 +57,9 @@
   std::size_t room;
   Defences defences;
   std::vector<Entry> log;
-  Capture base;
+  Snapshot base;
   std::vector<Member> memberRows;
-  Blueprint applied, head;
+  Configuration applied, head;
   std::uint64_t commitIndex{0}, syncedIndex{0};
   std::map<std::string, Follower> followers;
   std::vector<Waiter> waiters;
@@ -69,27 +69,27 @@
 
   std::uint64_t termAt(std::uint64_t index) const;
   const Entry* entryAt(std::uint64_t index) const;
-  void readMembers(Desk* desk);
+  void readMembers(Effects* effects);
   std::vector<Member> membersBefore(std::uint64_t index) const;
   std::uint64_t agreedAmong(const std::vector<Member>& voters) const;
-  void append(Desk& desk, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision = 0);
-  void store(Desk& desk, const Entry& entry);
-  void tellSynced(Desk& desk);
-  void sendTo(Desk& desk, const Member& member, bool again);
-  void sendAll(Desk& desk);
-  void advance(Desk& desk);
-  void applyUpTo(Desk& desk, std::uint64_t index);
-  void whenLeads(Desk& desk, bool won);
-  void trim(Desk& desk);
-  void mendMembers(Desk& desk);
+  void append(Effects& effects, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision = 0);
+  void store(Effects& effects, const Entry& entry);
+  void tellSynced(Effects& effects);
+  void sendTo(Effects& effects, const Member& member, bool again);
+  void sendAll(Effects& effects);
+  void advance(Effects& effects);
+  void applyUpTo(Effects& effects, std::uint64_t index);
+  void whenLeads(Effects& effects, bool won);
+  void trim(Effects& effects);
+  void mendMembers(Effects& effects);
   /// Takes a voter out that has long been silent, while enough stay.
-  void dropGone(Desk& desk);
-  void onAppend(Desk& desk, const std::string& from, const AppendMsg& message);
-  void onCapture(Desk& desk, const std::string& from, const CaptureMsg& message);
-  void onReply(Desk& desk, const AppendReply& reply);
-  void onJoin(Desk& desk, const std::string& from, const JoinAsk& ask);
+  void dropGone(Effects& effects);
+  void onAppend(Effects& effects, const std::string& from, const AppendRequest& message);
+  void onInstallSnapshot(Effects& effects, const std::string& from, const InstallSnapshot& message);
+  void onReply(Effects& effects, const AppendResponse& reply);
+  void onJoin(Effects& effects, const std::string& from, const JoinRequest& ask);
   bool memberChangePending() const;
-  void setMembers(Desk& desk, std::vector<Member> rows);
+  void setMembers(Effects& effects, std::vector<Member> rows);
   std::map<std::string, Moment> heardFrom;
 };
 
--- a/src/cell.cpp
+++ b/src/index/cell.cpp
@@ -44,35 +44,35 @@
   return true;
 }
 
-const Cell::RolloutDeeds& Cell::rolloutDeeds() {
-  static const RolloutDeeds table{{"hold", &Cell::hold},           {"sendDrain", &Cell::sendDrain},
+const Cell::RolloutActions& Cell::rolloutActions() {
+  static const RolloutActions table{{"hold", &Cell::hold},           {"sendDrain", &Cell::sendDrain},
                                   {"sendLoad", &Cell::sendLoad},   {"sendAdmit", &Cell::sendAdmit},
                                   {"release", &Cell::release},     {"giveUp", &Cell::giveUp}};
   return table;
 }
-const Cell::WatchDeeds& Cell::watchDeeds() {
-  static const WatchDeeds table{{"tellDone", &Cell::tellDone}, {"tellFailed", &Cell::tellFailed}};
+const Cell::WatchActions& Cell::watchActions() {
+  static const WatchActions table{{"tellDone", &Cell::tellDone}, {"tellFailed", &Cell::tellFailed}};
   return table;
 }
 
-Cell::Cell(std::string locality, const Member& self, bool local, Defences defencesGiven, CellProps cellProps)
-    : ballot("cell/" + locality, self.id, local ? Span(0) : Span(600ms), defencesGiven),
+Cell::Cell(std::string locality, const Member& self, bool local, Defences defencesGiven, CellSettings cellSettings)
+    : election("cell/" + locality, self.id, local ? Span(0) : Span(600ms), defencesGiven),
       place(std::move(locality)),
       selfId(self.id),
       selfAddress(self.address),
       defences(defencesGiven),
-      props(cellProps) {
-  ballot.changed = [this](Desk& desk, bool won) { whenHolds(desk, won); };
+      settings(cellSettings) {
+  election.changed = [this](Effects& effects, bool won) { whenHolds(effects, won); };
 }
 
-void Cell::whenHolds(Desk& desk, bool) {
-  wonAt = desk.now;
+void Cell::whenHolds(Effects& effects, bool) {
+  wonAt = effects.now;
   for (auto& [name, keeper] : rows) {
     keeper.confirmed = false;
     keeper.askPending = false;
     keeper.kept.clear();
     keeper.summaryStale = true;
-    keeper.heardAt = desk.now;
+    keeper.heardAt = effects.now;
     keeper.known = false;
     keeper.conditionAt = keeper.conditionAskedAt = Moment{};
   }
@@ -92,7 +92,7 @@
     auto& keeper = rows[machine.name];
     if (keeper.machine.address != machine.address) keeper = Keeper{};
     if (keeper.machine.leaving != machine.leaving || keeper.machine.name.empty()) newsDue = true;
-    if (props.apart && keeper.conditionAt == Moment{}) {
+    if (settings.apart && keeper.conditionAt == Moment{}) {
       keeper.last.weights = machine.weights;
       keeper.last.model = machine.model;
       keeper.last.slots = machine.slots;
@@ -110,49 +110,49 @@
   }
 }
 
-void Cell::doubt(Desk& desk, Keeper& keeper, const char* why) {
+void Cell::doubt(Effects& effects, Keeper& keeper, const char* why) {
   if (!keeper.confirmed) return;
   keeper.confirmed = false;
   keeper.kept.clear();
   keeper.summaryStale = true;
   newsDue = true;
-  desk.note("keeper unconfirmed", keeper.machine.name + " " + why);
+  effects.note("keeper unconfirmed", keeper.machine.name + " " + why);
 }
 
-void Cell::askReports(Desk& desk) {
+void Cell::askReports(Effects& effects) {
   for (auto& [name, keeper] : rows) {
-    if (keeper.known && desk.now - keeper.heardAt > props.lateAfter) doubt(desk, keeper, "late");
-    if (props.apart) askCondition(desk, keeper);
-    if (keeper.askPending ? desk.now - keeper.askedAt < askAgain : desk.now - keeper.askedAt < props.askEvery) continue;
+    if (keeper.known && effects.now - keeper.heardAt > settings.lateAfter) doubt(effects, keeper, "late");
+    if (settings.apart) askCondition(effects, keeper);
+    if (keeper.askPending ? effects.now - keeper.askedAt < askAgain : effects.now - keeper.askedAt < settings.askEvery) continue;
     bool sweeping = false;
-    if (keeper.confirmed && props.sweepEvery > Span(0) && desk.now - sweptAt > props.sweepEvery && name > sweptLast) {
+    if (keeper.confirmed && settings.sweepEvery > Span(0) && effects.now - sweptAt > settings.sweepEvery && name > sweptLast) {
       sweeping = true;
-      sweptAt = desk.now;
+      sweptAt = effects.now;
       sweptLast = name;
     }
     keeper.askPending = true;
-    keeper.askedAt = desk.now;
-    desk.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed,
-                                                    static_cast<int>(props.apart ? Scope::index : Scope::all), name});
+    keeper.askedAt = effects.now;
+    effects.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed,
+                                                    static_cast<int>(settings.apart ? Scope::index : Scope::all), name});
   }
-  if (desk.now - sweptAt > 2 * props.sweepEvery) sweptLast.clear();
+  if (effects.now - sweptAt > 2 * settings.sweepEvery) sweptLast.clear();
 }
 
-void Cell::askCondition(Desk& desk, Keeper& keeper) {
+void Cell::askCondition(Effects& effects, Keeper& keeper) {
   if (keeper.machine.kind != "language" || keeper.machine.leaving) return;
   auto rollout = rollouts.find(keeper.machine.name);
   bool moving = rollout != rollouts.end() && !rollout->second.walk->in("serving") && !rollout->second.walk->in("marking");
-  if (keeper.conditionAt != Moment{} && !moving && props.conditionEvery == Span(0)) return;
-  Span every = moving ? movingEvery : keeper.conditionAt == Moment{} ? askAgain : props.conditionEvery;
-  if (desk.now - keeper.conditionAskedAt < every) return;
-  keeper.conditionAskedAt = desk.now;
-  desk.send(keeper.machine.address, ReportAsk{0, {}, false, static_cast<int>(Scope::condition), keeper.machine.name});
+  if (keeper.conditionAt != Moment{} && !moving && settings.conditionEvery == Span(0)) return;
+  Span every = moving ? movingEvery : keeper.conditionAt == Moment{} ? askAgain : settings.conditionEvery;
+  if (effects.now - keeper.conditionAskedAt < every) return;
+  keeper.conditionAskedAt = effects.now;
+  effects.send(keeper.machine.address, ReportAsk{0, {}, false, static_cast<int>(Scope::condition), keeper.machine.name});
 }
 
-void Cell::onCondition(Desk& desk, Keeper& keeper, const Report& report) {
+void Cell::onCondition(Effects& effects, Keeper& keeper, const Report& report) {
   bool changed = keeper.last.weights != report.weights || keeper.last.draining != report.draining || keeper.conditionAt == Moment{} ||
                  keeper.last.waiting != report.waiting || keeper.last.running / 4 != report.running / 4;
-  keeper.conditionAt = desk.now;
+  keeper.conditionAt = effects.now;
   keeper.last.weights = report.weights;
   keeper.last.model = report.model;
   keeper.last.running = report.running;
@@ -161,36 +161,36 @@
   keeper.last.slots = report.slots;
   keeper.last.draining = report.draining;
   newsDue = newsDue || changed;
-  moveRollouts(desk, *lastBlueprint);
+  moveRollouts(effects, *lastConfiguration);
 }
 
-void Cell::onReport(Desk& desk, const Report& report) {
+void Cell::onReport(Effects& effects, const Report& report) {
   auto found = rows.find(report.worker);
   if (found == rows.end()) {
-    desk.note("report denied", report.worker);
+    effects.note("report denied", report.worker);
     return;
   }
   auto& keeper = found->second;
-  if (report.scope == static_cast<int>(Scope::condition)) return onCondition(desk, keeper, report);
+  if (report.scope == static_cast<int>(Scope::condition)) return onCondition(effects, keeper, report);
   keeper.askPending = false;
-  if (desk.now - keeper.askedAt > props.lateAfter) {
-    desk.note("report late", report.worker);
+  if (effects.now - keeper.askedAt > settings.lateAfter) {
+    effects.note("report late", report.worker);
     return;
   }
   bool indexOnly = report.scope == static_cast<int>(Scope::index);
   bool changed = !keeper.known || (!indexOnly && (keeper.last.running != report.running || keeper.last.weights != report.weights || keeper.last.draining != report.draining));
   if (keeper.known && keeper.last.incarnation != report.incarnation) {
-    doubt(desk, keeper, "new incarnation");
+    doubt(effects, keeper, "new incarnation");
     keeper.applied = 0;
   }
-  if (keeper.confirmed && !indexOnly && keeper.last.weights != report.weights) doubt(desk, keeper, "other weights");
-  keeper.heardAt = desk.now;
+  if (keeper.confirmed && !indexOnly && keeper.last.weights != report.weights) doubt(effects, keeper, "other weights");
+  keeper.heardAt = effects.now;
   keeper.known = true;
   if (indexOnly) {
     keeper.last.incarnation = report.incarnation;
     keeper.last.sequence = report.sequence;
-    if (report.lost) doubt(desk, keeper, "gap");
-    if (keeper.confirmed && !report.whole && report.sequence < keeper.applied) return desk.note("report late", report.worker);
+    if (report.lost) doubt(effects, keeper, "gap");
+    if (keeper.confirmed && !report.whole && report.sequence < keeper.applied) return effects.note("report late", report.worker);
   } else {
     keeper.last = report;
     keeper.last.kept.clear();
@@ -203,10 +203,10 @@
       std::int64_t mended = 0;
       for (const auto& hash : kept) mended += !keeper.kept.count(hash);
       for (const auto& hash : keeper.kept) mended += !kept.count(hash);
-      desk.note("swept", report.worker, mended);
-      if (mended) desk.note("sweep mended", report.worker, mended);
+      effects.note("swept", report.worker, mended);
+      if (mended) effects.note("sweep mended", report.worker, mended);
     } else {
-      desk.note("keeper confirmed", report.worker, static_cast<std::int64_t>(kept.size()));
+      effects.note("keeper confirmed", report.worker, static_cast<std::int64_t>(kept.size()));
     }
     keeper.kept = std::move(kept);
     keeper.applied = report.sequence;
@@ -219,7 +219,7 @@
   for (const auto& event : report.events) {
     if (event.sequence <= keeper.applied && !report.gaps) continue;
     if (event.sequence != keeper.applied + 1 && !report.gaps) {
-      doubt(desk, keeper, "gap");
+      doubt(effects, keeper, "gap");
       return;
     }
     keeper.applied = event.sequence;
@@ -231,7 +231,7 @@
         for (const auto& hash : event.hashes) {
           if (!keeper.kept.erase(hash) || keeper.machine.kind != "store") continue;
           if (keeper.dropped.size() > droppedMost) keeper.dropped.clear();
-          keeper.dropped[hash] = desk.now;
+          keeper.dropped[hash] = effects.now;
         }
         break;
       case KeptKind::cleared:
@@ -239,10 +239,10 @@
         break;
     }
     keeper.summaryStale = true;
-    newsDue = newsDue || props.summaries;
+    newsDue = newsDue || settings.summaries;
   }
   if (report.gaps) keeper.applied = report.sequence;
-  if (report.sequence != keeper.applied) doubt(desk, keeper, "gap");
+  if (report.sequence != keeper.applied) doubt(effects, keeper, "gap");
 }
 
 void Cell::weighStore(Keeper& keeper, const BlockHash& prefix, Moment now) {
@@ -260,50 +260,50 @@
   newsDue = true;
 }
 
-void Cell::onLookup(Desk& desk, const LookupMsg& ask) {
-  if (!ballot.holds(desk.now)) return;
+void Cell::onLookup(Effects& effects, const LookupMsg& ask) {
+  if (!election.holds(effects.now)) return;
   auto found = rows.find(ask.keeper);
   LookupReply reply{ask.lookupId, ask.keeper, {}};
   if (found != rows.end()) {
     auto& keeper = found->second;
-    if (keeper.machine.kind == "store" && keeper.confirmed && !ask.hashes.empty()) weighStore(keeper, ask.hashes.back(), desk.now);
-    bool usable = keeper.confirmed && desk.now - keeper.heardAt < props.lateAfter && (!keeper.last.draining || props.apart) &&
+    if (keeper.machine.kind == "store" && keeper.confirmed && !ask.hashes.empty()) weighStore(keeper, ask.hashes.back(), effects.now);
+    bool usable = keeper.confirmed && effects.now - keeper.heardAt < settings.lateAfter && (!keeper.last.draining || settings.apart) &&
                   !keeper.machine.leaving &&
                   (keeper.machine.kind == "store" || keeper.last.weights == ask.weights);
     for (const auto& hash : ask.hashes) reply.hits.push_back(usable && keeper.kept.count(hash) ? 1 : 0);
   }
-  desk.note("lookup", ask.keeper, static_cast<std::int64_t>(ask.hashes.size()));
-  desk.send(ask.replyTo, reply);
+  effects.note("lookup", ask.keeper, static_cast<std::int64_t>(ask.hashes.size()));
+  effects.send(ask.replyTo, reply);
 }
 
-void Cell::command(Desk& desk, const std::string& worker, const std::string& action) {
+void Cell::command(Effects& effects, const std::string& worker, const std::string& action) {
   auto found = rows.find(worker);
   auto& rollout = rollouts[worker];
-  rollout.sentAt = desk.now;
-  if (found == rows.end() || !ballot.holds(desk.now) || desk.now - wonAt < pace.commandRest) return;
-  desk.send(found->second.machine.address, ControlAsk{ballot.term(), selfId, action, rollout.model, rollout.weights, found->second.last.incarnation, worker});
+  rollout.sentAt = effects.now;
+  if (found == rows.end() || !election.holds(effects.now) || effects.now - wonAt < timing.commandRest) return;
+  effects.send(found->second.machine.address, ControlAsk{election.term(), selfId, action, rollout.model, rollout.weights, found->second.last.incarnation, worker});
 }
 
-void Cell::hold(Desk& desk, const std::string& worker) {
+void Cell::hold(Effects& effects, const std::string& worker) {
   auto& rollout = rollouts[worker];
-  rollout.since = desk.now;
+  rollout.since = effects.now;
   rollout.markSequence = sequence + 1;
   newsDue = true;
   publishedAt = Moment{};
-  desk.note("weights hold", worker);
+  effects.note("weights hold", worker);
 }
-void Cell::sendDrain(Desk& desk, const std::string& worker) { command(desk, worker, "drain"); }
-void Cell::sendLoad(Desk& desk, const std::string& worker) { command(desk, worker, "load"); }
-void Cell::sendAdmit(Desk& desk, const std::string& worker) { command(desk, worker, "admit"); }
-void Cell::release(Desk& desk, const std::string& worker) {
+void Cell::sendDrain(Effects& effects, const std::string& worker) { command(effects, worker, "drain"); }
+void Cell::sendLoad(Effects& effects, const std::string& worker) { command(effects, worker, "load"); }
+void Cell::sendAdmit(Effects& effects, const std::string& worker) { command(effects, worker, "admit"); }
+void Cell::release(Effects& effects, const std::string& worker) {
   newsDue = true;
   publishedAt = Moment{};
   rollouts[worker].failed = false;
-  desk.note("weights in use", worker + " " + rollouts[worker].weights);
+  effects.note("weights in use", worker + " " + rollouts[worker].weights);
 }
-void Cell::giveUp(Desk& desk, const std::string& worker) {
+void Cell::giveUp(Effects& effects, const std::string& worker) {
   rollouts[worker].failed = true;
-  desk.note("weights failed", worker);
+  effects.note("weights failed", worker);
 }
 
 std::string Cell::rolloutState(const std::string& worker) const {
@@ -324,7 +324,7 @@
 bool Cell::agentsHave(std::uint64_t markSequence, Moment now) const {
   for (const auto& [agent, row] : agentMarks) {
     if (now - row.at > 2s) continue;
-    if (row.mark.term < ballot.term() || (row.mark.term == ballot.term() && row.mark.sequence < markSequence))
+    if (row.mark.term < election.term() || (row.mark.term == election.term() && row.mark.sequence < markSequence))
       return false;
   }
   return true;
@@ -332,8 +332,8 @@
 
 bool Cell::startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now) {
   auto& known = wantedByModel[model];
-  if (known.weights != wanted) known = Wanted{wanted, now - (workers > 0 ? props.rolloutSpan * started / workers : Span(0))};
-  return workers > 0 && now - known.since < props.rolloutSpan * started / workers;
+  if (known.weights != wanted) known = Wanted{wanted, now - (workers > 0 ? settings.rolloutSpan * started / workers : Span(0))};
+  return workers > 0 && now - known.since < settings.rolloutSpan * started / workers;
 }
 
 bool Cell::waitsItsTurn(const std::string& model, const std::string& wanted, Moment now) {
@@ -358,62 +358,62 @@
   return unfinished && now - known.since < std::min(before, 3) * turnLength;
 }
 
-void Cell::moveRollouts(Desk& desk, const Blueprint& blueprint) {
+void Cell::moveRollouts(Effects& effects, const Configuration& configuration) {
   std::map<std::string, int> workers, busy, failures, successes;
   for (const auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known || keeper.machine.leaving) continue;
-    if (desk.now - keeper.heardAt > props.goneAfter) continue;
+    if (effects.now - keeper.heardAt > settings.goneAfter) continue;
     ++workers[keeper.last.model];
     auto rollout = rollouts.find(name);
     if (rollout != rollouts.end() && rollout->second.failed && defences.stands(Defence::failedNotCounted))
       ++failures[keeper.last.model];
     else if (rollout != rollouts.end() && !rollout->second.walk->in("serving"))
       ++busy[keeper.last.model];
-    if (blueprint.weightsOf(keeper.last.model) == keeper.last.weights) ++successes[keeper.last.model];
+    if (configuration.weightsOf(keeper.last.model) == keeper.last.weights) ++successes[keeper.last.model];
   }
   std::set<std::string> hopeless;
   for (const auto& [model, number] : failures)
     if (number >= std::min(2, workers[model]) && successes[model] == 0)
-      if (auto wanted = blueprint.weightsOf(model)) hopeless.insert(*wanted);
+      if (auto wanted = configuration.weightsOf(model)) hopeless.insert(*wanted);
   if (hopeless != givenUp) {
     givenUp = hopeless;
     newsDue = true;
   }
   for (auto& [name, keeper] : rows) {
     if (keeper.machine.kind != "language" || !keeper.known) continue;
-    auto wanted = blueprint.weightsOf(keeper.last.model);
+    auto wanted = configuration.weightsOf(keeper.last.model);
     if (!wanted) continue;
     auto& rollout = rollouts[name];
     if (!rollout.walk)
-      rollout.walk = std::make_unique<ChartWalk<Cell, Desk&, const std::string&>>(props.loadsWhole ? "weightsWhole" : "weights", rolloutDeeds(), "serving");
+      rollout.walk = std::make_unique<ChartWalk<Cell, Effects&, const std::string&>>(settings.loadsWhole ? "weightsWhole" : "weights", rolloutActions(), "serving");
     auto& walk = *rollout.walk;
     auto happen = [&](const char* event) {
       std::string before = walk.state();
-      if (walk.happen(*this, event, desk, name) && walk.state() != before) {
-        rollout.since = desk.now;
-        desk.note("rollout", name + " " + walk.state());
+      if (walk.happen(*this, event, effects, name) && walk.state() != before) {
+        rollout.since = effects.now;
+        effects.note("rollout", name + " " + walk.state());
       }
     };
-    if (desk.now - keeper.heardAt > props.goneAfter || (props.apart && keeper.machine.leaving)) continue;
-    if (desk.now - wonAt < pace.commandRest) continue;
+    if (effects.now - keeper.heardAt > settings.goneAfter || (settings.apart && keeper.machine.leaving)) continue;
+    if (effects.now - wonAt < timing.commandRest) continue;
     const auto& report = keeper.last;
     bool right = report.weights == *wanted;
     if (walk.in("serving")) {
-      if (right && (!report.draining || props.loadsWhole)) continue;
-      int room = std::max(1, (workers[report.model] + props.rolloutParts - 1) / props.rolloutParts);
+      if (right && (!report.draining || settings.loadsWhole)) continue;
+      int room = std::max(1, (workers[report.model] + settings.rolloutParts - 1) / settings.rolloutParts);
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
       if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
-      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, desk.now)) continue;
-      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model], busy[report.model] + successes[report.model], desk.now)) continue;
+      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, effects.now)) continue;
+      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model], busy[report.model] + successes[report.model], effects.now)) continue;
       ++busy[report.model];
       rollout.weights = *wanted;
       rollout.model = report.model;
       happen("wanted");
       continue;
     }
-    bool unanswered = rollout.takenAt < rollout.sentAt && desk.now - rollout.sentAt >= commandAgain;
+    bool unanswered = rollout.takenAt < rollout.sentAt && effects.now - rollout.sentAt >= commandAgain;
     bool idled = rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
-    bool again = (props.loadsWhole ? unanswered || idled : desk.now - rollout.sentAt >= commandAgain) && defences.stands(Defence::commandAgain);
+    bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) && defences.stands(Defence::commandAgain);
     if (rollout.weights != *wanted) {
       rollout.failed = false;
       rollout.weights = *wanted;
@@ -421,21 +421,21 @@
       happen("wanted");
     }
     if (walk.in("marking")) {
-      if (desk.now - rollout.since >= props.markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, desk.now)))
-        happen(right && (report.draining || props.loadsWhole) ? "settled" : "cleared");
+      if (effects.now - rollout.since >= settings.markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, effects.now)))
+        happen(right && (report.draining || settings.loadsWhole) ? "settled" : "cleared");
     } else if (walk.in("draining")) {
       if (right && report.draining)
         happen("settled");
       else if (report.draining && report.running == 0)
         happen("emptied");
-      else if (desk.now - rollout.since >= drainWait)
+      else if (effects.now - rollout.since >= drainWait)
         happen("overdue");
       else if (again)
         happen("again");
     } else if (walk.in("loading")) {
       if (right)
         happen("loaded");
-      else if (desk.now - rollout.since >= loadWait)
+      else if (effects.now - rollout.since >= loadWait)
         happen("overdue");
       else if (again)
         happen("again");
@@ -449,47 +449,47 @@
     } else if (walk.in("broken")) {
       if (right)
         happen("loaded");
-      else if (desk.now - rollout.since >= retryWait)
+      else if (effects.now - rollout.since >= retryWait)
         happen("retry");
     }
   }
 }
 
-void Cell::tellDone(Desk& desk, Watch& watch) {
-  double seconds = std::chrono::duration<double>(desk.now - watch.startedAt).count();
+void Cell::tellDone(Effects& effects, Watch& watch) {
+  double seconds = std::chrono::duration<double>(effects.now - watch.startedAt).count();
   speeds[{watch.ask.source, watch.ask.target}] =
-      Speed{static_cast<double>(watch.ask.hashes.size()) / std::max(seconds, 0.001), desk.now};
+      Speed{static_cast<double>(watch.ask.hashes.size()) / std::max(seconds, 0.001), effects.now};
   newsDue = true;
-  desk.note("transfer done", watch.ask.moveId, inMs(desk.now - watch.startedAt));
-  desk.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, true});
+  effects.note("transfer done", watch.ask.moveId, inMs(effects.now - watch.startedAt));
+  effects.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, true});
 }
 
-void Cell::tellFailed(Desk& desk, Watch& watch) {
-  double seconds = std::max(std::chrono::duration<double>(desk.now - watch.startedAt).count(), 0.001);
+void Cell::tellFailed(Effects& effects, Watch& watch) {
+  double seconds = std::max(std::chrono::duration<double>(effects.now - watch.startedAt).count(), 0.001);
   auto& speed = speeds[{watch.ask.source, watch.ask.target}];
-  speed = Speed{static_cast<double>(watch.ask.hashes.size()) / seconds / 2, desk.now};
+  speed = Speed{static_cast<double>(watch.ask.hashes.size()) / seconds / 2, effects.now};
   newsDue = true;
-  if (auto source = rows.find(watch.ask.source); source != rows.end() && !props.apart) doubt(desk, source->second, "move came short");
-  desk.note("transfer failed", watch.ask.moveId);
-  desk.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, false});
+  if (auto source = rows.find(watch.ask.source); source != rows.end() && !settings.apart) doubt(effects, source->second, "move came short");
+  effects.note("transfer failed", watch.ask.moveId);
+  effects.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, false});
 }
 
-void Cell::moveWatches(Desk& desk) {
+void Cell::moveWatches(Effects& effects) {
   for (auto row = watches.begin(); row != watches.end();) {
     auto& watch = row->second;
     auto found = rows.find(watch.ask.target);
     if (found == rows.end()) {
-      watch.walk->happen(*this, "denied", desk, watch);
+      watch.walk->happen(*this, "denied", effects, watch);
     } else {
       const auto& kept = found->second.kept;
       bool all = found->second.confirmed && std::all_of(watch.ask.hashes.begin(), watch.ask.hashes.end(),
                                                         [&](const BlockHash& hash) { return kept.count(hash) > 0; });
       if (all)
-        watch.walk->happen(*this, "done", desk, watch);
-      else if (desk.now >= watch.deadline)
-        watch.walk->happen(*this, "overdue", desk, watch);
+        watch.walk->happen(*this, "done", effects, watch);
+      else if (effects.now >= watch.deadline)
+        watch.walk->happen(*this, "overdue", effects, watch);
       else
-        watch.walk->happen(*this, "accepted", desk, watch);
+        watch.walk->happen(*this, "accepted", effects, watch);
     }
     row = watch.walk->in("finished") || watch.walk->in("failed") ? watches.erase(row) : std::next(row);
   }
@@ -517,71 +517,71 @@
   said = std::move(now);
 }
 
-void Cell::publishNews(Desk& desk) {
-  if (desk.now - publishedAt < (newsDue ? props.publishEvery : publishIdle)) return;
-  if (!ballot.holds(desk.now)) return;
-  publishedAt = desk.now;
-  bool light = sequence > 0 && desk.now - summariesAt < summariesEvery;
-  if (!light) summariesAt = desk.now;
+void Cell::publishNews(Effects& effects) {
+  if (effects.now - publishedAt < (newsDue ? settings.publishEvery : publishIdle)) return;
+  if (!election.holds(effects.now)) return;
+  publishedAt = effects.now;
+  bool light = sequence > 0 && effects.now - summariesAt < summariesEvery;
+  if (!light) summariesAt = effects.now;
   newsDue = light;
-  CellNews news{place, ballot.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
+  CellNews news{place, election.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
   for (auto& [name, keeper] : rows) {
-    if (keeper.summaryStale && !light && props.summaries) {
+    if (keeper.summaryStale && !light && settings.summaries) {
       keeper.summary = Summary::make(keeper.kept);
       keeper.summaryStale = false;
     }
     auto rollout = rollouts.find(name);
-    bool held = (keeper.last.draining && !props.loadsWhole) || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
-    bool alive = keeper.known && desk.now - keeper.heardAt < props.goneAfter;
+    bool held = (keeper.last.draining && !settings.loadsWhole) || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
+    bool alive = keeper.known && effects.now - keeper.heardAt < settings.goneAfter;
     news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
                                       keeper.last.model, keeper.last.running, keeper.last.slots, held, alive,
                                       keeper.confirmed, keeper.kept.size(), keeper.last.sequence, light ? std::string() : keeper.summary, keeper.machine.service,
                                       keeper.last.waiting, keeper.last.memory, keeper.savedShare});
   }
-  if (!props.summaries) tellChanges(news);
+  if (!settings.summaries) tellChanges(news);
   for (auto speed = speeds.begin(); speed != speeds.end();) {
-    if (desk.now - speed->second.at > speedKept) {
+    if (effects.now - speed->second.at > speedKept) {
       speed = speeds.erase(speed);
       continue;
     }
     news.links.push_back(LinkSpeed{speed->first.first, speed->first.second, speed->second.blocksPerSecond});
     ++speed;
   }
-  if (publish) publish(desk, news);
+  if (publish) publish(effects, news);
 }
 
-void Cell::tick(Desk& desk, const Blueprint& blueprint) {
-  ballot.tick(desk);
-  lastBlueprint = &blueprint;
-  if (!ballot.holds(desk.now)) return;
-  askReports(desk);
-  moveRollouts(desk, blueprint);
-  moveWatches(desk);
-  publishNews(desk);
+void Cell::tick(Effects& effects, const Configuration& configuration) {
+  election.tick(effects);
+  lastConfiguration = &configuration;
+  if (!election.holds(effects.now)) return;
+  askReports(effects);
+  moveRollouts(effects, configuration);
+  moveWatches(effects);
+  publishNews(effects);
 }
 
-void Cell::take(Desk& desk, const std::string& from, const Message& message) {
+void Cell::take(Effects& effects, const std::string& from, const Message& message) {
   if (auto* report = std::get_if<Report>(&message)) {
-    if (ballot.holds(desk.now)) {
-      onReport(desk, *report);
-      moveWatches(desk);
+    if (election.holds(effects.now)) {
+      onReport(effects, *report);
+      moveWatches(effects);
     }
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
-    onLookup(desk, *lookup);
+    onLookup(effects, *lookup);
   } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
-    if (!ballot.holds(desk.now)) return;
+    if (!election.holds(effects.now)) return;
     Watch made;
     made.ask = *watch;
-    made.startedAt = desk.now;
-    made.deadline = desk.now + std::chrono::milliseconds(std::clamp<std::int64_t>(watch->deadlineMs, 1, 10000));
-    made.walk = std::make_unique<ChartWalk<Cell, Desk&, Watch&>>("transfer", watchDeeds(), "asked");
+    made.startedAt = effects.now;
+    made.deadline = effects.now + std::chrono::milliseconds(std::clamp<std::int64_t>(watch->deadlineMs, 1, 10000));
+    made.walk = std::make_unique<ChartWalk<Cell, Effects&, Watch&>>("transfer", watchActions(), "asked");
     if (watches.size() < 4096) watches[watch->moveId] = std::move(made);
   } else if (auto* reply = std::get_if<ControlReply>(&message)) {
-    if (reply->code == static_cast<int>(Code::termOld)) ballot.seeTerm(desk, reply->term);
+    if (reply->code == static_cast<int>(Code::termOld)) election.seeTerm(effects, reply->term);
     if (reply->code == static_cast<int>(Code::done))
-      if (auto rollout = rollouts.find(reply->worker); rollout != rollouts.end()) rollout->second.takenAt = desk.now;
+      if (auto rollout = rollouts.find(reply->worker); rollout != rollouts.end()) rollout->second.takenAt = effects.now;
   } else {
-    ballot.take(desk, from, message);
+    election.take(effects, from, message);
   }
 }
 
--- a/src/cell.hpp
+++ b/src/index/cell.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "ballot.hpp"
-#include "blueprint.hpp"
+#include "election.hpp"
+#include "configuration.hpp"
 
 namespace tt {
 
@@ -29,7 +29,7 @@
 };
 
 /// How a cell deals with the workers it has, where it is not as with the project's own.
-struct CellProps {
+struct CellSettings {
   /// Reports on kept blocks and on condition are asked apart; machines' own rows tell the weights at first.
   bool apart{false};
   /// One command lets runs finish, loads the weights and admits again.
@@ -51,15 +51,15 @@
 /// each locality; only the holder of the cell's duty asks, commands and answers.
 class Cell {
  public:
-  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {}, CellProps cellProps = {});
-  Ballot ballot;
+  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {}, CellSettings cellSettings = {});
+  Election election;
   void setMachines(const std::vector<Machine>& machines);
-  void tick(Desk& desk, const Blueprint& blueprint);
-  void take(Desk& desk, const std::string& from, const Message& message);
+  void tick(Effects& effects, const Configuration& configuration);
+  void take(Effects& effects, const std::string& from, const Message& message);
   /// What an agent is known to have applied of this cell's news.
   void agentHas(const std::string& agent, const CellMark& mark, Moment now);
   /// Where fresh news go: the other cores and the agents that follow this core.
-  std::function<void(Desk&, const CellNews&)> publish;
+  std::function<void(Effects&, const CellNews&)> publish;
   /// All cells' newest news, so that small cells can take turns.
   const std::map<std::string, CellNews>* allNews{nullptr};
   const std::string& locality() const { return place; }
@@ -75,12 +75,12 @@
     /// When the worker last said that it has taken the command.
     Moment takenAt{};
     bool failed{false};
-    std::unique_ptr<ChartWalk<Cell, Desk&, const std::string&>> walk;
+    std::unique_ptr<ChartWalk<Cell, Effects&, const std::string&>> walk;
   };
   struct Watch {
     WatchMsg ask;
     Moment startedAt{}, deadline{};
-    std::unique_ptr<ChartWalk<Cell, Desk&, Watch&>> walk;
+    std::unique_ptr<ChartWalk<Cell, Effects&, Watch&>> walk;
   };
   struct AgentMark {
     CellMark mark;
@@ -88,9 +88,9 @@
   };
   std::string place, selfId, selfAddress;
   Defences defences;
-  CellProps props;
+  CellSettings settings;
   Moment wonAt{};
-  const Blueprint* lastBlueprint{nullptr};
+  const Configuration* lastConfiguration{nullptr};
   std::map<std::string, Keeper> rows;
   std::map<std::string, Rollout> rollouts;
   std::map<std::string, Watch> watches;
@@ -114,34 +114,34 @@
   /// Weights that no worker here could load, so that the others keep what they have.
   std::set<std::string> givenUp;
 
-  using RolloutDeeds = ChartWalk<Cell, Desk&, const std::string&>::Deeds;
-  using WatchDeeds = ChartWalk<Cell, Desk&, Watch&>::Deeds;
-  static const RolloutDeeds& rolloutDeeds();
-  static const WatchDeeds& watchDeeds();
-  void hold(Desk& desk, const std::string& worker);
-  void sendDrain(Desk& desk, const std::string& worker);
-  void sendLoad(Desk& desk, const std::string& worker);
-  void sendAdmit(Desk& desk, const std::string& worker);
-  void release(Desk& desk, const std::string& worker);
-  void giveUp(Desk& desk, const std::string& worker);
-  void tellDone(Desk& desk, Watch& watch);
-  void tellFailed(Desk& desk, Watch& watch);
-  void command(Desk& desk, const std::string& worker, const std::string& action);
-  void onReport(Desk& desk, const Report& report);
-  void onLookup(Desk& desk, const LookupMsg& ask);
+  using RolloutActions = ChartWalk<Cell, Effects&, const std::string&>::Actions;
+  using WatchActions = ChartWalk<Cell, Effects&, Watch&>::Actions;
+  static const RolloutActions& rolloutActions();
+  static const WatchActions& watchActions();
+  void hold(Effects& effects, const std::string& worker);
+  void sendDrain(Effects& effects, const std::string& worker);
+  void sendLoad(Effects& effects, const std::string& worker);
+  void sendAdmit(Effects& effects, const std::string& worker);
+  void release(Effects& effects, const std::string& worker);
+  void giveUp(Effects& effects, const std::string& worker);
+  void tellDone(Effects& effects, Watch& watch);
+  void tellFailed(Effects& effects, Watch& watch);
+  void command(Effects& effects, const std::string& worker, const std::string& action);
+  void onReport(Effects& effects, const Report& report);
+  void onLookup(Effects& effects, const LookupMsg& ask);
   void weighStore(Keeper& keeper, const BlockHash& prefix, Moment now);
-  void askReports(Desk& desk);
-  void askCondition(Desk& desk, Keeper& keeper);
-  void onCondition(Desk& desk, Keeper& keeper, const Report& report);
-  void moveRollouts(Desk& desk, const Blueprint& blueprint);
+  void askReports(Effects& effects);
+  void askCondition(Effects& effects, Keeper& keeper);
+  void onCondition(Effects& effects, Keeper& keeper, const Report& report);
+  void moveRollouts(Effects& effects, const Configuration& configuration);
   bool startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now);
   bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
-  void moveWatches(Desk& desk);
-  void publishNews(Desk& desk);
+  void moveWatches(Effects& effects);
+  void publishNews(Effects& effects);
   void tellChanges(CellNews& news);
-  void whenHolds(Desk& desk, bool won);
+  void whenHolds(Effects& effects, bool won);
   bool agentsHave(std::uint64_t markSequence, Moment now) const;
-  void doubt(Desk& desk, Keeper& keeper, const char* why);
+  void doubt(Effects& effects, Keeper& keeper, const char* why);
 };
 
 }  // namespace tt
--- a/src/host.cpp
+++ b/src/net/host.cpp
@@ -222,7 +222,7 @@
 }
 
 Host::Host(Node& hostedNode, asio::io_context& context, Span tickEvery)
-    : node(hostedNode), timer(context), every(tickEvery), dice(std::random_device{}()) {}
+    : node(hostedNode), timer(context), every(tickEvery), randomSource(std::random_device{}()) {}
 
 Host::~Host() { stop(); }
 
@@ -242,9 +242,9 @@
 }
 
 void Host::tick() {
-  with([this](Desk& desk) {
+  with([this](Effects& effects) {
     if (diskWaits) diskWaits(diskWait());
-    node.tick(desk);
+    node.tick(effects);
   });
   timer.expires_after(every);
   timer.async_wait([this](asio::error_code error) {
@@ -253,24 +253,24 @@
 }
 
 void Host::take(const std::string& from, const Message& message) {
-  with([&](Desk& desk) { node.take(desk, from, message); });
+  with([&](Effects& effects) { node.take(effects, from, message); });
 }
 
-void Host::with(const std::function<void(Desk&)>& deed) {
+void Host::with(const std::function<void(Effects&)>& action) {
   std::lock_guard<std::recursive_mutex> guard(lock);
-  Desk desk{Clock::now(), dice, node.journal, {}, {}};
-  deed(desk);
-  finish(desk);
+  Effects effects{Clock::now(), randomSource, node.journal, {}, {}};
+  action(effects);
+  finish(effects);
 }
 
-void Host::finish(Desk& desk) {
-  if (!desk.saves.empty()) {
+void Host::finish(Effects& effects) {
+  if (!effects.saves.empty()) {
     std::lock_guard<std::mutex> guard(diskLock);
     if (saves.empty() && oldestSave == Moment{}) oldestSave = Clock::now();
-    for (auto& save : desk.saves) saves.push_back(std::move(save));
+    for (auto& save : effects.saves) saves.push_back(std::move(save));
     diskWake.notify_one();
   }
-  for (auto& [to, message] : desk.sends) carry(to, std::move(message));
+  for (auto& [to, message] : effects.sends) carry(to, std::move(message));
 }
 
 Span Host::diskWait() const {
@@ -280,7 +280,7 @@
 
 void Host::runDisk() {
   while (true) {
-    std::vector<Desk::Save> batch;
+    std::vector<Effects::Save> batch;
     {
       std::unique_lock<std::mutex> guard(diskLock);
       diskWake.wait(guard, [this] { return stopping || !saves.empty(); });
@@ -299,9 +299,9 @@
       std::lock_guard<std::mutex> guard(diskLock);
       oldestSave = saves.empty() ? Moment{} : Clock::now();
     }
-    with([&](Desk& desk) {
+    with([&](Effects& effects) {
       for (auto& save : batch)
-        if (save.then) save.then(desk);
+        if (save.then) save.then(effects);
     });
   }
 }
--- a/src/host.hpp
+++ b/src/net/host.hpp
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <thread>
 
-#include "desk.hpp"
+#include "effects.hpp"
 #include "ring.hpp"
 
 namespace tt {
@@ -59,7 +59,7 @@
   void stop();
   void take(const std::string& from, const Message& message);
   /// Does something with the logic under its lock.
-  void with(const std::function<void(Desk&)>& deed);
+  void with(const std::function<void(Effects&)>& action);
   /// How long the oldest unsynced write has waited.
   Span diskWait() const;
   std::function<void(Span)> diskWaits;
@@ -71,15 +71,15 @@
   asio::steady_timer timer;
   Span every;
   std::recursive_mutex lock;
-  std::mt19937_64 dice;
+  std::mt19937_64 randomSource;
   std::thread diskThread;
   mutable std::mutex diskLock;
   std::condition_variable diskWake;
-  std::vector<Desk::Save> saves;
+  std::vector<Effects::Save> saves;
   Moment oldestSave{};
   bool stopping{false};
   void tick();
-  void finish(Desk& desk);
+  void finish(Effects& effects);
   void runDisk();
 };
 
--- a/src/process.cpp
+++ b/src/net/process.cpp
@@ -7,13 +7,13 @@
 
 namespace tt {
 
-Props::Props(std::string programName, std::string about) : app(about, programName), program(std::move(programName)) {
+Settings::Settings(std::string programName, std::string about) : app(about, programName), program(std::move(programName)) {
   app.set_version_flag("--version", program + " " TROUTTALLY_VERSION);
   app.add_option("--props", file, "JSON file with this program's props");
   app.add_flag("--check", checkOnly, "Check the props, say what is wrong, and end");
 }
 
-Props::Row& Props::add(const std::string& key, const std::string& about) {
+Settings::Row& Settings::add(const std::string& key, const std::string& about) {
   rows.push_back(std::make_unique<Row>());
   auto& row = *rows.back();
   row.key = key;
@@ -21,42 +21,42 @@
   row.option = app.add_option("--" + key, row.given, about);
   return row;
 }
-Props& Props::text(const std::string& key, std::string* value, const std::string& about, bool needed) {
+Settings& Settings::text(const std::string& key, std::string* value, const std::string& about, bool needed) {
   auto& row = add(key, about);
   row.text = value;
   row.needed = needed;
   return *this;
 }
-Props& Props::address(const std::string& key, std::string* value, const std::string& about, bool needed) {
+Settings& Settings::address(const std::string& key, std::string* value, const std::string& about, bool needed) {
   auto& row = add(key, about);
   row.text = value;
   row.needed = needed;
   row.isAddress = true;
   return *this;
 }
-Props& Props::addresses(const std::string& key, std::vector<std::string>* value, const std::string& about) {
+Settings& Settings::addresses(const std::string& key, std::vector<std::string>* value, const std::string& about) {
   auto& row = add(key, about + " (commas between)");
   row.texts = value;
   row.isAddress = true;
   return *this;
 }
-Props& Props::texts(const std::string& key, std::vector<std::string>* value, const std::string& about) {
+Settings& Settings::texts(const std::string& key, std::vector<std::string>* value, const std::string& about) {
   add(key, about + " (commas between)").texts = value;
   return *this;
 }
-Props& Props::number(const std::string& key, double* value, double least, double most, const std::string& about) {
+Settings& Settings::number(const std::string& key, double* value, double least, double most, const std::string& about) {
   auto& row = add(key, about);
   row.number = value;
   row.least = least;
   row.most = most;
   return *this;
 }
-Props& Props::flag(const std::string& key, bool* value, const std::string& about) {
+Settings& Settings::flag(const std::string& key, bool* value, const std::string& about) {
   add(key, about + " (true or false)").flag = value;
   return *this;
 }
 
-Result<void> Props::set(Row& row, const Json& value) {
+Result<void> Settings::set(Row& row, const Json& value) {
   auto wrong = [&](const std::string& reason) { return fault(Code::badProps, row.key, reason); };
   if (row.text) {
     if (!value.is<std::string>()) return wrong("must be a text");
@@ -88,7 +88,7 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> Props::readFile() {
+Result<void> Settings::readFile() {
   std::ifstream source(file);
   if (!source) return fault(Code::badProps, "props", "cannot read " + file);
   std::stringstream bytes;
@@ -106,7 +106,7 @@
   return boost::outcome_v2::success();
 }
 
-std::optional<int> Props::read(int count, char** words) {
+std::optional<int> Settings::read(int count, char** words) {
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& thrown) {
--- a/src/process.hpp
+++ b/src/net/process.hpp
@@ -8,16 +8,16 @@
 
 namespace tt {
 
-/// A program's props: a JSON file, with flags laid over it. Every trouble is kept, with the key it is about.
-class Props {
+/// A program's settings: a JSON file, with flags laid over it. Every trouble is kept, with the key it is about.
+class Settings {
  public:
-  Props(std::string programName, std::string about);
-  Props& text(const std::string& key, std::string* value, const std::string& about, bool needed = false);
-  Props& address(const std::string& key, std::string* value, const std::string& about, bool needed = true);
-  Props& addresses(const std::string& key, std::vector<std::string>* value, const std::string& about);
-  Props& texts(const std::string& key, std::vector<std::string>* value, const std::string& about);
-  Props& number(const std::string& key, double* value, double least, double most, const std::string& about);
-  Props& flag(const std::string& key, bool* value, const std::string& about);
+  Settings(std::string programName, std::string about);
+  Settings& text(const std::string& key, std::string* value, const std::string& about, bool needed = false);
+  Settings& address(const std::string& key, std::string* value, const std::string& about, bool needed = true);
+  Settings& addresses(const std::string& key, std::vector<std::string>* value, const std::string& about);
+  Settings& texts(const std::string& key, std::vector<std::string>* value, const std::string& about);
+  Settings& number(const std::string& key, double* value, double least, double most, const std::string& about);
+  Settings& flag(const std::string& key, bool* value, const std::string& about);
   /// Reads command line and file. Returns an exit code if the program should end now.
   std::optional<int> read(int count, char** words);
   CLI::App app;
--- a/src/edge.cpp
+++ b/src/routing/edge.cpp
@@ -52,8 +52,8 @@
   return count;
 }
 
-const Edge::Deeds& Edge::deeds() {
-  static const Deeds table{{"sendOrder", &Edge::sendOrder},     {"sendLookup", &Edge::sendLookup},
+const Edge::Actions& Edge::actions() {
+  static const Actions table{{"sendOrder", &Edge::sendOrder},     {"sendLookup", &Edge::sendLookup},
                            {"sendMove", &Edge::sendMove},       {"dropMove", &Edge::dropMove},
                            {"freeWorker", &Edge::freeWorker},   {"passChunk", &Edge::passChunk},
                            {"endDone", &Edge::endDone},         {"endFailed", &Edge::endFailed},
@@ -66,8 +66,8 @@
   return table;
 }
 
-Edge::Edge(EdgeProps edgeProps) : props(std::move(edgeProps)) {
-  if (auto policy = Policy::read(props.routePolicy)) routePolicy = policy.value();
+Edge::Edge(EdgeSettings edgeSettings) : settings(std::move(edgeSettings)) {
+  if (auto policy = Policy::read(settings.routePolicy)) routePolicy = policy.value();
 }
 
 bool Edge::fresh(Moment now) const { return now < freshUntil && view.index() >= needed; }
@@ -103,17 +103,17 @@
 }
 
 bool Edge::mayRetry(Moment now) const {
-  if (!props.defences.stands(Defence::retryBudget)) return true;
+  if (!settings.defences.stands(Defence::retryBudget)) return true;
   auto fits = [&](Span span) {
     auto within = [&](const std::deque<Moment>& moments) {
       return static_cast<double>(moments.end() - std::lower_bound(moments.begin(), moments.end(), now - span));
     };
-    return within(retriedAt) + 1 <= std::max(props.retryLeast, props.retryShare * within(admittedAt));
+    return within(retriedAt) + 1 <= std::max(settings.retryLeast, settings.retryShare * within(admittedAt));
   };
-  return fits(props.retrySpan) && fits(props.retryAtOnce);
+  return fits(settings.retrySpan) && fits(settings.retryAtOnce);
 }
 
-void Edge::verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject) {
+void Edge::verdict(Effects& effects, Order& order, const std::string& word, Code code, const std::string& subject) {
   CallerVerdict said;
   said.orderId = order.ask.orderId;
   said.verdict = word;
@@ -121,7 +121,7 @@
   said.subject = subject;
   said.text = codeText(code);
   if (word == "not run")
-    said.retryAfterMs = code == Code::keyDenied || code == Code::keyRevoked ? 0 : comeBackMs(desk, code);
+    said.retryAfterMs = code == Code::keyDenied || code == Code::keyRevoked ? 0 : comeBackMs(effects, code);
   said.tries = order.tries;
   int moved = std::min(order.end.local, order.movedBlocks);
   said.local = order.end.local - moved;
@@ -129,23 +129,23 @@
   said.computed = order.end.computed;
   said.worker = order.plan.worker;
   said.began = order.began;
-  desk.note("verdict " + word, order.ask.orderId, static_cast<int>(code));
-  desk.send("caller", said);
+  effects.note("verdict " + word, order.ask.orderId, static_cast<int>(code));
+  effects.send("caller", said);
 }
 
-void Edge::denyOrUnknown(Desk& desk, Order& order, Code code, const std::string& subject) {
-  verdict(desk, order, order.mayHaveRun ? "unknown" : "not run", code, subject);
+void Edge::denyOrUnknown(Effects& effects, Order& order, Code code, const std::string& subject) {
+  verdict(effects, order, order.mayHaveRun ? "unknown" : "not run", code, subject);
 }
 
-int Edge::comeBackMs(Desk& desk, Code code) const {
+int Edge::comeBackMs(Effects& effects, Code code) const {
   int least = 300;
   if (code == Code::staleEdge) {
-    least = props.sourceRides ? 1200 : 500;
+    least = settings.sourceRides ? 1200 : 500;
   } else if (code == Code::stopping) {
     least = 500;
   } else if (code == Code::pendingFull) {
-    double pace = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(props.retrySpan).count());
-    least = static_cast<int>(std::clamp(1000.0 * static_cast<double>(pending.size()) / pace, 300.0, 5000.0));
+    double timing = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(settings.retrySpan).count());
+    least = static_cast<int>(std::clamp(1000.0 * static_cast<double>(pending.size()) / timing, 300.0, 5000.0));
   } else if (code == Code::noWorker) {
     bool held = false;
     for (const auto& [locality, news] : cells)
@@ -154,15 +154,15 @@
   } else if (code == Code::retryBudget) {
     least = 1000;
   }
-  return least + static_cast<int>(desk.roll(static_cast<std::uint64_t>(std::max(least, 700))));
+  return least + static_cast<int>(effects.roll(static_cast<std::uint64_t>(std::max(least, 700))));
 }
 
-bool Edge::makeRoom(Desk& desk, const std::string& tenant) {
+bool Edge::makeRoom(Effects& effects, const std::string& tenant) {
   std::map<std::string, std::size_t> pendingByTenant{{tenant, 0}};
   for (const auto& orderId : pending)
     if (auto found = orders.find(orderId); found != orders.end()) ++pendingByTenant[found->second->tenant];
   auto greediest = std::max_element(pendingByTenant.begin(), pendingByTenant.end(), [](const auto& one, const auto& other) { return one.second < other.second; });
-  std::size_t share = props.pendingMost / pendingByTenant.size();
+  std::size_t share = settings.pendingMost / pendingByTenant.size();
   if (pendingByTenant[tenant] >= share || greediest->second <= share) return false;
   for (auto row = pending.rbegin(); row != pending.rend(); ++row) {
     auto found = orders.find(*row);
@@ -170,17 +170,17 @@
     std::string orderId = *row;
     pending.erase(std::next(row).base());
     found->second->lastCode = Code::pendingFull;
-    desk.note("place given up", orderId + " " + tenant);
-    happen(desk, orderId, "late");
+    effects.note("place given up", orderId + " " + tenant);
+    happen(effects, orderId, "late");
     return true;
   }
   return false;
 }
 
-void Edge::admit(Desk& desk, const CallerOrder& ask) {
+void Edge::admit(Effects& effects, const CallerOrder& ask) {
   auto order = std::make_unique<Order>();
   order->ask = ask;
-  order->takenAt = desk.now;
+  order->takenAt = effects.now;
   auto deny = [&](Code code, const std::string& subject = {}, const std::string& text = {}) {
     CallerVerdict said;
     said.orderId = ask.orderId;
@@ -188,12 +188,12 @@
     said.code = static_cast<int>(code);
     said.subject = subject;
     said.text = text.empty() ? codeText(code) : text;
-    if (codeStatus(code) == 503) said.retryAfterMs = comeBackMs(desk, code);
-    desk.note("denied", ask.orderId, static_cast<int>(code));
-    desk.send("caller", said);
+    if (codeStatus(code) == 503) said.retryAfterMs = comeBackMs(effects, code);
+    effects.note("denied", ask.orderId, static_cast<int>(code));
+    effects.send("caller", said);
   };
   if (stopping) return deny(Code::stopping);
-  if (!fresh(desk.now)) return deny(Code::staleEdge);
+  if (!fresh(effects.now)) return deny(Code::staleEdge);
   const RouteView* pathRoute = ask.path.empty() ? nullptr : view.routeFor(ask.host, ask.path);
   if (!ask.path.empty() && !pathRoute) return deny(Code::unknownRoute, "path");
   order->keyHash = sha256Hex(ask.key);
@@ -209,10 +209,10 @@
       if (auto tenant = view.findTenant(order->tenant); tenant && tenant->priority) order->urgency = *tenant->priority;
     Span wait = ask.deadlineMs > 0 ? Span(std::chrono::milliseconds(ask.deadlineMs)) : Span(120s);
     if (pathRoute->timeout > Span(0)) wait = std::min(wait, pathRoute->timeout);
-    order->deadline = desk.now + wait;
+    order->deadline = effects.now + wait;
     double sum = 0;
     for (const auto& [service, weight] : pathRoute->split) sum += weight;
-    double drawn = static_cast<double>(desk.roll(1000000)) / 1000000 * sum;
+    double drawn = static_cast<double>(effects.roll(1000000)) / 1000000 * sum;
     for (const auto& [service, weight] : pathRoute->split) {
       order->service = service;
       if (drawn < weight) break;
@@ -220,8 +220,8 @@
     }
     order->route = *pathRoute;
     order->policy = pathRoute->policy.empty() ? routePolicy : view.policyOf(pathRoute->policy);
-    if (pending.size() >= props.pendingMost && !makeRoom(desk, order->tenant)) return deny(Code::pendingFull, "pending");
-    return accept(desk, std::move(order));
+    if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant)) return deny(Code::pendingFull, "pending");
+    return accept(effects, std::move(order));
   }
   auto route = view.findRoute(ask.route);
   if (!route || route->byPath()) return deny(Code::unknownRoute, "route");
@@ -230,27 +230,27 @@
   if (!route->tenants.empty() && !route->tenants.count(order->tenant)) return deny(Code::unknownTenant, "route");
   if (!ask.tenant.empty() && ask.tenant != order->tenant) return deny(Code::unknownTenant, "tenant");
   if (auto modes = checkModes(ask.modes); !modes) return deny(modes.error().code, modes.error().subject, modes.error().text);
-  if (pending.size() >= props.pendingMost && !makeRoom(desk, order->tenant)) return deny(Code::pendingFull, "pending");
+  if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant)) return deny(Code::pendingFull, "pending");
   order->route = *route;
   order->policy = view.policyOf(route->policy);
-  accept(desk, std::move(order));
+  accept(effects, std::move(order));
 }
 
-void Edge::accept(Desk& desk, std::unique_ptr<Order> order) {
+void Edge::accept(Effects& effects, std::unique_ptr<Order> order) {
   std::string orderId = order->ask.orderId;
-  order->walk = std::make_unique<ChartWalk<Edge, Desk&, Order&>>("order", deeds(), "pending");
-  admittedAt.push_back(desk.now);
-  desk.note("admitted", orderId);
+  order->walk = std::make_unique<ChartWalk<Edge, Effects&, Order&>>("order", actions(), "pending");
+  admittedAt.push_back(effects.now);
+  effects.note("admitted", orderId);
   orders[orderId] = std::move(order);
   pending.push_back(orderId);
-  servePending(desk);
+  servePending(effects);
 }
 
 int Edge::mostTriesOf(const Order& order) const { return order.route.tries > 0 ? order.route.tries : mostTries; }
 
 Span Edge::pendingMostOf(const Order& order) const {
-  if (!order.route.byPath() || order.route.aim <= Span(0)) return props.pendingWait;
-  return std::min(props.pendingWait, order.route.aim / 5);
+  if (!order.route.byPath() || order.route.aim <= Span(0)) return settings.pendingWait;
+  return std::min(settings.pendingWait, order.route.aim / 5);
 }
 
 double Edge::loadOf(const std::string& worker, Moment now) const {
@@ -258,7 +258,7 @@
   if (found == locals.end()) return 0;
   const auto& local = found->second;
   bool told = now - local.loadAt < loadOld;
-  return std::max(local.unread / props.tokensPerMs, told ? local.waiting * waitingMs : 0) + std::max(local.open, told ? local.running : 0) * runningMs;
+  return std::max(local.unread / settings.tokensPerMs, told ? local.waiting * waitingMs : 0) + std::max(local.open, told ? local.running : 0) * runningMs;
 }
 
 bool Edge::savesTo(const std::string& store, const BlockHash& prefix, Moment now) {
@@ -269,23 +269,23 @@
 }
 
 void Edge::noteDelay(const Order& order, Moment now) {
-  double readMs = order.plan.unread / props.tokensPerMs;
+  double readMs = order.plan.unread / settings.tokensPerMs;
   double late = std::max(0.0, std::chrono::duration<double, std::milli>(now - order.sentAt).count() - readMs);
   delayMs += (late - delayMs) * delayShare;
   meanUnread += (order.plan.unread - meanUnread) * delayShare;
   delayAt = now;
 }
 
-bool Edge::sheds(Desk& desk, const Order& order) {
-  if (props.shedMost <= 0 || order.route.aim <= Span(0) || desk.now - delayAt > delayOld) return false;
+bool Edge::sheds(Effects& effects, const Order& order) {
+  if (settings.shedMost <= 0 || order.route.aim <= Span(0) || effects.now - delayAt > delayOld) return false;
   double aimMs = std::chrono::duration<double, std::milli>(order.route.aim).count();
   double over = delayMs / aimMs - 1;
   if (over <= 0) return false;
   double size = std::clamp(order.plan.unread / std::max(1.0, meanUnread), 0.2, 2.0);
-  return static_cast<double>(desk.roll(1000)) < 1000 * std::min(props.shedMost, over * 0.5) * size;
+  return static_cast<double>(effects.roll(1000)) < 1000 * std::min(settings.shedMost, over * 0.5) * size;
 }
 
-bool Edge::drawByPrefix(Desk& desk, Order& order) {
+bool Edge::drawByPrefix(Effects& effects, Order& order) {
   struct Choice {
     const WorkerView* worker;
     std::uint64_t rank;
@@ -294,20 +294,20 @@
   std::string domain = order.tenant.empty() ? "shared" : view.domainOf(order.tenant);
   std::string key = domain + "/" + order.ask.model;
   if (shared > 0) key += "/" + order.ask.parts[shared - 1];
-  bool oldToo = order.ask.model.empty() || mayUseOld(order.ask.model, desk.now);
+  bool oldToo = order.ask.model.empty() || mayUseOld(order.ask.model, effects.now);
   std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   std::vector<Choice> ranked;
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.service != order.service || worker.kind == "store" || !worker.alive || (!staying.count(worker.name) && props.defences.stands(Defence::marksAtDraw))) continue;
+      if (worker.service != order.service || worker.kind == "store" || !worker.alive || (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw))) continue;
       if (!order.ask.model.empty() && (worker.model != order.ask.model || worker.weights.empty())) continue;
       ranked.push_back(Choice{&worker, rendezvous(key, worker.name)});
     }
   std::sort(ranked.begin(), ranked.end(), [](const Choice& one, const Choice& other) { return one.rank > other.rank; });
   const WorkerView* best = nullptr;
   double bestCost = 0, sharedMs = 0;
-  for (std::size_t at = 0; at + 1 < order.ask.partTokens.size(); ++at) sharedMs += order.ask.partTokens[at] / props.tokensPerMs;
+  for (std::size_t at = 0; at + 1 < order.ask.partTokens.size(); ++at) sharedMs += order.ask.partTokens[at] / settings.tokensPerMs;
   std::vector<std::size_t> drawable;
   std::size_t bestAt = 0;
   for (std::size_t at = 0; at < ranked.size(); ++at) {
@@ -315,8 +315,8 @@
     if (worker.held || (!order.ask.model.empty() && !oldToo && worker.weights != wanted)) continue;
     anyAlive = true;
     if (order.tried.count(worker.name)) continue;
-    if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
-    double cost = loadOf(worker.name, desk.now) + (drawable.empty() ? 0 : otherMs + sharedMs * readAgainX);
+    if (auto local = locals.find(worker.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
+    double cost = loadOf(worker.name, effects.now) + (drawable.empty() ? 0 : otherMs + sharedMs * readAgainX);
     drawable.push_back(at);
     if (!best || cost < bestCost) {
       best = &worker;
@@ -334,8 +334,8 @@
   plan.model = order.ask.model;
   if (!order.ask.model.empty()) {
     plan.weights = best->weights;
-    plan.salt = cacheSalt(plan.model, props.defences.stands(Defence::saltWeights) ? plan.weights : "any",
-                          props.defences.stands(Defence::saltTenant) ? domain : "shared");
+    plan.salt = cacheSalt(plan.model, settings.defences.stands(Defence::saltWeights) ? plan.weights : "any",
+                          settings.defences.stands(Defence::saltTenant) ? domain : "shared");
     for (const auto& part : order.ask.parts) plan.hashes.push_back(hashPart(plan.salt, part));
     plan.tokens = order.ask.partTokens;
     for (int tokens : plan.tokens) plan.unread += tokens;
@@ -365,7 +365,7 @@
   for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
   int shared = 0;
   for (std::size_t at = 0; at + 1 < plan.tokens.size(); ++at) shared += plan.tokens[at];
-  if (!props.fetching || namesSource || plan.hashes.size() < 2 || shared < leastTokens) return plan.candidates.clear();
+  if (!settings.fetching || namesSource || plan.hashes.size() < 2 || shared < leastTokens) return plan.candidates.clear();
   plan.hashes.pop_back();
   const WorkerView* store = nullptr;
   std::uint64_t storeRank = 0;
@@ -383,7 +383,7 @@
   plan.candidates.erase(std::remove_if(plan.candidates.begin(), plan.candidates.end(), silent), plan.candidates.end());
 }
 
-bool Edge::settleRide(Desk& desk, Order& order) {
+bool Edge::settleRide(Effects& effects, Order& order) {
   auto& plan = order.plan;
   auto tokensOf = [&](const Plan::Candidate& candidate) {
     auto reply = order.replies.find(candidate.name);
@@ -396,7 +396,7 @@
   for (std::size_t at = 0; at < plan.hashes.size(); ++at) shared += plan.tokens[at];
   const Plan::Candidate* store = nullptr;
   for (const auto& candidate : plan.candidates) {
-    if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = desk.now + indexRest;
+    if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = effects.now + indexRest;
     if (candidate.store) store = &candidate;
   }
   auto sourceFor = [&](const Plan::Candidate& target, int own) {
@@ -405,7 +405,7 @@
     for (const auto& candidate : plan.candidates) {
       if (candidate.name == target.name) continue;
       int tokens = tokensOf(candidate);
-      if (auto local = locals.find(candidate.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
+      if (auto local = locals.find(candidate.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
       FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
       if (tokens < own + leastTokens || !order.policy.fetches(facts)) continue;
       bool nearer = best && candidate.locality == target.locality && best->locality != target.locality;
@@ -422,17 +422,17 @@
     int own = tokensOf(candidate);
     auto [source, fetched] = sourceFor(candidate, own);
     int missing = shared - std::max(own, fetched);
-    double load = loadOf(candidate.name, desk.now);
+    double load = loadOf(candidate.name, effects.now);
     if (candidate.name == plan.worker) load -= runningMs;
-    double leaving = candidate.rank == 0 ? 0 : (candidate.rank == 1 ? secondMs : otherMs) + (shared - own) / props.tokensPerMs * copyX;
+    double leaving = candidate.rank == 0 ? 0 : (candidate.rank == 1 ? secondMs : otherMs) + (shared - own) / settings.tokensPerMs * copyX;
     double cost = load + (source ? moveMs : 0) + leaving +
-                  missing / props.tokensPerMs * (candidate.rank == 0 ? 1 : readAgainX);
+                  missing / settings.tokensPerMs * (candidate.rank == 0 ? 1 : readAgainX);
     if (target && cost >= leastCost) continue;
     target = &candidate;
     leastCost = cost;
   }
   if (target && target->name != plan.worker) {
-    freeWorker(desk, order);
+    freeWorker(effects, order);
     plan.worker = target->name;
     plan.address = target->address;
     plan.locality = target->locality;
@@ -444,16 +444,16 @@
     most = fetched;
     if (source) plan.source = *source;
   }
-  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved && savesTo(store->name, plan.hashes.back(), desk.now)) plan.sinkAddress = store->address;
+  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved && savesTo(store->name, plan.hashes.back(), effects.now)) plan.sinkAddress = store->address;
   plan.unread -= std::max(own, most);
-  if (order.tries == 0 && sheds(desk, order)) {
+  if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
-    desk.note("shed", order.ask.orderId);
+    effects.note("shed", order.ask.orderId);
     return false;
   }
-  desk.note("prefix tokens", plan.worker, shared);
-  desk.note("prefix kept", plan.worker, own);
-  if (plan.source) desk.note("prefix fetched", plan.source->name, most - own);
+  effects.note("prefix tokens", plan.worker, shared);
+  effects.note("prefix kept", plan.worker, own);
+  if (plan.source) effects.note("prefix fetched", plan.source->name, most - own);
   return plan.source.has_value();
 }
 
@@ -464,8 +464,8 @@
   local.unread = std::max(0, local.unread - order.plan.unread);
 }
 
-bool Edge::drawWorker(Desk& desk, Order& order) {
-  if (order.route.byPath()) return drawByPrefix(desk, order);
+bool Edge::drawWorker(Effects& effects, Order& order) {
+  if (order.route.byPath()) return drawByPrefix(effects, order);
   struct Choice {
     const WorkerView* worker;
     std::size_t hits;
@@ -476,21 +476,21 @@
   std::vector<const WorkerView*> able;
   std::string kind = order.route.app ? "app" : "language";
   bool anyAlive = false;
-  bool oldToo = order.route.app || mayUseOld(order.ask.model, desk.now);
+  bool oldToo = order.route.app || mayUseOld(order.ask.model, effects.now);
   std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.kind != kind || !worker.alive || worker.held || (!staying.count(worker.name) && props.defences.stands(Defence::marksAtDraw))) continue;
+      if (worker.kind != kind || !worker.alive || worker.held || (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw))) continue;
       if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty() || (!oldToo && worker.weights != wanted))) continue;
       anyAlive = true;
       if (order.tried.count(worker.name)) continue;
-      if (auto local = locals.find(worker.name); local != locals.end() && desk.now < local->second.shunUntil) continue;
-      if (busyOf(worker, desk.now) >= worker.slots) continue;
+      if (auto local = locals.find(worker.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
+      if (busyOf(worker, effects.now) >= worker.slots) continue;
       able.push_back(&worker);
     }
   order.lastCode = anyAlive ? Code::pendingFull : Code::noWorker;
   if (able.empty()) return false;
-  std::shuffle(able.begin(), able.end(), desk.dice);
+  std::shuffle(able.begin(), able.end(), effects.randomSource);
   if (able.size() > 4) able.resize((able.size() + 1) / 2);
   std::map<std::string, std::pair<std::string, Hashes>> byWeights;
   std::string domain = view.domainOf(order.tenant);
@@ -500,18 +500,18 @@
     if (!order.route.app) {
       auto& hashed = byWeights[worker->weights];
       if (hashed.first.empty()) {
-        hashed.first = cacheSalt(order.ask.model, props.defences.stands(Defence::saltWeights) ? worker->weights : "any",
-                                 props.defences.stands(Defence::saltTenant) ? domain : "shared");
+        hashed.first = cacheSalt(order.ask.model, settings.defences.stands(Defence::saltWeights) ? worker->weights : "any",
+                                 settings.defences.stands(Defence::saltTenant) ? domain : "shared");
         hashed.second = hashPrompt(order.ask.parts, hashed.first);
       }
       if (worker->confirmed)
         while (choice.hits < hashed.second.size() && Summary::mayHold(worker->summary, hashed.second[choice.hits]))
           ++choice.hits;
-      choice.cost = static_cast<double>(hashed.second.size() - choice.hits) * props.blockMs;
+      choice.cost = static_cast<double>(hashed.second.size() - choice.hits) * settings.blockMs;
     }
-    double busyness = worker->slots > 0 ? static_cast<double>(busyOf(*worker, desk.now)) / worker->slots : 1;
-    choice.cost += busyness * busyness * 800 + busyness * 100 + static_cast<double>(desk.roll(20));
-    if (worker->locality != props.locality) choice.cost += 5;
+    double busyness = worker->slots > 0 ? static_cast<double>(busyOf(*worker, effects.now)) / worker->slots : 1;
+    choice.cost += busyness * busyness * 800 + busyness * 100 + static_cast<double>(effects.roll(20));
+    if (worker->locality != settings.locality) choice.cost += 5;
     if (!best || choice.cost < best->cost) best = std::move(choice);
   }
   Plan plan;
@@ -540,12 +540,12 @@
   plan.candidates.clear();
   bool namesSource = false;
   for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
-  if (!props.fetching || order.route.app || namesSource || order.tries > 0) return;
+  if (!settings.fetching || order.route.app || namesSource || order.tries > 0) return;
   std::optional<Plan::Candidate> bestPeer, bestStore;
   for (const auto& [locality, news] : cells)
     for (const auto& keeper : news.workers) {
       bool store = keeper.kind == "store";
-      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held || (!staying.count(keeper.name) && props.defences.stands(Defence::marksAtDraw)))
+      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held || (!staying.count(keeper.name) && settings.defences.stands(Defence::marksAtDraw)))
         continue;
       if (!store && (keeper.kind != "language" || keeper.weights != plan.weights)) continue;
       Plan::Candidate candidate{keeper.name, keeper.address, keeper.locality, store, 0, 0, linkSpeed(keeper.name, plan.worker)};
@@ -565,7 +565,7 @@
   if (bestStore) plan.candidates.push_back(*bestStore);
 }
 
-void Edge::servePending(Desk& desk) {
+void Edge::servePending(Effects& effects) {
   std::map<std::string, std::deque<std::string>> byTenant;
   for (const auto& orderId : pending)
     if (auto found = orders.find(orderId); found != orders.end() && found->second->walk->in("pending")) byTenant[found->second->tenant].push_back(orderId);
@@ -583,46 +583,46 @@
     auto found = orders.find(orderId);
     if (found == orders.end()) continue;
     auto& order = *found->second;
-    if (desk.now - order.takenAt >= pendingMostOf(order) || overdue(order, desk.now) || !fresh(desk.now) || stopping) {
-      if (!fresh(desk.now)) order.lastCode = Code::staleEdge;
-      happen(desk, orderId, "late");
+    if (effects.now - order.takenAt >= pendingMostOf(order) || overdue(order, effects.now) || !fresh(effects.now) || stopping) {
+      if (!fresh(effects.now)) order.lastCode = Code::staleEdge;
+      happen(effects, orderId, "late");
       continue;
     }
-    if (order.tries > 0 && !mayRetry(desk.now)) {
+    if (order.tries > 0 && !mayRetry(effects.now)) {
       order.lastCode = Code::retryBudget;
       left.push_back(orderId);
       continue;
     }
-    if (!drawWorker(desk, order)) {
-      if (order.lastCode == Code::noWorker && desk.now - order.takenAt > 500ms)
-        happen(desk, orderId, "late");
+    if (!drawWorker(effects, order)) {
+      if (order.lastCode == Code::noWorker && effects.now - order.takenAt > 500ms)
+        happen(effects, orderId, "late");
       else
         left.push_back(orderId);
       continue;
     }
     if (order.tries > 0) {
-      retriedAt.push_back(desk.now);
-      desk.note("retry", orderId, order.tries);
+      retriedAt.push_back(effects.now);
+      effects.note("retry", orderId, order.tries);
     }
-    drawSources(order, desk.now);
-    happen(desk, orderId, order.plan.candidates.empty() ? "drawn" : "wantMove");
+    drawSources(order, effects.now);
+    happen(effects, orderId, order.plan.candidates.empty() ? "drawn" : "wantMove");
   }
   pending.insert(pending.end(), left.begin(), left.end());
 }
 
-void Edge::happen(Desk& desk, const std::string& orderId, const std::string& event) {
+void Edge::happen(Effects& effects, const std::string& orderId, const std::string& event) {
   auto found = orders.find(orderId);
   if (found == orders.end()) return;
   auto& order = *found->second;
-  order.walk->happen(*this, event, desk, order);
-  if (order.walk->in("again")) order.walk->happen(*this, order.retryAsked ? "retry" : "giveUp", desk, order);
+  order.walk->happen(*this, event, effects, order);
+  if (order.walk->in("again")) order.walk->happen(*this, order.retryAsked ? "retry" : "giveUp", effects, order);
   if (!order.walk->in("ended")) return;
-  freeWorker(desk, order);
+  freeWorker(effects, order);
   orderBySend.erase(order.sendId);
   orders.erase(orderId);
 }
 
-void Edge::freeWorker(Desk&, Order& order) {
+void Edge::freeWorker(Effects&, Order& order) {
   readDone(order);
   if (!order.counted) return;
   order.counted = false;
@@ -632,73 +632,73 @@
 }
 
 bool Edge::stillGood(const Order& order) const {
-  if (!props.defences.stands(Defence::drawnAgain)) return true;
+  if (!settings.defences.stands(Defence::drawnAgain)) return true;
   const auto* worker = workerView(order.plan.worker);
   if (!worker || !worker->alive || worker->held || !staying.count(worker->name)) return false;
   return order.route.app || (order.route.byPath() && order.ask.model.empty()) || worker->weights == order.plan.weights;
 }
 
-void Edge::sendOrRedraw(Desk& desk, const std::string& orderId, const std::string& event) {
+void Edge::sendOrRedraw(Effects& effects, const std::string& orderId, const std::string& event) {
   auto found = orders.find(orderId);
   if (found == orders.end()) return;
   bool good = stillGood(*found->second);
-  if (!good) desk.note("drawn again", orderId + " " + found->second->plan.worker);
-  happen(desk, orderId, good ? event : "outdated");
-  if (!good) servePending(desk);
+  if (!good) effects.note("drawn again", orderId + " " + found->second->plan.worker);
+  happen(effects, orderId, good ? event : "outdated");
+  if (!good) servePending(effects);
 }
 
-void Edge::sendOrder(Desk& desk, Order& order) {
+void Edge::sendOrder(Effects& effects, Order& order) {
   ++order.tries;
   order.sendId = order.ask.orderId + "." + std::to_string(order.tries);
-  order.heardAt = desk.now;
+  order.heardAt = effects.now;
   orderBySend[order.sendId] = order.ask.orderId;
-  desk.note("order sent", order.sendId + " " + order.plan.worker);
+  effects.note("order sent", order.sendId + " " + order.plan.worker);
   WorkerOrder sent{order.sendId, order.plan.model, order.plan.weights, order.plan.salt, order.ask.parts,
                    order.plan.hashes, order.ask.maxTokens, false, {}, {}, order.tenant, order.route.app,
                    order.ask.params, order.ask.orderId, order.plan.worker, order.plan.sinkAddress, order.urgency, 0, order.lastPiece, !order.ask.repeatable};
   if (order.route.byPath()) {
-    sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - desk.now));
+    sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - effects.now));
     if (order.plan.source) sent.sourceAddress = order.plan.source->address;
-    order.sentAt = desk.now;
+    order.sentAt = effects.now;
     if (!order.plan.sinkAddress.empty()) {
       if (savedAt.size() > savedMost) savedAt.clear();
-      savedAt[order.plan.hashes.back()] = desk.now;
+      savedAt[order.plan.hashes.back()] = effects.now;
     }
     locals[order.plan.worker].unread += order.plan.unread;
     order.unreadCounted = true;
   }
-  desk.send(order.plan.address, std::move(sent));
+  effects.send(order.plan.address, std::move(sent));
 }
 
-void Edge::sendLookup(Desk& desk, Order& order) {
-  order.lookupAt = desk.now;
+void Edge::sendLookup(Effects& effects, Order& order) {
+  order.lookupAt = effects.now;
   order.replies.clear();
   for (const auto& candidate : order.plan.candidates) {
-    std::string lookupId = props.name + "/l" + std::to_string(++idCount);
+    std::string lookupId = settings.name + "/l" + std::to_string(++idCount);
     orderByLookup[lookupId] = order.ask.orderId;
-    desk.send(props.agentAddress,
+    effects.send(settings.agentAddress,
               LookupMsg{lookupId, candidate.locality, candidate.name, order.plan.weights, order.plan.hashes, {}});
   }
-  desk.note("lookup asked", order.ask.orderId, static_cast<std::int64_t>(order.plan.candidates.size()));
+  effects.note("lookup asked", order.ask.orderId, static_cast<std::int64_t>(order.plan.candidates.size()));
 }
 
-void Edge::settleLookup(Desk& desk, Order& order) {
+void Edge::settleLookup(Effects& effects, Order& order) {
   auto& plan = order.plan;
-  desk.note("lookup settled", order.ask.orderId, inMs(desk.now - order.lookupAt));
+  effects.note("lookup settled", order.ask.orderId, inMs(effects.now - order.lookupAt));
   plan.source.reset();
   plan.wantedHits = plan.confirmedHits = 0;
   if (order.route.byPath()) {
-    bool rides = settleRide(desk, order);
+    bool rides = settleRide(effects, order);
     bool shed = order.lastCode == Code::pendingFull && order.tries == 0;
     for (auto row = orderByLookup.begin(); row != orderByLookup.end();)
       row = row->second == order.ask.orderId ? orderByLookup.erase(row) : std::next(row);
-    if (shed) return happen(desk, order.ask.orderId, "shed");
-    return sendOrRedraw(desk, order.ask.orderId, rides ? "rides" : "misses");
+    if (shed) return happen(effects, order.ask.orderId, "shed");
+    return sendOrRedraw(effects, order.ask.orderId, rides ? "rides" : "misses");
   }
   for (const auto& candidate : plan.candidates) {
     auto reply = order.replies.find(candidate.name);
     std::size_t confirmed = reply == order.replies.end() ? 0 : prefixHits(reply->second);
-    std::size_t hits = props.defences.stands(Defence::hitsConfirmed) ? confirmed : candidate.guessedHits;
+    std::size_t hits = settings.defences.stands(Defence::hitsConfirmed) ? confirmed : candidate.guessedHits;
     FetchFacts facts{candidate.store, static_cast<double>(hits), candidate.speed, candidate.busyness};
     if (hits < plan.localHits + leastGain || hits <= plan.wantedHits || !order.policy.fetches(facts)) continue;
     plan.source = candidate;
@@ -707,18 +707,18 @@
   }
   for (auto row = orderByLookup.begin(); row != orderByLookup.end();)
     row = row->second == order.ask.orderId ? orderByLookup.erase(row) : std::next(row);
-  if (!fresh(desk.now)) {
+  if (!fresh(effects.now)) {
     order.lastCode = Code::staleEdge;
-    denyOrUnknown(desk, order, Code::staleEdge);
-    happen(desk, order.ask.orderId, "callerGone");
+    denyOrUnknown(effects, order, Code::staleEdge);
+    happen(effects, order.ask.orderId, "callerGone");
     return;
   }
-  sendOrRedraw(desk, order.ask.orderId, plan.source ? "hits" : "misses");
+  sendOrRedraw(effects, order.ask.orderId, plan.source ? "hits" : "misses");
 }
 
-void Edge::sendMove(Desk& desk, Order& order) {
+void Edge::sendMove(Effects& effects, Order& order) {
   auto& plan = order.plan;
-  std::size_t blocks = props.defences.stands(Defence::moveCut) ? plan.wantedHits : plan.hashes.size();
+  std::size_t blocks = settings.defences.stands(Defence::moveCut) ? plan.wantedHits : plan.hashes.size();
   Hashes prefix(plan.hashes.begin(), plan.hashes.begin() + static_cast<std::ptrdiff_t>(blocks));
   std::string moveId = plan.worker + "/" + prefix.back().hex();
   order.moveId = moveId;
@@ -727,119 +727,119 @@
   if (!fresh) return;
   auto& move = row->second;
   move.target = plan.worker;
-  move.sendId = props.name + "/m" + std::to_string(++idCount);
+  move.sendId = settings.name + "/m" + std::to_string(++idCount);
   moveBySend[move.sendId] = moveId;
   double expectedMs = static_cast<double>(prefix.size()) / std::max(plan.source->speed, 1.0) * 1000;
   auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(expectedMs * 3 + 300, 400.0, 1200.0)));
-  move.deadline = desk.now + wait + 50ms;
-  desk.note("move sent", move.sendId + " " + plan.source->name + " " + plan.worker, static_cast<std::int64_t>(plan.confirmedHits));
-  desk.send(props.agentAddress, WatchMsg{move.sendId, plan.locality, plan.source->name, plan.worker, prefix, inMs(wait), {}});
-  desk.send(plan.address, WorkerOrder{move.sendId, plan.model, plan.weights, plan.salt,
+  move.deadline = effects.now + wait + 50ms;
+  effects.note("move sent", move.sendId + " " + plan.source->name + " " + plan.worker, static_cast<std::int64_t>(plan.confirmedHits));
+  effects.send(settings.agentAddress, WatchMsg{move.sendId, plan.locality, plan.source->name, plan.worker, prefix, inMs(wait), {}});
+  effects.send(plan.address, WorkerOrder{move.sendId, plan.model, plan.weights, plan.salt,
                                       cutPrompt(order.ask.parts, blocks), prefix, 0, true, move.sendId,
                                       plan.source->address, order.tenant, false, {}});
 }
 
-void Edge::dropMove(Desk&, Order& order) {
+void Edge::dropMove(Effects&, Order& order) {
   auto move = moves.find(order.moveId);
   if (move != moves.end()) move->second.orderIds.erase(order.ask.orderId);
 }
 
-void Edge::settleMove(Desk& desk, const std::string& moveId, bool success) {
+void Edge::settleMove(Effects& effects, const std::string& moveId, bool success) {
   auto found = moves.find(moveId);
   if (found == moves.end()) return;
   Move move = std::move(found->second);
   moveBySend.erase(move.sendId);
   moves.erase(found);
-  desk.note(success ? "moved" : "not moved", move.sendId);
+  effects.note(success ? "moved" : "not moved", move.sendId);
   for (const auto& orderId : move.orderIds) {
     auto order = orders.find(orderId);
     if (order == orders.end()) continue;
-    if (!fresh(desk.now)) {
-      denyOrUnknown(desk, *order->second, Code::staleEdge);
-      happen(desk, orderId, "callerGone");
+    if (!fresh(effects.now)) {
+      denyOrUnknown(effects, *order->second, Code::staleEdge);
+      happen(effects, orderId, "callerGone");
       continue;
     }
     auto& plan = order->second->plan;
     if (success) order->second->movedBlocks = static_cast<int>(plan.wantedHits - plan.localHits);
-    sendOrRedraw(desk, orderId, success ? "moved" : "notMoved");
+    sendOrRedraw(effects, orderId, success ? "moved" : "notMoved");
   }
 }
 
 bool Edge::cutOff(Moment now) const {
-  return !props.openGoOn && freshUntil != Moment{} && now - freshUntil > staleMost && props.defences.stands(Defence::staleEndsStreams);
+  return !settings.openGoOn && freshUntil != Moment{} && now - freshUntil > staleMost && settings.defences.stands(Defence::staleEndsStreams);
 }
 
-void Edge::passChunk(Desk& desk, Order& order) {
-  if (!order.began && order.route.byPath()) noteDelay(order, desk.now);
-  if (!order.began && order.plan.source) desk.note("transfer inferred", order.plan.source->name, inMs(desk.now - order.heardAt));
+void Edge::passChunk(Effects& effects, Order& order) {
+  if (!order.began && order.route.byPath()) noteDelay(order, effects.now);
+  if (!order.began && order.plan.source) effects.note("transfer inferred", order.plan.source->name, inMs(effects.now - order.heardAt));
   readDone(order);
   order.began = true;
-  desk.send("caller", CallerChunk{order.ask.orderId, order.chunk});
-  order.heardAt = desk.now;
+  effects.send("caller", CallerChunk{order.ask.orderId, order.chunk});
+  order.heardAt = effects.now;
 }
 
-void Edge::endDone(Desk& desk, Order& order) {
-  doneAt.push_back(desk.now);
-  verdict(desk, order, "done", Code::done);
+void Edge::endDone(Effects& effects, Order& order) {
+  doneAt.push_back(effects.now);
+  verdict(effects, order, "done", Code::done);
 }
-void Edge::endFailed(Desk& desk, Order& order) { verdict(desk, order, "failed", Code::workerFailed, order.plan.worker); }
-void Edge::endBroken(Desk& desk, Order& order) {
-  bool says = props.defences.stands(Defence::brokenSaysSo);
-  verdict(desk, order, says ? "failed" : "done", says ? Code::workerBroke : Code::done, order.plan.worker);
+void Edge::endFailed(Effects& effects, Order& order) { verdict(effects, order, "failed", Code::workerFailed, order.plan.worker); }
+void Edge::endBroken(Effects& effects, Order& order) {
+  bool says = settings.defences.stands(Defence::brokenSaysSo);
+  verdict(effects, order, says ? "failed" : "done", says ? Code::workerBroke : Code::done, order.plan.worker);
 }
-void Edge::endSilent(Desk& desk, Order& order) { verdict(desk, order, "failed", Code::workerSilent, order.plan.worker); }
-void Edge::endRevoked(Desk& desk, Order& order) {
-  verdict(desk, order, "failed", order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyRevoked);
+void Edge::endSilent(Effects& effects, Order& order) { verdict(effects, order, "failed", Code::workerSilent, order.plan.worker); }
+void Edge::endRevoked(Effects& effects, Order& order) {
+  verdict(effects, order, "failed", order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyRevoked);
 }
-void Edge::denyLate(Desk& desk, Order& order) { denyOrUnknown(desk, order, order.lastCode); }
-void Edge::denyKey(Desk& desk, Order& order) { denyOrUnknown(desk, order, order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyDenied, "authorization"); }
-void Edge::dropOrder(Desk& desk, Order& order) { desk.send(order.plan.address, WorkerDrop{order.sendId}); }
+void Edge::denyLate(Effects& effects, Order& order) { denyOrUnknown(effects, order, order.lastCode); }
+void Edge::denyKey(Effects& effects, Order& order) { denyOrUnknown(effects, order, order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyDenied, "authorization"); }
+void Edge::dropOrder(Effects& effects, Order& order) { effects.send(order.plan.address, WorkerDrop{order.sendId}); }
 
-void Edge::weighUnsent(Desk& desk, Order& order) {
+void Edge::weighUnsent(Effects& effects, Order& order) {
   if (!order.plan.sinkAddress.empty()) savedAt.erase(order.plan.hashes.back());
-  freeWorker(desk, order);
+  freeWorker(effects, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   if (order.route.byPath() && static_cast<Outcome>(order.end.outcome) == Outcome::brokenUnsent && ++order.unsent <= mostUnsent) --order.tries;
-  order.retryAsked = order.tries < mostTriesOf(order) && !overdue(order, desk.now);
-  if (!order.retryAsked) denyOrUnknown(desk, order, Code::noWorker);
+  order.retryAsked = order.tries < mostTriesOf(order) && !overdue(order, effects.now);
+  if (!order.retryAsked) denyOrUnknown(effects, order, Code::noWorker);
 }
 
-void Edge::weighResume(Desk& desk, Order& order) {
-  freeWorker(desk, order);
+void Edge::weighResume(Effects& effects, Order& order) {
+  freeWorker(effects, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   order.mayHaveRun = true;
-  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(desk.now) && !overdue(order, desk.now);
-  if (!order.retryAsked) verdict(desk, order, "failed", Code::workerBroke, order.plan.worker);
+  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(effects.now) && !overdue(order, effects.now);
+  if (!order.retryAsked) verdict(effects, order, "failed", Code::workerBroke, order.plan.worker);
 }
 
-void Edge::weighBroken(Desk& desk, Order& order) {
-  freeWorker(desk, order);
+void Edge::weighBroken(Effects& effects, Order& order) {
+  freeWorker(effects, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
-  order.mayHaveRun = props.defences.stands(Defence::unknownOnceSent);
-  bool mayRepeat = order.ask.repeatable || !props.defences.stands(Defence::retryOnlyRepeatable);
-  order.retryAsked = mayRepeat && order.tries < mostTriesOf(order) && !overdue(order, desk.now);
-  if (!order.retryAsked) denyOrUnknown(desk, order, Code::workerBroke, order.plan.worker);
+  order.mayHaveRun = settings.defences.stands(Defence::unknownOnceSent);
+  bool mayRepeat = order.ask.repeatable || !settings.defences.stands(Defence::retryOnlyRepeatable);
+  order.retryAsked = mayRepeat && order.tries < mostTriesOf(order) && !overdue(order, effects.now);
+  if (!order.retryAsked) denyOrUnknown(effects, order, Code::workerBroke, order.plan.worker);
 }
 
-void Edge::redraw(Desk& desk, Order& order) {
-  order.takenAt = desk.now;
+void Edge::redraw(Effects& effects, Order& order) {
+  order.takenAt = effects.now;
   pending.push_front(order.ask.orderId);
 }
 
-void Edge::drawAgain(Desk&, Order& order) {
+void Edge::drawAgain(Effects&, Order& order) {
   order.plan = Plan{};
   pending.push_front(order.ask.orderId);
 }
 
-void Edge::revokeOpen(Desk& desk) {
-  if (!props.defences.stands(Defence::revokeEndsStreams) || props.openGoOn) return;
+void Edge::revokeOpen(Effects& effects) {
+  if (!settings.defences.stands(Defence::revokeEndsStreams) || settings.openGoOn) return;
   std::vector<std::string> revoked;
   for (const auto& [orderId, order] : orders)
     if (!view.findKey(order->keyHash)) revoked.push_back(orderId);
-  for (const auto& orderId : revoked) happen(desk, orderId, "revoked");
+  for (const auto& orderId : revoked) happen(effects, orderId, "revoked");
 }
 
 void Edge::noteWeights(Moment now, bool live) {
@@ -853,10 +853,10 @@
 }
 
 bool Edge::mayUseOld(const std::string& model, Moment now) const {
-  if (!props.defences.stands(Defence::oldWeightsEnd)) return true;
+  if (!settings.defences.stands(Defence::oldWeightsEnd)) return true;
   auto named = namedByModel.find(model);
   if (named == namedByModel.end() || named->second.weights.empty()) return true;
-  if (named->second.since && now - *named->second.since < pace.rolloutMost) return true;
+  if (named->second.since && now - *named->second.since < timing.rolloutMost) return true;
   bool givenUp = false;
   for (const auto& [locality, news] : cells) {
     for (const auto& worker : news.workers)
@@ -866,61 +866,61 @@
   return givenUp;
 }
 
-void Edge::setNews(Desk& desk, bool live) {
-  noteWeights(desk.now, live);
-  desk.note("edge applied", props.name, static_cast<std::int64_t>(view.index()));
+void Edge::setNews(Effects& effects, bool live) {
+  noteWeights(effects.now, live);
+  effects.note("edge applied", settings.name, static_cast<std::int64_t>(view.index()));
   feedAt = Moment{};
-  revokeOpen(desk);
-  servePending(desk);
+  revokeOpen(effects);
+  servePending(effects);
 }
 
-void Edge::tick(Desk& desk) {
-  if (desk.now - feedAt >= pace.feedEvery) {
-    feedAt = desk.now;
+void Edge::tick(Effects& effects) {
+  if (effects.now - feedAt >= timing.feedEvery) {
+    feedAt = effects.now;
     std::vector<CellMark> rows;
     for (const auto& [locality, news] : cells) rows.push_back(CellMark{locality, news.term, news.sequence});
-    desk.send(props.agentAddress, FeedAsk{inNs(desk.now), view.index(), rows, marksDigest});
+    effects.send(settings.agentAddress, FeedAsk{inNs(effects.now), view.index(), rows, marksDigest});
     for (auto* moments : {&admittedAt, &retriedAt, &doneAt})
-      while (!moments->empty() && desk.now - moments->front() > props.retrySpan) moments->pop_front();
+      while (!moments->empty() && effects.now - moments->front() > settings.retrySpan) moments->pop_front();
   }
   std::vector<std::string> ids;
   for (const auto& [orderId, order] : orders) ids.push_back(orderId);
-  if (fresh(desk.now) != wasFresh) {
+  if (fresh(effects.now) != wasFresh) {
     wasFresh = !wasFresh;
-    desk.note(wasFresh ? "fresh" : "stale", props.name);
+    effects.note(wasFresh ? "fresh" : "stale", settings.name);
   }
-  bool mustEnd = cutOff(desk.now);
+  bool mustEnd = cutOff(effects.now);
   for (const auto& orderId : ids) {
     auto found = orders.find(orderId);
     if (found == orders.end()) continue;
     auto& order = *found->second;
     if (mustEnd) {
       order.lastCode = Code::staleEdge;
-      happen(desk, orderId, "revoked");
+      happen(effects, orderId, "revoked");
       continue;
     }
-    if (order.walk->in("lookup") && desk.now - order.lookupAt >= props.lookupWait && props.defences.stands(Defence::lookupExpires))
-      settleLookup(desk, order);
+    if (order.walk->in("lookup") && effects.now - order.lookupAt >= settings.lookupWait && settings.defences.stands(Defence::lookupExpires))
+      settleLookup(effects, order);
     else if (order.route.byPath() && !order.walk->in("pending")) {
-      if (desk.now >= order.deadline + deadlineSlack) happen(desk, orderId, "silent");
-    } else if (order.walk->in("sent") && desk.now - order.heardAt >= props.firstByteWait)
-      happen(desk, orderId, "silent");
-    else if (order.walk->in("streaming") && desk.now - order.heardAt >= props.chunkWait)
-      happen(desk, orderId, "silent");
+      if (effects.now >= order.deadline + deadlineSlack) happen(effects, orderId, "silent");
+    } else if (order.walk->in("sent") && effects.now - order.heardAt >= settings.firstByteWait)
+      happen(effects, orderId, "silent");
+    else if (order.walk->in("streaming") && effects.now - order.heardAt >= settings.chunkWait)
+      happen(effects, orderId, "silent");
   }
   std::vector<std::string> overdue;
   for (const auto& [moveId, move] : moves)
-    if (desk.now >= move.deadline) overdue.push_back(moveId);
-  for (const auto& moveId : overdue) settleMove(desk, moveId, false);
-  servePending(desk);
+    if (effects.now >= move.deadline) overdue.push_back(moveId);
+  for (const auto& moveId : overdue) settleMove(effects, moveId, false);
+  servePending(effects);
 }
 
-void Edge::take(Desk& desk, const std::string& from, const Message& message) {
+void Edge::take(Effects& effects, const std::string& from, const Message& message) {
   if (auto* ask = std::get_if<CallerOrder>(&message)) {
-    admit(desk, *ask);
+    admit(effects, *ask);
   } else if (auto* gone = std::get_if<CallerGone>(&message)) {
-    desk.note("caller gone", gone->orderId);
-    happen(desk, gone->orderId, "callerGone");
+    effects.note("caller gone", gone->orderId);
+    happen(effects, gone->orderId, "callerGone");
   } else if (auto* chunk = std::get_if<WorkerChunk>(&message)) {
     auto sent = orderBySend.find(chunk->orderId);
     if (sent == orderBySend.end()) return;
@@ -928,14 +928,14 @@
     auto& order = *orders.at(orderId);
     order.chunk = chunk->text;
     if (!chunk->piece.empty()) order.lastPiece = chunk->piece;
-    bool late = cutOff(desk.now);
+    bool late = cutOff(effects.now);
     if (late) order.lastCode = Code::staleEdge;
-    happen(desk, orderId, late ? "revoked" : "chunk");
+    happen(effects, orderId, late ? "revoked" : "chunk");
   } else if (auto* end = std::get_if<WorkerEnd>(&message)) {
     auto outcome = static_cast<Outcome>(end->outcome);
     if (auto move = moveBySend.find(end->orderId); move != moveBySend.end()) {
       std::string moveId = move->second;
-      if (outcome != Outcome::done) settleMove(desk, moveId, false);
+      if (outcome != Outcome::done) settleMove(effects, moveId, false);
       return;
     }
     auto sent = orderBySend.find(end->orderId);
@@ -945,8 +945,8 @@
     order.end = *end;
     auto& local = locals[order.plan.worker];
     if (outcome == Outcome::brokenUnsent || outcome == Outcome::broken || outcome == Outcome::denied)
-      local.shunUntil = desk.now + (outcome == Outcome::denied ? Span(200ms) : shunFor);
-    if (outcome == Outcome::denied) desk.note(std::string("turned away ") + codeName(static_cast<Code>(end->code)), end->orderId);
+      local.shunUntil = effects.now + (outcome == Outcome::denied ? Span(200ms) : shunFor);
+    if (outcome == Outcome::denied) effects.note(std::string("turned away ") + codeName(static_cast<Code>(end->code)), end->orderId);
     const char* event = outcome == Outcome::done           ? "finished"
                         : outcome == Outcome::denied       ? "denied"
                         : outcome == Outcome::brokenUnsent ? "unsent"
@@ -954,22 +954,22 @@
                         : outcome == Outcome::silent       ? "silent"
                                                            : "broken";
     if (order.walk->in("streaming") && order.route.resumable && (outcome == Outcome::broken || outcome == Outcome::denied || outcome == Outcome::brokenUnsent)) event = "cut";
-    if (outcome == Outcome::broken && order.walk->in("streaming") && !props.defences.stands(Defence::retryBeforeBytes)) event = "brokenAnew";
-    happen(desk, orderId, event);
-    servePending(desk);
+    if (outcome == Outcome::broken && order.walk->in("streaming") && !settings.defences.stands(Defence::retryBeforeBytes)) event = "brokenAnew";
+    happen(effects, orderId, event);
+    servePending(effects);
   } else if (auto* load = std::get_if<WorkerLoad>(&message)) {
     auto sent = orderBySend.find(load->orderId);
     if (sent == orderBySend.end()) return;
     auto& local = locals[orders.at(sent->second)->plan.worker];
     local.running = load->running;
     local.waiting = load->waiting;
-    local.loadAt = desk.now;
-  } else if (from != props.agentAddress) {
+    local.loadAt = effects.now;
+  } else if (from != settings.agentAddress) {
     return;
   } else if (auto* feed = std::get_if<FeedReply>(&message)) {
-    agentHeard = desk.now;
+    agentHeard = effects.now;
     if (!feed->known) return;
-    Moment until = fromNs(feed->sentAt) - Span(feed->age) + pace.freshFor;
+    Moment until = fromNs(feed->sentAt) - Span(feed->age) + timing.freshFor;
     if (feed->age < 0 || until <= freshUntil) return;
     if (view.index() >= feed->needed) {
       freshUntil = until;
@@ -977,28 +977,28 @@
     }
   } else if (auto* news = std::get_if<NewsMsg>(&message)) {
     std::uint64_t before = view.index();
-    bool live = fresh(desk.now);
-    for (const auto& capture : news->captures)
-      if (capture.index > view.index()) (void)view.adopt(capture);
+    bool live = fresh(effects.now);
+    for (const auto& snapshot : news->snapshots)
+      if (snapshot.index > view.index()) (void)view.adopt(snapshot);
     for (const auto& entry : news->entries)
       if (entry.index == view.index() + 1) view.apply(entry);
-    if (view.index() != before) setNews(desk, live);
+    if (view.index() != before) setNews(effects, live);
   } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
     auto& kept = cells[cellNews->locality];
     if (!takeCellNews(kept, *cellNews)) return;
-    newsAt[kept.locality] = desk.now;
+    newsAt[kept.locality] = effects.now;
     for (const auto& worker : kept.workers) {
       auto& local = locals[worker.name];
       local.sentSinceNews = 0;
       if (worker.service.empty()) continue;
       local.running = worker.running;
       local.waiting = worker.waiting;
-      local.loadAt = desk.now;
+      local.loadAt = effects.now;
     }
-    servePending(desk);
+    servePending(effects);
   } else if (auto* newMarks = std::get_if<MarksMsg>(&message)) {
-    Moment listedAt = desk.now - Span(newMarks->age);
-    if (newMarks->age < 0 || newMarks->machines.empty() || (marksDigest && listedAt < marksAt && props.defences.stands(Defence::listOrder))) return;
+    Moment listedAt = effects.now - Span(newMarks->age);
+    if (newMarks->age < 0 || newMarks->machines.empty() || (marksDigest && listedAt < marksAt && settings.defences.stands(Defence::listOrder))) return;
     marksAt = listedAt;
     marksDigest = digestOf(newMarks->machines);
     staying.clear();
@@ -1012,17 +1012,17 @@
     auto found = orders.find(orderId);
     if (found == orders.end() || !found->second->walk->in("lookup")) return;
     auto& order = *found->second;
-    if (desk.now - order.lookupAt < props.lookupWait) order.replies[reply->keeper] = reply->hits;
-    if (order.replies.size() == order.plan.candidates.size()) settleLookup(desk, order);
+    if (effects.now - order.lookupAt < settings.lookupWait) order.replies[reply->keeper] = reply->hits;
+    if (order.replies.size() == order.plan.candidates.size()) settleLookup(effects, order);
   } else if (auto* done = std::get_if<TransferDone>(&message)) {
     auto move = moveBySend.find(done->moveId);
-    if (move != moveBySend.end()) settleMove(desk, std::string(move->second), done->success);
+    if (move != moveBySend.end()) settleMove(effects, std::string(move->second), done->success);
   }
 }
 
 std::string Edge::condition(Moment now) const {
   JsonObject whole;
-  whole["proxy"] = Json(props.name);
+  whole["proxy"] = Json(settings.name);
   whole["fresh"] = Json(fresh(now));
   whole["revision"] = jsonNumber(static_cast<double>(view.revision()));
   whole["applied"] = jsonNumber(static_cast<double>(view.index()));
--- a/src/edge.hpp
+++ b/src/routing/edge.hpp
@@ -5,7 +5,7 @@
 
 namespace tt {
 
-struct EdgeProps {
+struct EdgeSettings {
   std::string name, address, locality, agentAddress;
   bool fetching{true};
   std::size_t pendingMost{64};
@@ -58,14 +58,14 @@
 /// workers by address.
 class Edge : public Node {
  public:
-  explicit Edge(EdgeProps edgeProps);
-  void take(Desk& desk, const std::string& from, const Message& message) override;
-  void tick(Desk& desk) override;
+  explicit Edge(EdgeSettings edgeSettings);
+  void take(Effects& effects, const std::string& from, const Message& message) override;
+  void tick(Effects& effects) override;
   std::string condition(Moment now) const;
   bool fresh(Moment now) const;
   /// Whether orders can be taken: fresh, something declared, some worker known to live.
   bool ready(Moment now) const;
-  const Blueprint& blueprint() const { return view; }
+  const Configuration& configuration() const { return view; }
   std::size_t openOrders() const { return orders.size(); }
   /// Takes no more orders; those under way go on.
   void stop() { stopping = true; }
@@ -90,7 +90,7 @@
     Code lastCode{Code::noWorker};
     WorkerEnd end;
     std::string chunk;
-    std::unique_ptr<ChartWalk<Edge, Desk&, Order&>> walk;
+    std::unique_ptr<ChartWalk<Edge, Effects&, Order&>> walk;
   };
   struct Move {
     std::string target, sendId;
@@ -105,8 +105,8 @@
     int unread{0}, running{0}, waiting{0};
     Moment loadAt{};
   };
-  EdgeProps props;
-  Blueprint view;
+  EdgeSettings settings;
+  Configuration view;
   std::map<std::string, CellNews> cells;
   std::map<std::string, Moment> newsAt;
   Count marksDigest{0};
@@ -123,7 +123,7 @@
   Moment freshUntil{}, feedAt{}, agentHeard{};
   /// When orders were admitted and tried again within the longer span that the budget looks at.
   std::deque<Moment> admittedAt, retriedAt;
-  /// Orders that ended well lately: the pace that a caller sent away may count on.
+  /// Orders that ended well lately: the timing that a caller sent away may count on.
   std::deque<Moment> doneAt;
   std::map<std::string, int> openByTenant;
   /// The weights each model should have, and when that was seen to change; not set if it was so when this proxy began.
@@ -142,62 +142,62 @@
   Moment delayAt{};
   bool stopping{false}, wasFresh{false};
 
-  using Deeds = ChartWalk<Edge, Desk&, Order&>::Deeds;
-  static const Deeds& deeds();
-  void sendOrder(Desk& desk, Order& order);
-  void sendLookup(Desk& desk, Order& order);
-  void sendMove(Desk& desk, Order& order);
-  void dropMove(Desk& desk, Order& order);
-  void freeWorker(Desk& desk, Order& order);
-  void passChunk(Desk& desk, Order& order);
-  void endDone(Desk& desk, Order& order);
-  void endFailed(Desk& desk, Order& order);
-  void endBroken(Desk& desk, Order& order);
-  void endSilent(Desk& desk, Order& order);
-  void endRevoked(Desk& desk, Order& order);
-  void denyLate(Desk& desk, Order& order);
-  void denyKey(Desk& desk, Order& order);
-  void dropOrder(Desk& desk, Order& order);
-  void weighUnsent(Desk& desk, Order& order);
-  void weighBroken(Desk& desk, Order& order);
-  void weighResume(Desk& desk, Order& order);
-  void redraw(Desk& desk, Order& order);
-  void drawAgain(Desk& desk, Order& order);
+  using Actions = ChartWalk<Edge, Effects&, Order&>::Actions;
+  static const Actions& actions();
+  void sendOrder(Effects& effects, Order& order);
+  void sendLookup(Effects& effects, Order& order);
+  void sendMove(Effects& effects, Order& order);
+  void dropMove(Effects& effects, Order& order);
+  void freeWorker(Effects& effects, Order& order);
+  void passChunk(Effects& effects, Order& order);
+  void endDone(Effects& effects, Order& order);
+  void endFailed(Effects& effects, Order& order);
+  void endBroken(Effects& effects, Order& order);
+  void endSilent(Effects& effects, Order& order);
+  void endRevoked(Effects& effects, Order& order);
+  void denyLate(Effects& effects, Order& order);
+  void denyKey(Effects& effects, Order& order);
+  void dropOrder(Effects& effects, Order& order);
+  void weighUnsent(Effects& effects, Order& order);
+  void weighBroken(Effects& effects, Order& order);
+  void weighResume(Effects& effects, Order& order);
+  void redraw(Effects& effects, Order& order);
+  void drawAgain(Effects& effects, Order& order);
 
-  void admit(Desk& desk, const CallerOrder& ask);
-  void accept(Desk& desk, std::unique_ptr<Order> order);
-  void happen(Desk& desk, const std::string& orderId, const std::string& event);
-  bool drawWorker(Desk& desk, Order& order);
+  void admit(Effects& effects, const CallerOrder& ask);
+  void accept(Effects& effects, std::unique_ptr<Order> order);
+  void happen(Effects& effects, const std::string& orderId, const std::string& event);
+  bool drawWorker(Effects& effects, Order& order);
   void drawSources(Order& order, Moment now);
-  bool drawByPrefix(Desk& desk, Order& order);
+  bool drawByPrefix(Effects& effects, Order& order);
   void drawRideSources(Order& order, Moment now);
-  bool settleRide(Desk& desk, Order& order);
+  bool settleRide(Effects& effects, Order& order);
   double loadOf(const std::string& worker, Moment now) const;
   void countOpen(Order& order);
   bool savesTo(const std::string& store, const BlockHash& prefix, Moment now);
   void noteDelay(const Order& order, Moment now);
-  bool sheds(Desk& desk, const Order& order);
+  bool sheds(Effects& effects, const Order& order);
   static bool overdue(const Order& order, Moment now) { return order.route.byPath() && now >= order.deadline; }
   void readDone(Order& order);
   int mostTriesOf(const Order& order) const;
   Span pendingMostOf(const Order& order) const;
-  void settleLookup(Desk& desk, Order& order);
-  void settleMove(Desk& desk, const std::string& moveId, bool success);
-  void servePending(Desk& desk);
-  void verdict(Desk& desk, Order& order, const std::string& word, Code code, const std::string& subject = {});
-  void denyOrUnknown(Desk& desk, Order& order, Code code, const std::string& subject = {});
-  void revokeOpen(Desk& desk);
-  void setNews(Desk& desk, bool live);
+  void settleLookup(Effects& effects, Order& order);
+  void settleMove(Effects& effects, const std::string& moveId, bool success);
+  void servePending(Effects& effects);
+  void verdict(Effects& effects, Order& order, const std::string& word, Code code, const std::string& subject = {});
+  void denyOrUnknown(Effects& effects, Order& order, Code code, const std::string& subject = {});
+  void revokeOpen(Effects& effects);
+  void setNews(Effects& effects, bool live);
   const WorkerView* workerView(const std::string& name) const;
   int busyOf(const WorkerView& worker, Moment now) const;
   bool mayRetry(Moment now) const;
   bool mayUseOld(const std::string& model, Moment now) const;
   void noteWeights(Moment now, bool live);
-  int comeBackMs(Desk& desk, Code code) const;
-  bool makeRoom(Desk& desk, const std::string& tenant);
+  int comeBackMs(Effects& effects, Code code) const;
+  bool makeRoom(Effects& effects, const std::string& tenant);
   bool stillGood(const Order& order) const;
   bool cutOff(Moment now) const;
-  void sendOrRedraw(Desk& desk, const std::string& orderId, const std::string& event);
+  void sendOrRedraw(Effects& effects, const std::string& orderId, const std::string& event);
   double linkSpeed(const std::string& source, const std::string& target) const;
 };
 
