--- a/src/scale.cpp
+++ b/src/sim/scale.cpp
@@ -139,45 +139,45 @@
                  "language", false, serviceName(model), modelName(model), modelName(model) + "/1", 4};
 }
 
-CellProps platformCell() {
-  CellProps props;
-  props.apart = props.loadsWhole = props.seedsForm = true;
-  props.summaries = false;
-  props.askEvery = 100ms;
-  props.sweepEvery = 8s;
-  props.lateAfter = 1500ms;
-  props.goneAfter = 2s;
-  props.publishEvery = 100ms;
-  props.markWait = 400ms;
-  props.rolloutSpan = 7800ms;
-  return props;
-}
-EdgeProps platformEdge(const std::string& name, const std::string& address, const std::string& zone, const std::string& agentAddress) {
-  EdgeProps props;
-  props.name = name;
-  props.address = address;
-  props.locality = zone;
-  props.agentAddress = agentAddress;
-  props.pendingMost = 256;
-  props.sourceRides = props.openGoOn = true;
-  props.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
-  props.retryShare = 0.15;
-  props.retryLeast = 2.9;
-  props.retrySpan = 10s;
-  props.retryAtOnce = 2s;
-  return props;
-}
-void setPlatformPace() {
+CellSettings platformCell() {
+  CellSettings settings;
+  settings.apart = settings.loadsWhole = settings.seedsForm = true;
+  settings.summaries = false;
+  settings.askEvery = 100ms;
+  settings.sweepEvery = 8s;
+  settings.lateAfter = 1500ms;
+  settings.goneAfter = 2s;
+  settings.publishEvery = 100ms;
+  settings.markWait = 400ms;
+  settings.rolloutSpan = 7800ms;
+  return settings;
+}
+EdgeSettings platformEdge(const std::string& name, const std::string& address, const std::string& zone, const std::string& agentAddress) {
+  EdgeSettings settings;
+  settings.name = name;
+  settings.address = address;
+  settings.locality = zone;
+  settings.agentAddress = agentAddress;
+  settings.pendingMost = 256;
+  settings.sourceRides = settings.openGoOn = true;
+  settings.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
+  settings.retryShare = 0.15;
+  settings.retryLeast = 2.9;
+  settings.retrySpan = 10s;
+  settings.retryAtOnce = 2s;
+  return settings;
+}
+void setPlatformTiming() {
   static const bool done = [] {
-    pace.freshFor = 4s;
-    pace.readersWait = 666ms;
-    pace.listEvery = 600ms;
-    pace.listOld = 1500ms;
-    pace.commandRest = 3300ms;
-    pace.rolloutMost = 10500ms;
-    pace.memberGone = 6s;
-    pace.votersLeast = 3;
-    pace.feedEvery = 200ms;
+    timing.freshFor = 4s;
+    timing.readersWait = 666ms;
+    timing.listEvery = 600ms;
+    timing.listOld = 1500ms;
+    timing.commandRest = 3300ms;
+    timing.rolloutMost = 10500ms;
+    timing.memberGone = 6s;
+    timing.votersLeast = 3;
+    timing.feedEvery = 200ms;
     return true;
   }();
   (void)done;
@@ -200,8 +200,8 @@
 
 class HollowFleet {
  public:
-  HollowFleet(const FleetSize& fleetSize, std::uint64_t seed) : size(fleetSize), dice(seed), clock(Moment(std::chrono::hours(1))) {
-    setPlatformPace();
+  HollowFleet(const FleetSize& fleetSize, std::uint64_t seed) : size(fleetSize), randomSource(seed), clock(Moment(std::chrono::hours(1))) {
+    setPlatformTiming();
     clockCost = clockCostNs();
     for (int worker = 0; worker < size.workers; ++worker) {
       workers.push_back(HollowWorker{machineOf(size, worker), clock, 0});
@@ -225,7 +225,7 @@
     std::unique_ptr<Node> node;
     std::unique_ptr<MemoryFiles> files;
     std::unique_ptr<Ring> ring;
-    std::vector<Desk::Save> saves;
+    std::vector<Effects::Save> saves;
     bool syncing{false};
     std::string beside;
     DaemonCost cost;
@@ -237,7 +237,7 @@
     std::int64_t offset{0};
   };
   FleetSize size;
-  std::mt19937_64 dice;
+  std::mt19937_64 randomSource;
   Moment clock;
   std::int64_t clockCost{0};
   std::uint64_t dueCount{0}, requestCount{0};
@@ -266,7 +266,7 @@
   std::size_t add(const std::string& role, const std::string& name, const std::string& address, const std::function<void(Actor&)>& make);
   void startCores();
   void startDaemons();
-  void drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Desk&)>& deed);
+  void drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Effects&)>& action);
   void carry(std::size_t at, std::vector<std::pair<std::string, std::string>>& frames, std::vector<std::pair<std::string, Message>>& direct);
   void toWorker(std::size_t core, int worker, const Message& message);
   void fromPlatform(std::size_t core, std::int64_t askedAt);
@@ -297,7 +297,7 @@
     HeapScope scope(&actor.heap);
     make(actor);
   }
-  Span phase(static_cast<std::int64_t>(dice() % static_cast<std::uint64_t>(Span(tickEvery).count())));
+  Span phase(static_cast<std::int64_t>(randomSource() % static_cast<std::uint64_t>(Span(tickEvery).count())));
   push(Due{clock + phase, 0, What::tick, at, {}, {}, {}});
   return at;
 }
@@ -315,15 +315,15 @@
       }
       auto ring = Ring::open(*actor.files);
       actor.ring = std::move(ring.value());
-      CoreProps props;
-      props.name = actor.name;
-      props.address = address;
-      props.locality = zoneName(size, number * size.zones / size.cores);
-      props.platformAddress = cloudAddress;
-      props.seeds = seeds;
-      props.localities = localities;
-      props.cell = platformCell();
-      actor.node = std::make_unique<Core>(props, actor.ring->held(), dice, clock);
+      CoreSettings settings;
+      settings.name = actor.name;
+      settings.address = address;
+      settings.locality = zoneName(size, number * size.zones / size.cores);
+      settings.platformAddress = cloudAddress;
+      settings.seeds = seeds;
+      settings.localities = localities;
+      settings.cell = platformCell();
+      actor.node = std::make_unique<Core>(settings, actor.ring->held(), randomSource, clock);
     }));
   }
 }
@@ -335,12 +335,12 @@
     std::string zone = zoneName(size, number % size.zones), host = fmt::format("10.2.{}.{}", number / 250, number % 250);
     std::string name = fmt::format("edge-{:04}", number);
     agentAt.push_back(add("agent", name, host + ":7001", [&](Actor& actor) {
-      AgentProps props;
-      props.name = name;
-      props.address = actor.address;
-      props.locality = zone;
-      props.seeds = seeds;
-      actor.node = std::make_unique<Agent>(props);
+      AgentSettings settings;
+      settings.name = name;
+      settings.address = actor.address;
+      settings.locality = zone;
+      settings.seeds = seeds;
+      actor.node = std::make_unique<Agent>(settings);
       actor.beside = host + ":7002";
     }));
     proxyAt.push_back(add("proxy", name, host + ":7002", [&](Actor& actor) {
@@ -351,7 +351,7 @@
   }
 }
 
-void HollowFleet::drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Desk&)>& deed) {
+void HollowFleet::drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Effects&)>& action) {
   auto& actor = *actors[at];
   std::vector<std::pair<std::string, std::string>> frames;
   std::vector<std::pair<std::string, Message>> direct;
@@ -360,15 +360,15 @@
     HeapScope scope(&actor.heap);
     std::vector<std::pair<std::string, std::string>> ownFrames;
     std::int64_t start = threadCpuNs();
-    Desk desk{clock, dice, actor.node->journal, {}, {}};
-    deed(desk);
-    for (auto& [to, message] : desk.sends)
+    Effects effects{clock, randomSource, actor.node->journal, {}, {}};
+    action(effects);
+    for (auto& [to, message] : effects.sends)
       if (to != actor.address && actorByAddress.count(to)) ownFrames.emplace_back(to, encodeMessage(message));
     spent = std::max<std::int64_t>(0, threadCpuNs() - start - clockCost);
-    for (auto& save : desk.saves) actor.saves.push_back(std::move(save));
+    for (auto& save : effects.saves) actor.saves.push_back(std::move(save));
     HeapScope none(nullptr);
     frames = ownFrames;
-    for (const auto& [to, message] : desk.sends)
+    for (const auto& [to, message] : effects.sends)
       if (to == actor.address || !actorByAddress.count(to)) direct.emplace_back(to, message);
   }
   if (measuring) {
@@ -411,7 +411,7 @@
         toProxy(at, *order);
       else
         toWorker(at, worker->second, message);
-    } else if (auto* reply = std::get_if<OperatorReply>(&message)) {
+    } else if (auto* reply = std::get_if<OperatorResponse>(&message)) {
       auto change = changes.find(to);
       if (change == changes.end()) continue;
       change->second.code = reply->code;
@@ -497,30 +497,30 @@
 void HollowFleet::step(Due due) {
   auto& actor = *actors[due.to];
   if (due.what == What::tick) {
-    drive(due.to, "tick", 0, false, [&](Desk& desk) { actor.node->tick(desk); });
+    drive(due.to, "tick", 0, false, [&](Effects& effects) { actor.node->tick(effects); });
     push(Due{clock + tickEvery, 0, What::tick, due.to, {}, {}, {}});
   } else if (due.what == What::frame) {
     bool local = due.from == actor.beside;
     std::uint16_t number = static_cast<std::uint16_t>(static_cast<unsigned char>(due.frame[0]) | static_cast<unsigned char>(due.frame[1]) << 8);
-    drive(due.to, "takes " + std::to_string(number), static_cast<std::int64_t>(due.frame.size() + frameHead), local, [&](Desk& desk) {
+    drive(due.to, "takes " + std::to_string(number), static_cast<std::int64_t>(due.frame.size() + frameHead), local, [&](Effects& effects) {
       auto message = decodeMessage(due.frame);
-      if (message) actor.node->take(desk, due.from, message.value());
+      if (message) actor.node->take(effects, due.from, message.value());
     });
   } else if (due.what == What::message) {
     Message held = std::move(*due.message);
     if (auto* asked = std::get_if<ReportAsk>(&held)) held = reportOf(workerByAddress[due.from], static_cast<std::int64_t>(asked->after), false);
     if (auto* report = std::get_if<Report>(&held); report && measuring) outcome.eventsTaken += static_cast<std::int64_t>(report->events.size());
-    drive(due.to, std::string("takes ") + std::to_string(held.index()), 0, false, [&](Desk& desk) { actor.node->take(desk, due.from, held); });
+    drive(due.to, std::string("takes ") + std::to_string(held.index()), 0, false, [&](Effects& effects) { actor.node->take(effects, due.from, held); });
   } else {
-    std::vector<Desk::Save> batch;
+    std::vector<Effects::Save> batch;
     batch.swap(actor.saves);
     actor.syncing = false;
-    drive(due.to, "sync", 0, false, [&](Desk& desk) {
+    drive(due.to, "sync", 0, false, [&](Effects& effects) {
       std::vector<Record> records;
       for (const auto& save : batch) records.push_back(save.record);
       if (actor.ring) (void)actor.ring->append(records);
       for (auto& save : batch)
-        if (save.then) save.then(desk);
+        if (save.then) save.then(effects);
     });
     HeapScope scope(&actor.heap);
     batch.clear();
@@ -553,13 +553,13 @@
 
 std::size_t HollowFleet::countFresh() {
   std::size_t count = 0;
-  for (std::size_t number = 0; number < agentAt.size(); ++number) count += agent(number).fresh(clock) && proxy(number).fresh(clock) && proxy(number).blueprint().revision() > 0;
+  for (std::size_t number = 0; number < agentAt.size(); ++number) count += agent(number).fresh(clock) && proxy(number).fresh(clock) && proxy(number).configuration().revision() > 0;
   return count;
 }
 
 void HollowFleet::ask(const std::string& changeId, const std::string& body, Manner manner, std::int64_t toRevision) {
   changes[changeId].askedAt = clock;
-  OperatorAsk change;
+  OperatorRequest change;
   change.askId = changeId;
   change.body = body;
   change.ifRevision = -1;
@@ -579,8 +579,8 @@
     }
     bool agents = true, proxies = true;
     for (std::size_t number = 0; number < agentAt.size(); ++number) {
-      agents = agents && agent(number).blueprint().index() >= change.index;
-      proxies = proxies && proxy(number).blueprint().index() >= change.index;
+      agents = agents && agent(number).configuration().index() >= change.index;
+      proxies = proxies && proxy(number).configuration().index() >= change.index;
     }
     if (agents && change.agentsAt == Moment{}) change.agentsAt = clock;
     if (proxies && change.proxiesAt == Moment{}) change.proxiesAt = clock;
@@ -649,12 +649,12 @@
   for (std::size_t number = 0; number < agentAt.size(); ++number) ++followersByAddress[agent(number).followed()];
   for (std::size_t number = 0; number < coreAt.size(); ++number)
     for (const auto& [locality, cell] : core(number).cellsByLocality()) {
-      if (!cell->ballot.holds(clock)) continue;
+      if (!cell->election.holds(clock)) continue;
       ++outcome.cellsHeld;
       ++actors[coreAt[number]]->cost.cells;
       for (const auto& [name, keeper] : cell->keepers()) outcome.blocksIndexed += static_cast<std::int64_t>(keeper.kept.size());
     }
-  outcome.blueprintBytes = static_cast<std::int64_t>(core(0).agreement().blueprint().bytes());
+  outcome.configurationBytes = static_cast<std::int64_t>(core(0).agreement().configuration().bytes());
   static const Strings nameByNumber = [] {
     Strings names{"none"};
 #define TT_SCALE_NAME(Name, fields) names.push_back(#Name);
@@ -678,9 +678,9 @@
   return std::move(outcome);
 }
 
-double timeEach(std::int64_t turns, const std::function<void(std::int64_t)>& deed) {
+double timeEach(std::int64_t turns, const std::function<void(std::int64_t)>& action) {
   std::int64_t start = threadCpuNs();
-  for (std::int64_t turn = 0; turn < turns; ++turn) deed(turn);
+  for (std::int64_t turn = 0; turn < turns; ++turn) action(turn);
   return static_cast<double>(threadCpuNs() - start) / static_cast<double>(turns);
 }
 
@@ -695,8 +695,8 @@
 Result<FleetCost> measureFleet(const FleetSize& size, std::uint64_t seed) { return HollowFleet(size, seed).run(); }
 
 std::vector<Figure> measureIndex(std::int64_t blocks, std::uint64_t seed) {
-  setPlatformPace();
-  std::mt19937_64 dice(seed);
+  setPlatformTiming();
+  std::mt19937_64 randomSource(seed);
   Journal journal;
   FleetSize size;
   size.zones = 1;
@@ -707,30 +707,30 @@
   std::vector<Figure> figures;
   {
     Member self{"core-0-1", "core-0", "10.1.0.1:7000", zoneName(size, 0), true};
-    Blueprint blueprint;
+    Configuration configuration;
     std::int64_t before = 0;
     std::unique_ptr<Cell> cell;
     std::vector<Machine> machines;
     for (int worker = 0; worker < size.workers; ++worker) machines.push_back(machineOf(size, worker));
-    auto drive = [&](const std::function<void(Desk&)>& deed) {
+    auto drive = [&](const std::function<void(Effects&)>& action) {
       HeapScope scope(&heap);
-      Desk desk{now, dice, journal, {}, {}};
-      deed(desk);
-      for (std::size_t done = 0; done < desk.saves.size(); ++done)
-        if (desk.saves[done].then) desk.saves[done].then(desk);
+      Effects effects{now, randomSource, journal, {}, {}};
+      action(effects);
+      for (std::size_t done = 0; done < effects.saves.size(); ++done)
+        if (effects.saves[done].then) effects.saves[done].then(effects);
     };
     {
       HeapScope scope(&heap);
       cell = std::make_unique<Cell>(zoneName(size, 0), self, true, Defences{}, platformCell());
-      cell->ballot.setVoters({self});
+      cell->election.setVoters({self});
       cell->setMachines(machines);
     }
-    for (int turn = 0; turn < 400 && !cell->ballot.holds(now); ++turn) {
+    for (int turn = 0; turn < 400 && !cell->election.holds(now); ++turn) {
       now += 20ms;
-      drive([&](Desk& desk) { cell->tick(desk, blueprint); });
+      drive([&](Effects& effects) { cell->tick(effects, configuration); });
     }
     now += 20ms;
-    drive([&](Desk& desk) { cell->tick(desk, blueprint); });
+    drive([&](Effects& effects) { cell->tick(effects, configuration); });
     before = heap;
     std::int64_t each = blocks / size.workers, confirmNs = 0;
     for (int worker = 0; worker < size.workers; ++worker) {
@@ -741,7 +741,7 @@
       report.gaps = report.whole = true;
       for (std::int64_t block = 0; block < each; ++block) report.kept.push_back(blockOf(static_cast<std::uint64_t>(worker), static_cast<std::uint64_t>(block)));
       std::int64_t start = threadCpuNs();
-      drive([&](Desk& desk) { cell->take(desk, report.worker, report); });
+      drive([&](Effects& effects) { cell->take(effects, report.worker, report); });
       confirmNs += threadCpuNs() - start;
     }
     figures.push_back({"bytes per block", static_cast<double>(heap - before) / static_cast<double>(each * size.workers)});
@@ -764,7 +764,7 @@
       }
       report.sequence = static_cast<Count>(reach[worker]);
       std::int64_t start = threadCpuNs();
-      drive([&](Desk& desk) { cell->take(desk, report.worker, report); });
+      drive([&](Effects& effects) { cell->take(effects, report.worker, report); });
       eventNs += threadCpuNs() - start - clockCostNs();
       events += eventsEach;
     }
@@ -777,10 +777,10 @@
       for (std::uint64_t part = 0; part < 4; ++part) ask.hashes.push_back(blockOf(worker, mix(static_cast<std::uint64_t>(turn) + part) % static_cast<std::uint64_t>(2 * each)));
       std::string frame = encodeMessage(ask);
       std::int64_t start = threadCpuNs();
-      drive([&](Desk& desk) {
+      drive([&](Effects& effects) {
         auto message = decodeMessage(frame);
-        cell->take(desk, "10.2.0.1:7001", message.value());
-        for (const auto& [to, reply] : desk.sends) (void)encodeMessage(reply);
+        cell->take(effects, "10.2.0.1:7001", message.value());
+        for (const auto& [to, reply] : effects.sends) (void)encodeMessage(reply);
       });
       lookupNs += threadCpuNs() - start - clockCostNs();
     }
@@ -790,7 +790,7 @@
     for (std::int64_t turn = 0; turn < ticks; ++turn) {
       now += 20ms;
       std::int64_t start = threadCpuNs();
-      drive([&](Desk& desk) { cell->tick(desk, blueprint); });
+      drive([&](Effects& effects) { cell->tick(effects, configuration); });
       tickNs += threadCpuNs() - start;
     }
     figures.push_back({"us per tick", static_cast<double>(tickNs) / static_cast<double>(ticks) / 1000});
@@ -801,8 +801,8 @@
 }
 
 std::vector<Figure> measureDraw(int workers, std::uint64_t seed) {
-  setPlatformPace();
-  std::mt19937_64 dice(seed);
+  setPlatformTiming();
+  std::mt19937_64 randomSource(seed);
   FleetSize size;
   size.workers = workers;
   size.tenants = 200;
@@ -813,15 +813,15 @@
   std::vector<Figure> figures;
   Edge edge(platformEdge("edge-1", "10.2.0.1:7002", zoneName(size, 0), agentAddress));
   std::vector<std::pair<std::string, Message>> sends;
-  auto drive = [&](const std::function<void(Desk&)>& deed) {
+  auto drive = [&](const std::function<void(Effects&)>& action) {
     HeapScope scope(&heap);
-    Desk desk{now, dice, edge.journal, {}, {}};
-    deed(desk);
+    Effects effects{now, randomSource, edge.journal, {}, {}};
+    action(effects);
     HeapScope none(nullptr);
-    sends = desk.sends;
+    sends = effects.sends;
   };
-  auto give = [&](const std::string& from, const Message& message) { drive([&](Desk& desk) { edge.take(desk, from, message); }); };
-  Blueprint made;
+  auto give = [&](const std::string& from, const Message& message) { drive([&](Effects& effects) { edge.take(effects, from, message); }); };
+  Configuration made;
   Entry sections{1, 1, static_cast<int>(EntryKind::change), made.preparePatch(firstSections(size.tenants, size.models), Manner::sections).value(), "first", 1};
   made.apply(sections);
   Entry models{2, 1, static_cast<int>(EntryKind::change), made.preparePatch(modelSections(size.models), Manner::items).value(), "models", 2};
@@ -854,12 +854,12 @@
   std::int64_t drawNs = 0, replyNs = 0, pieceNs = 0, endNs = 0, pieces = 0, replies = 0, done = 0, lookups = 0;
   auto timed = [&](std::int64_t& sum, const std::string& from, const Message& message) {
     HeapScope scope(&heap);
-    Desk desk{now, dice, edge.journal, {}, {}};
+    Effects effects{now, randomSource, edge.journal, {}, {}};
     std::int64_t start = threadCpuNs();
-    edge.take(desk, from, message);
+    edge.take(effects, from, message);
     sum += threadCpuNs() - start - clockCostNs();
     HeapScope none(nullptr);
-    sends = desk.sends;
+    sends = effects.sends;
   };
   for (std::uint64_t number = 1; number <= orders; ++number) {
     now += 1ms;
@@ -897,9 +897,9 @@
   for (int turn = 0; turn < 200; ++turn) {
     now += 20ms;
     HeapScope scope(&heap);
-    Desk desk{now, dice, edge.journal, {}, {}};
+    Effects effects{now, randomSource, edge.journal, {}, {}};
     std::int64_t start = threadCpuNs();
-    edge.tick(desk);
+    edge.tick(effects);
     tickNs += threadCpuNs() - start;
   }
   figures.push_back({"us per idle tick", each(tickNs, 200)});
@@ -907,15 +907,15 @@
   return figures;
 }
 
-std::vector<Figure> measureBlueprint(int tenants, std::uint64_t) {
+std::vector<Figure> measureConfiguration(int tenants, std::uint64_t) {
   std::vector<Figure> figures;
   std::int64_t heap = 0;
   {
-    std::unique_ptr<Blueprint> view;
+    std::unique_ptr<Configuration> view;
     std::string whole = firstSections(tenants, 3);
     {
       HeapScope scope(&heap);
-      view = std::make_unique<Blueprint>();
+      view = std::make_unique<Configuration>();
     }
     std::int64_t start = threadCpuNs();
     auto first = view->preparePatch(whole, Manner::sections);
@@ -946,9 +946,9 @@
     figures.push_back({"us to apply a change of one item", static_cast<double>(applyNs) / turns / 1000});
     figures.push_back({"bytes of its entry", static_cast<double>(entryBytes) / turns});
     start = threadCpuNs();
-    std::string capture = encodeCapture(view->capture());
+    std::string snapshot = encodeSnapshot(view->snapshot());
     figures.push_back({"ms to make a capture", static_cast<double>(threadCpuNs() - start) / 1e6});
-    figures.push_back({"bytes of a capture", static_cast<double>(capture.size())});
+    figures.push_back({"bytes of a capture", static_cast<double>(snapshot.size())});
     start = threadCpuNs();
     auto again = view->preparePatch(whole, Manner::sections);
     figures.push_back({"ms to prepare the whole again", static_cast<double>(threadCpuNs() - start) / 1e6});
--- a/src/scale.hpp
+++ b/src/sim/scale.hpp
@@ -30,7 +30,7 @@
   double seconds{0};
   /// From the operator's ask to the acknowledgement, and to the last agent and the last proxy that have applied it, for each change.
   std::vector<double> ackMs, agentsMs, proxiesMs;
-  std::int64_t voters{0}, freshAgents{0}, cellsHeld{0}, blocksIndexed{0}, eventsTaken{0}, requestsDone{0}, blueprintBytes{0};
+  std::int64_t voters{0}, freshAgents{0}, cellsHeld{0}, blocksIndexed{0}, eventsTaken{0}, requestsDone{0}, configurationBytes{0};
 };
 
 /// How many bytes of memory a fleet of this size takes, about, in the process that measures it.
@@ -47,8 +47,8 @@
 std::vector<Figure> measureIndex(std::int64_t blocks, std::uint64_t seed);
 /// A proxy's draw among so many workers, and its time for each piece of an answer.
 std::vector<Figure> measureDraw(int workers, std::uint64_t seed);
-/// A change in a blueprint of so many tenants: time to prepare and apply, and bytes in the log and in a capture.
-std::vector<Figure> measureBlueprint(int tenants, std::uint64_t seed);
+/// A change in a configuration of so many tenants: time to prepare and apply, and bytes in the log and in a snapshot.
+std::vector<Figure> measureConfiguration(int tenants, std::uint64_t seed);
 
 /// A straight line through points, by least squares.
 struct Line {
--- a/src/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -197,9 +197,9 @@
     const std::string& verb = words[0];
     auto word = [&](std::size_t at) { return at < words.size() ? words[at] : std::string(); };
     auto number = [&](std::size_t at) { return std::atof(word(at).c_str()); };
-    auto each = [&](const std::function<void(const std::string&)>& deed) {
+    auto each = [&](const std::function<void(const std::string&)>& action) {
       for (std::size_t at = 1; at < words.size(); ++at)
-        for (const auto& name : named(words[at])) deed(name);
+        for (const auto& name : named(words[at])) action(name);
     };
     if (verb == "kill") {
       each([&](const std::string& name) { world->kill(name); });
@@ -256,20 +256,20 @@
     } else if (verb == "heal") {
       world->heal();
     } else if (verb == "change") {
-      world->change(line.rest, false, {}, -1, 1 + static_cast<int>(world->dice()() % 4));
+      world->change(line.rest, false, {}, -1, 1 + static_cast<int>(world->randomSource()() % 4));
     } else if (verb == "change-id" || verb == "lost-answer") {
       std::istringstream rest(line.rest);
       std::string id, body;
       rest >> id;
       std::getline(rest, body);
-      world->change(body, false, id, -1, 1 + static_cast<int>(world->dice()() % 4), verb == "lost-answer");
+      world->change(body, false, id, -1, 1 + static_cast<int>(world->randomSource()() % 4), verb == "lost-answer");
     } else if (verb == "change-if") {
       std::istringstream rest(line.rest);
       std::string id, body;
       std::int64_t revision = 0;
       rest >> id >> revision;
       std::getline(rest, body);
-      world->change(body, false, id, revision, 1 + static_cast<int>(world->dice()() % 4));
+      world->change(body, false, id, revision, 1 + static_cast<int>(world->randomSource()() % 4));
     } else if (verb == "storm") {
       for (int at = 0; at < static_cast<int>(number(1)); ++at)
         world->change("{\"routes\":{\"" + (words.size() > 2 ? word(2) : std::string("r")) + std::to_string(at) + "\":{\"model\":\"rooster-llm\",\"policy\":\"p\"}}}", false, {}, -1, 1 + at % 4);
@@ -321,9 +321,9 @@
     } else if (verb == "forget") {
       for (const auto& name : named(word(1)))
         if (auto* keeper = world->keeper(name)) {
-          std::mt19937_64 dice(1);
-          Desk desk{world->now(), dice, keeper->journal, {}, {}};
-          keeper->forget(desk, false);
+          std::mt19937_64 randomSource(1);
+          Effects effects{world->now(), randomSource, keeper->journal, {}, {}};
+          keeper->forget(effects, false);
         }
     } else if (verb == "count-bytes") {
       world->countBytes = true;
@@ -538,8 +538,8 @@
 }
 
 std::string randomScenario(std::uint64_t seed) {
-  std::mt19937_64 dice(seed * 7919 + 13);
-  auto roll = [&](std::uint64_t below) { return dice() % below; };
+  std::mt19937_64 randomSource(seed * 7919 + 13);
+  auto roll = [&](std::uint64_t below) { return randomSource() % below; };
   auto pick = [&](std::initializer_list<const char*> words) { return std::string(*(words.begin() + roll(words.size()))); };
   std::ostringstream out;
   bool whole = seed % 8 == 0;
--- a/src/sim.cpp
+++ b/src/sim/sim.cpp
@@ -38,7 +38,7 @@
   std::unique_ptr<Node> node;
   std::unique_ptr<SimDisk> disk;
   std::unique_ptr<Ring> ring;
-  std::vector<Desk::Save> saves, syncing;
+  std::vector<Effects::Save> saves, syncing;
   bool alive{false}, syncBusy{false}, freezeAtSending{false};
   Span freezeSpan{};
   Moment frozenUntil{}, oldestSave{}, startedAt{};
@@ -92,7 +92,7 @@
   for (const auto& name : all)
     if (name != "platform" && !(starts(name, "core-") && numberOf(name) > shape.cores)) later(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
   for (int number = 1; number <= shape.tenants; ++number) isolated["tenant-" + std::to_string(number)] = number % 2 == 0;
-  later(500ms, [this] { change(firstBlueprint(), true, "first", -1, 1); });
+  later(500ms, [this] { change(firstConfiguration(), true, "first", -1, 1); });
   watchHolders();
   watchReads();
   sendBursts();
@@ -106,7 +106,7 @@
 
 Moment World::localNow(const std::string& name) const { return actors.at(name)->local(clock); }
 
-std::string World::firstBlueprint() const {
+std::string World::firstConfiguration() const {
   std::string text = R"({"weights":{"w1":{"model":"rooster-llm"},"w2":{"model":"rooster-llm"},"w3":{"model":"rooster-llm"}},)"
                      R"("models":{"rooster-llm":{"weights":"w1"}},"policies":{"p":"fetch peer when hits >= 4 and speed >= 100 and busyness < 0.95\nfetch store when hits >= 4 and speed >= 100"},)"
                      R"("routes":{"plan":{"model":"rooster-llm","policy":"p"},"swap":{"model":"rooster-llm","policy":"p"},"reminder":{"model":"rooster-llm"},"app":{"model":"rooster-llm","kind":"app"}},"tenants":{)";
@@ -120,7 +120,7 @@
   return text + "},\"keys\":{" + keys + "}}";
 }
 
-void World::later(Span span, std::function<void()> deed) { dues.push(Due{clock + span, ++dueCount, std::move(deed)}); }
+void World::later(Span span, std::function<void()> action) { dues.push(Due{clock + span, ++dueCount, std::move(action)}); }
 
 std::string World::addressOf(const std::string& name) const {
   auto moved = addressMoves.find(name);
@@ -171,35 +171,35 @@
       return;
     }
     actor.ring = std::move(opened).value();
-    CoreProps props;
-    props.name = "core-" + std::to_string(std::min(numberOf(name), shape.cores));
-    props.address = actor.address;
-    props.locality = actor.locality;
-    props.platformAddress = addressOf("platform");
-    props.localities = shape.localities;
-    props.recordRoom = actor.ring->room() / 2;
-    props.defences = defences;
+    CoreSettings settings;
+    settings.name = "core-" + std::to_string(std::min(numberOf(name), shape.cores));
+    settings.address = actor.address;
+    settings.locality = actor.locality;
+    settings.platformAddress = addressOf("platform");
+    settings.localities = shape.localities;
+    settings.recordRoom = actor.ring->room() / 2;
+    settings.defences = defences;
     for (int number = 1; number <= shape.cores; ++number) {
       std::string other = "core-" + std::to_string(number);
-      if (other != name) props.seeds.push_back(actors.at(other)->address);
+      if (other != name) settings.seeds.push_back(actors.at(other)->address);
     }
-    actor.node = std::make_unique<Core>(props, actor.ring->held(), random, now);
+    actor.node = std::make_unique<Core>(settings, actor.ring->held(), random, now);
   } else if (starts(name, "agent-")) {
-    AgentProps props{name, actor.address, actor.locality, {}, defences};
+    AgentSettings settings{name, actor.address, actor.locality, {}, defences};
     for (int at = 0; at < std::min(3, shape.cores); ++at)
-      props.seeds.push_back(actors.at("core-" + std::to_string((numberOf(name) + at) % shape.cores + 1))->address);
-    actor.node = std::make_unique<Agent>(props);
+      settings.seeds.push_back(actors.at("core-" + std::to_string((numberOf(name) + at) % shape.cores + 1))->address);
+    actor.node = std::make_unique<Agent>(settings);
   } else if (starts(name, "proxy-")) {
-    EdgeProps props;
-    props.name = name + "." + std::to_string(actor.life);
-    props.address = actor.address;
-    props.locality = actor.locality;
-    props.agentAddress = addressOf("agent-" + std::to_string(numberOf(name)));
-    props.fetching = shape.fetching;
-    props.firstByteWait = 6s;
-    props.chunkWait = 3s;
-    props.defences = defences;
-    actor.node = std::make_unique<Edge>(props);
+    EdgeSettings settings;
+    settings.name = name + "." + std::to_string(actor.life);
+    settings.address = actor.address;
+    settings.locality = actor.locality;
+    settings.agentAddress = addressOf("agent-" + std::to_string(numberOf(name)));
+    settings.fetching = shape.fetching;
+    settings.firstByteWait = 6s;
+    settings.chunkWait = 3s;
+    settings.defences = defences;
+    actor.node = std::make_unique<Edge>(settings);
   } else if (name == "platform") {
     auto fresh = std::make_unique<PlatformNode>();
     if (actor.node)
@@ -207,26 +207,26 @@
     for (auto& [worker, since] : leavingAt) since = clock;
     actor.node = std::move(fresh);
   } else {
-    KeeperProps props;
-    props.name = name;
-    props.address = actor.address;
-    props.slots = shape.slots;
-    props.loadMs = shape.loadMs;
-    props.tokenMs = shape.tokenMs;
-    props.keepMost = shape.keepMost;
-    props.defences = defences;
+    KeeperSettings settings;
+    settings.name = name;
+    settings.address = actor.address;
+    settings.slots = shape.slots;
+    settings.loadMs = shape.loadMs;
+    settings.tokenMs = shape.tokenMs;
+    settings.keepMost = shape.keepMost;
+    settings.defences = defences;
     if (starts(name, "worker-")) {
-      props.model = modelName;
-      props.weights = "w1";
-      props.storeAddress = addressOf("store");
+      settings.model = modelName;
+      settings.weights = "w1";
+      settings.storeAddress = addressOf("store");
     } else if (name == "store") {
-      props.kind = "store";
-      props.keepMost = 4000;
+      settings.kind = "store";
+      settings.keepMost = 4000;
     } else {
-      props.kind = "app";
-      props.slots = 32;
+      settings.kind = "app";
+      settings.slots = 32;
     }
-    auto keeperNode = std::make_unique<KeeperNode>(props, "life" + std::to_string(actor.life));
+    auto keeperNode = std::make_unique<KeeperNode>(settings, "life" + std::to_string(actor.life));
     keeperNode->faults = actor.faults;
     actor.node = std::move(keeperNode);
   }
@@ -316,7 +316,7 @@
     release(woken, std::move(sends));
     auto held = std::move(woken.held);
     woken.held.clear();
-    for (auto& deed : held) deed();
+    for (auto& action : held) action();
   });
 }
 
@@ -365,35 +365,35 @@
       due.held.push_back([this, name, life] { scheduleTick(name, life); });
       return;
     }
-    drive(due, [&](Desk& desk) {
+    drive(due, [&](Effects& effects) {
       if (auto* coreNode = dynamic_cast<Core*>(due.node.get()))
         coreNode->diskWaits(due.oldestSave == Moment{} ? Span(0) : clock - due.oldestSave);
-      due.node->tick(desk);
+      due.node->tick(effects);
     });
     scheduleTick(name, life);
   });
 }
 
-void World::drive(Actor& actor, const std::function<void(Desk&)>& deed) {
-  Desk desk{actor.local(clock), random, actor.node->journal, {}, {}};
-  deed(desk);
-  if (!desk.saves.empty()) {
+void World::drive(Actor& actor, const std::function<void(Effects&)>& action) {
+  Effects effects{actor.local(clock), random, actor.node->journal, {}, {}};
+  action(effects);
+  if (!effects.saves.empty()) {
     if (actor.oldestSave == Moment{}) actor.oldestSave = clock;
-    for (auto& save : desk.saves) actor.saves.push_back(std::move(save));
+    for (auto& save : effects.saves) actor.saves.push_back(std::move(save));
     startSync(actor);
   }
   if (actor.freezeAtSending) {
     bool sending = false;
-    for (const auto& [to, message] : desk.sends)
+    for (const auto& [to, message] : effects.sends)
       sending = sending || std::holds_alternative<ControlAsk>(message) || std::holds_alternative<WorkerOrder>(message);
     if (sending) {
       actor.freezeAtSending = false;
-      actor.heldSends = std::move(desk.sends);
+      actor.heldSends = std::move(effects.sends);
       freeze(actor.name, actor.freezeSpan);
       return;
     }
   }
-  release(actor, std::move(desk.sends));
+  release(actor, std::move(effects.sends));
 }
 
 void World::release(Actor& actor, std::vector<std::pair<std::string, Message>> sends) {
@@ -429,9 +429,9 @@
   due.syncing.clear();
   due.syncBusy = false;
   due.oldestSave = due.saves.empty() ? Moment{} : clock;
-  drive(due, [&](Desk& desk) {
+  drive(due, [&](Effects& effects) {
     for (auto& save : done)
-      if (save.then) save.then(desk);
+      if (save.then) save.then(effects);
   });
   startSync(due);
 }
@@ -463,7 +463,7 @@
     return;
   }
   if (to == "operator") {
-    if (auto* reply = std::get_if<OperatorReply>(&message)) operatorAnswer(*reply);
+    if (auto* reply = std::get_if<OperatorResponse>(&message)) operatorAnswer(*reply);
     return;
   }
   auto found = nameByAddress.find(to);
@@ -539,7 +539,7 @@
     });
     return;
   }
-  drive(actor, [&](Desk& desk) { actor.node->take(desk, from, message); });
+  drive(actor, [&](Effects& effects) { actor.node->take(effects, from, message); });
 }
 
 void World::runUntil(Moment until) {
@@ -547,7 +547,7 @@
     Due due = dues.top();
     dues.pop();
     clock = due.at;
-    due.deed();
+    due.action();
   }
   clock = until;
 }
@@ -674,10 +674,10 @@
 
 void World::watch(const std::string& name, const Event& event) {
   ++counts[event.kind];
-  if (auto found = noteDeeds.find(event.kind); found != noteDeeds.end()) {
-    auto deed = std::move(found->second);
-    noteDeeds.erase(found);
-    deed();
+  if (auto found = noteActions.find(event.kind); found != noteActions.end()) {
+    auto action = std::move(found->second);
+    noteActions.erase(found);
+    action();
   }
   if (event.kind == "ran") {
     std::string orderId = baseOrder(event.subject);
@@ -717,7 +717,7 @@
   } else if (event.kind == "admitted") {
     ++admitted;
     auto* at = edge(name);
-    std::uint64_t index = at->blueprint().index();
+    std::uint64_t index = at->configuration().index();
     readShown(name, index);
     admittedLately.emplace_back(clock, name);
     auto& order = orderRows[event.subject];
@@ -752,10 +752,10 @@
   ackRows.push_back(row);
   std::size_t at = ackByAsk[askId];
   if (loseAnswer) lostAnswers.insert(askId);
-  askCore(OperatorAsk{askId, body, whole, ifRevision, id, 0}, at, coreNumber);
+  askCore(OperatorRequest{askId, body, whole, ifRevision, id, 0}, at, coreNumber);
 }
 
-void World::askCore(const OperatorAsk& ask, std::size_t at, int number) {
+void World::askCore(const OperatorRequest& ask, std::size_t at, int number) {
   if (ackRows[at].acked || clock > ackRows[at].askedAt + 40s) return;
   auto& actor = *actors.at("core-" + std::to_string((number - 1) % shape.cores + 1));
   if (actor.alive)
@@ -766,7 +766,7 @@
   later(1500ms, [this, ask, at, number] { askCore(ask, at, number + 1); });
 }
 
-void World::operatorAnswer(const OperatorReply& reply) {
+void World::operatorAnswer(const OperatorResponse& reply) {
   auto found = ackByAsk.find(reply.askId);
   if (found == ackByAsk.end()) return;
   auto& ack = ackRows[found->second];
@@ -782,9 +782,9 @@
     if (auto* node = core(name))
       for (const auto& entry : node->agreement().entries())
         if (entry.changeId == ack.changeId) ack.index = entry.index;
-  if (auto deed = ackDeeds.find(ack.changeId); deed != ackDeeds.end()) {
-    later(Span(0), std::move(deed->second));
-    ackDeeds.erase(deed);
+  if (auto action = ackActions.find(ack.changeId); action != ackActions.end()) {
+    later(Span(0), std::move(action->second));
+    ackActions.erase(action);
   }
   if (starts(ack.changeId, "revoke ") && !restored.count(ack.changeId.substr(7))) revokedAt[ack.changeId.substr(7)] = clock;
   if (starts(ack.changeId, "weights ") && ack.index > lastNamedIndex) {
@@ -818,8 +818,8 @@
   for (const auto& [name, actor] : actors) {
     if (!actor->alive || clock < actor->frozenUntil) continue;
     Moment now = actor->local(clock);
-    if (auto* node = core(name); node && node->readsConfirmed(now)) readShown(name, node->agreement().blueprint().index());
-    if (auto* node = edge(name); node && node->fresh(now)) readShown(name, node->blueprint().index());
+    if (auto* node = core(name); node && node->readsConfirmed(now)) readShown(name, node->agreement().configuration().index());
+    if (auto* node = edge(name); node && node->fresh(now)) readShown(name, node->configuration().index());
   }
   for (auto row = lookupsOpen.begin(); row != lookupsOpen.end();) {
     const auto& actor = *actors.at(row->first.substr(0, row->first.find('/')));
@@ -866,14 +866,14 @@
     }
 }
 
-void World::checkBlueprints() {
-  std::map<std::uint64_t, std::vector<std::pair<std::string, const Blueprint*>>> views;
+void World::checkConfigurations() {
+  std::map<std::uint64_t, std::vector<std::pair<std::string, const Configuration*>>> views;
   for (const auto& [name, actor] : actors) {
     if (!actor->alive) continue;
-    if (auto* node = core(name)) views[node->agreement().blueprint().index()].emplace_back(name, &node->agreement().blueprint());
-    if (auto* node = edge(name)) views[node->blueprint().index()].emplace_back(name, &node->blueprint());
+    if (auto* node = core(name)) views[node->agreement().configuration().index()].emplace_back(name, &node->agreement().configuration());
+    if (auto* node = edge(name)) views[node->configuration().index()].emplace_back(name, &node->configuration());
   }
-  Blueprint model;
+  Configuration model;
   std::uint64_t expected = 0;
   for (const auto& [index, row] : canon) {
     if (index != ++expected) return violate("acked-lost", "entry " + std::to_string(expected) + " was applied by no core");
@@ -900,7 +900,7 @@
 void World::watchReach(std::size_t at) {
   auto& ack = ackRows[at];
   for (const auto& [name, actor] : actors)
-    if (starts(name, "proxy-") && actor->alive && clock >= actor->frozenUntil && edge(name)->blueprint().index() < ack.index) {
+    if (starts(name, "proxy-") && actor->alive && clock >= actor->frozenUntil && edge(name)->configuration().index() < ack.index) {
       if (clock < ack.at + 10s) later(5ms, [this, at] { watchReach(at); });
       return;
     }
@@ -961,7 +961,7 @@
       continue;
     }
     for (const auto& [locality, cell] : node->cellsByLocality())
-      if ("cell/" + locality == duty) holders += cell->ballot.holds(now);
+      if ("cell/" + locality == duty) holders += cell->election.holds(now);
   }
   return holders;
 }
@@ -974,7 +974,7 @@
     Moment now = actor->local(clock);
     if (duty == "accord" && node->agreement().leads(now)) return name;
     for (const auto& [locality, cell] : node->cellsByLocality())
-      if ("cell/" + locality == duty && cell->ballot.holds(now)) return name;
+      if ("cell/" + locality == duty && cell->election.holds(now)) return name;
   }
   return {};
 }
@@ -984,16 +984,16 @@
     if (!ack.acked || ack.code != static_cast<int>(Code::changeTaken)) continue;
     bool held = false;
     for (const auto& [name, actor] : actors)
-      if (auto* node = core(name)) held = held || node->agreement().blueprint().takenAs(ack.changeId).has_value();
+      if (auto* node = core(name)) held = held || node->agreement().configuration().takenAs(ack.changeId).has_value();
     if (!held) violate("acked-lost", ack.changeId + " is in no core's blueprint");
     for (const auto& [name, actor] : actors) {
       auto* node = core(name);
       if (!node || !node->agreement().formed() || clock < actor->frozenUntil + 5s) continue;
-      if (node->agreement().leads(actor->local(clock)) && !node->agreement().blueprint().takenAs(ack.changeId))
+      if (node->agreement().leads(actor->local(clock)) && !node->agreement().configuration().takenAs(ack.changeId))
         violate("acked-lost", ack.changeId + " is unknown to the leader " + name);
     }
   }
-  checkBlueprints();
+  checkConfigurations();
   if (admitted >= 50 && retries * 5 > admitted) violate("too-many-retries", std::to_string(retries) + " retries of " + std::to_string(admitted) + " orders");
 }
 
--- a/src/sim.hpp
+++ b/src/sim/sim.hpp
@@ -51,7 +51,7 @@
   Moment now() const { return clock; }
   /// What the machine's own steady clock shows.
   Moment localNow(const std::string& name) const;
-  std::mt19937_64& dice() { return random; }
+  std::mt19937_64& randomSource() { return random; }
 
   /// What scenarios do. A name is core-1, agent-2, proxy-2, worker-3, app, store, platform.
   void kill(const std::string& name);
@@ -68,9 +68,9 @@
   void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer = false);
   void nameWeights(const std::string& weights);
   /// Does something once, the moment anyone notes an event of this kind.
-  void onNote(const std::string& kind, std::function<void()> deed) { noteDeeds[kind] = std::move(deed); }
+  void onNote(const std::string& kind, std::function<void()> action) { noteActions[kind] = std::move(action); }
   /// Does something once, the moment a change is acknowledged.
-  void onAck(const std::string& changeId, std::function<void()> deed) { ackDeeds[changeId] = std::move(deed); }
+  void onAck(const std::string& changeId, std::function<void()> action) { ackActions[changeId] = std::move(action); }
   void revoke(const std::string& tenant);
   /// Gives a revoked tenant its old key back.
   void restore(const std::string& tenant);
@@ -137,7 +137,7 @@
   struct Due {
     Moment at;
     std::uint64_t sequence;
-    std::function<void()> deed;
+    std::function<void()> action;
     bool operator<(const Due& other) const {
       return at != other.at ? at > other.at : sequence > other.sequence;
     }
@@ -193,17 +193,17 @@
   std::map<std::string, int> addressMoves, crashes;
   bool crashesHere(const Message& message);
 
-  void later(Span span, std::function<void()> deed);
+  void later(Span span, std::function<void()> action);
   void make(const std::string& name);
   void scheduleTick(const std::string& name, std::uint64_t life);
-  void drive(Actor& actor, const std::function<void(Desk&)>& deed);
+  void drive(Actor& actor, const std::function<void(Effects&)>& action);
   void release(Actor& actor, std::vector<std::pair<std::string, Message>> sends);
   void post(Actor& from, const std::string& to, Message message);
   void arrive(const std::string& from, const std::string& toName, std::uint64_t life, Message message);
   void give(Actor& actor, const std::string& from, const Message& message);
   void startSync(Actor& actor);
   void finishSync(const std::string& name, std::uint64_t life);
-  void askCore(const OperatorAsk& ask, std::size_t at, int number);
+  void askCore(const OperatorRequest& ask, std::size_t at, int number);
   bool linked(const std::string& one, const std::string& other) const;
   void toCaller(const Message& message);
   void sendLoad(const std::string& kind, double rate);
@@ -214,14 +214,14 @@
   void readShown(const std::string& who, std::uint64_t index);
   void watchEntry(const std::string& name, std::uint64_t index);
   void watchRetries(const std::string& proxy);
-  void checkBlueprints();
+  void checkConfigurations();
   void watch(const std::string& name, const Event& event);
   void violate(const std::string& invariant, const std::string& text);
   std::string addressOf(const std::string& name) const;
   std::string localityOf(const std::string& name) const;
-  void operatorAnswer(const OperatorReply& reply);
-  std::string firstBlueprint() const;
-  std::map<std::string, std::function<void()>> ackDeeds, noteDeeds;
+  void operatorAnswer(const OperatorResponse& reply);
+  std::string firstConfiguration() const;
+  std::map<std::string, std::function<void()>> ackActions, noteActions;
   void watchHolders();
   void watchReach(std::size_t ack);
 };
--- a/src/standin.cpp
+++ b/src/sim/standin.cpp
@@ -11,23 +11,23 @@
 std::string originOf(const std::string& weights, const std::string& tenant) { return weights + "/" + tenant; }
 }  // namespace
 
-KeeperNode::KeeperNode(KeeperProps keeperProps, std::string incarnationMark)
-    : given(std::move(keeperProps)), incarnation(std::move(incarnationMark)), currentWeights(given.weights) {}
+KeeperNode::KeeperNode(KeeperSettings keeperSettings, std::string incarnationMark)
+    : given(std::move(keeperSettings)), incarnation(std::move(incarnationMark)), currentWeights(given.weights) {}
 
 RunRecord* KeeperNode::recordOf(const Run& run) {
   return run.record >= recordBase && run.record - recordBase < records.size() ? &records[run.record - recordBase] : nullptr;
 }
 
-void KeeperNode::tell(Desk& desk, KeptKind kind, const Hashes& hashes) {
+void KeeperNode::tell(Effects& effects, KeptKind kind, const Hashes& hashes) {
   if (hashes.empty() && kind != KeptKind::cleared) return;
-  if (faults.forgetEvents && static_cast<int>(desk.roll(100)) < faults.forgetEvents) return;
-  Told told{KeptEvent{++sequence, static_cast<int>(kind), hashes}, desk.now, false};
-  told.lost = faults.loseEvents && static_cast<int>(desk.roll(100)) < faults.loseEvents;
+  if (faults.forgetEvents && static_cast<int>(effects.roll(100)) < faults.forgetEvents) return;
+  Told told{KeptEvent{++sequence, static_cast<int>(kind), hashes}, effects.now, false};
+  told.lost = faults.loseEvents && static_cast<int>(effects.roll(100)) < faults.loseEvents;
   events.push_back(std::move(told));
   if (events.size() > eventsMost) events.pop_front();
 }
 
-void KeeperNode::keep(Desk& desk, const Hashes& hashes, const Strings& origins) {
+void KeeperNode::keep(Effects& effects, const Hashes& hashes, const Strings& origins) {
   Hashes fresh;
   for (std::size_t at = 0; at < hashes.size(); ++at) {
     auto found = kept.find(hashes[at]);
@@ -39,17 +39,17 @@
     kept[hashes[at]] = Kept{at < origins.size() ? origins[at] : std::string(), std::prev(byUse.end())};
     fresh.push_back(hashes[at]);
   }
-  tell(desk, KeptKind::stored, fresh);
+  tell(effects, KeptKind::stored, fresh);
   Hashes gone;
   while (kept.size() > given.keepMost) {
     gone.push_back(byUse.front());
     kept.erase(byUse.front());
     byUse.pop_front();
   }
-  tell(desk, KeptKind::removed, gone);
+  tell(effects, KeptKind::removed, gone);
 }
 
-void KeeperNode::drop(Desk& desk, const Hashes& hashes) {
+void KeeperNode::drop(Effects& effects, const Hashes& hashes) {
   Hashes gone;
   for (const auto& hash : hashes) {
     auto found = kept.find(hash);
@@ -58,16 +58,16 @@
     kept.erase(found);
     gone.push_back(hash);
   }
-  tell(desk, KeptKind::removed, gone);
+  tell(effects, KeptKind::removed, gone);
 }
 
-void KeeperNode::forget(Desk& desk, bool saying) {
+void KeeperNode::forget(Effects& effects, bool saying) {
   kept.clear();
   byUse.clear();
-  if (saying) tell(desk, KeptKind::cleared, {});
+  if (saying) tell(effects, KeptKind::cleared, {});
 }
 
-void KeeperNode::end(Desk& desk, const std::string& orderId, Outcome outcome, Code code, const char* word) {
+void KeeperNode::end(Effects& effects, const std::string& orderId, Outcome outcome, Code code, const char* word) {
   auto found = running.find(orderId);
   if (found == running.end()) return;
   WorkerEnd said{orderId, static_cast<int>(outcome), static_cast<int>(code), 0, 0, 0};
@@ -77,14 +77,14 @@
     said.fetched = record->fetched;
     said.computed = record->computed;
   }
-  desk.send(found->second.from, said);
+  effects.send(found->second.from, said);
   running.erase(found);
 }
 
-void KeeperNode::onOrder(Desk& desk, const std::string& from, const WorkerOrder& ask) {
+void KeeperNode::onOrder(Effects& effects, const std::string& from, const WorkerOrder& ask) {
   auto deny = [&](Code code) {
-    desk.note("worker denied", ask.orderId, static_cast<int>(code));
-    desk.send(from, WorkerEnd{ask.orderId, static_cast<int>(Outcome::denied), static_cast<int>(code), 0, 0, 0});
+    effects.note("worker denied", ask.orderId, static_cast<int>(code));
+    effects.send(from, WorkerEnd{ask.orderId, static_cast<int>(Outcome::denied), static_cast<int>(code), 0, 0, 0});
   };
   if (drains || loadDue != Moment{}) return deny(Code::workerDraining);
   if (given.kind == "language" && (ask.app || ask.model != given.model || (ask.weights != currentWeights && !faults.anyWeights)))
@@ -106,12 +106,12 @@
     records.pop_front();
     ++recordBase;
   }
-  desk.note(ask.moves ? "move ran" : "ran", ask.orderId, static_cast<std::int64_t>(ask.hashes.size()));
+  effects.note(ask.moves ? "move ran" : "ran", ask.orderId, static_cast<std::int64_t>(ask.hashes.size()));
   if (!ask.moves) {
     std::string mark = ask.parts.empty() ? std::string() : ask.parts.back().substr(0, ask.parts.back().find(' '));
     if (mark.rfind("mark-", 0) != 0 || mark.size() > 64) mark = "-";
     auto worded = [](const std::string& text) { return text.empty() ? std::string("-") : text; };
-    desk.note("ran for", ask.orderId + " " + worded(currentWeights) + " " + worded(ask.tenant) + " " + mark);
+    effects.note("ran for", ask.orderId + " " + worded(currentWeights) + " " + worded(ask.tenant) + " " + mark);
   }
   auto& placed = running[ask.orderId] = std::move(run);
   if (!ask.sourceAddress.empty()) {
@@ -120,15 +120,15 @@
       if (!kept.count(hash)) wanted.push_back(hash);
     if (!wanted.empty()) {
       placed.phase = Run::Phase::pulling;
-      placed.due = desk.now + pullWait;
-      desk.send(ask.sourceAddress, PullAsk{ask.orderId, wanted});
+      placed.due = effects.now + pullWait;
+      effects.send(ask.sourceAddress, PullAsk{ask.orderId, wanted});
       return;
     }
   }
-  begin(desk, placed);
+  begin(effects, placed);
 }
 
-void KeeperNode::begin(Desk& desk, Run& run) {
+void KeeperNode::begin(Effects& effects, Run& run) {
   auto* record = recordOf(run);
   std::size_t local = 0;
   std::string mine = originOf(currentWeights, run.ask.tenant);
@@ -140,11 +140,11 @@
     std::string originTenant = found->second.origin.substr(slash + 1);
     if (originWeights != currentWeights) {
       ++crossWeights;
-      desk.note("cross weights", run.ask.orderId + " " + originWeights + " " + currentWeights);
+      effects.note("cross weights", run.ask.orderId + " " + originWeights + " " + currentWeights);
     }
     if (originTenant != run.ask.tenant && !run.ask.moves) {
       ++crossTenants[originTenant + ">" + run.ask.tenant];
-      desk.note("cross tenant", originTenant + ">" + run.ask.tenant);
+      effects.note("cross tenant", originTenant + ">" + run.ask.tenant);
     }
     ++local;
   }
@@ -154,10 +154,10 @@
     record->computed = static_cast<int>(computed);
   }
   run.phase = Run::Phase::computing;
-  run.due = desk.now + spanOf(given.kind == "app" ? 5 : 5 + static_cast<double>(computed) * given.blockMs);
+  run.due = effects.now + spanOf(given.kind == "app" ? 5 : 5 + static_cast<double>(computed) * given.blockMs);
 }
 
-void KeeperNode::onReport(Desk& desk, const std::string& from, const ReportAsk& ask) {
+void KeeperNode::onReport(Effects& effects, const std::string& from, const ReportAsk& ask) {
   if (faults.silentReports) return;
   Report report;
   report.worker = given.name;
@@ -168,7 +168,7 @@
   report.slots = given.slots;
   report.draining = drains;
   report.term = highestTerm;
-  Moment horizon = desk.now - std::chrono::milliseconds(faults.lagMs);
+  Moment horizon = effects.now - std::chrono::milliseconds(faults.lagMs);
   report.sequence = sequence;
   while (report.sequence > 0 && !events.empty() && report.sequence >= events.front().event.sequence &&
          events[report.sequence - events.front().event.sequence].at > horizon)
@@ -184,22 +184,22 @@
       if (told.event.sequence > ask.after && told.event.sequence <= report.sequence && !told.lost)
         report.events.push_back(told.event);
   }
-  desk.send(from, report);
+  effects.send(from, report);
 }
 
-void KeeperNode::onControl(Desk& desk, const std::string& from, const ControlAsk& ask) {
+void KeeperNode::onControl(Effects& effects, const std::string& from, const ControlAsk& ask) {
   if (ask.incarnation != incarnation && given.defences.stands(Defence::incarnationFence)) {
-    desk.note("command denied", given.name + " " + ask.holder + " incarnation", static_cast<std::int64_t>(ask.term));
-    desk.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::incarnationOld)});
+    effects.note("command denied", given.name + " " + ask.holder + " incarnation", static_cast<std::int64_t>(ask.term));
+    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::incarnationOld)});
     return;
   }
   if (ask.term < highestTerm && given.defences.stands(Defence::termFence)) {
-    desk.note("command denied", given.name + " " + ask.holder + " term", static_cast<std::int64_t>(ask.term));
-    desk.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::termOld)});
+    effects.note("command denied", given.name + " " + ask.holder + " term", static_cast<std::int64_t>(ask.term));
+    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::termOld)});
     return;
   }
   highestTerm = std::max(highestTerm, ask.term);
-  desk.note("command taken", given.name + " " + ask.holder + " " + ask.action, static_cast<std::int64_t>(ask.term));
+  effects.note("command taken", given.name + " " + ask.holder + " " + ask.action, static_cast<std::int64_t>(ask.term));
   if (ask.action == "drain") {
     drains = true;
   } else if (ask.action == "load") {
@@ -208,23 +208,23 @@
       if (currentWeights != ask.weights) {
         Strings open;
         for (const auto& [orderId, run] : running) open.push_back(orderId);
-        for (const auto& orderId : open) end(desk, orderId, Outcome::broken, Code::workerDraining, "cut by load");
+        for (const auto& orderId : open) end(effects, orderId, Outcome::broken, Code::workerDraining, "cut by load");
         loadingWeights = ask.weights;
-        loadDue = desk.now + std::chrono::milliseconds(given.loadMs);
+        loadDue = effects.now + std::chrono::milliseconds(given.loadMs);
       }
     }
   } else if (ask.action == "admit") {
     if (loadDue == Moment{} && currentWeights == ask.weights) drains = false;
   }
-  desk.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::done)});
+  effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::done)});
 }
 
-void KeeperNode::tick(Desk& desk) {
-  if (loadDue != Moment{} && desk.now >= loadDue && !faults.loadFails) {
+void KeeperNode::tick(Effects& effects) {
+  if (loadDue != Moment{} && effects.now >= loadDue && !faults.loadFails) {
     currentWeights = loadingWeights;
     loadDue = Moment{};
-    forget(desk, true);
-    desk.note("weights loaded", given.name + " " + currentWeights);
+    forget(effects, true);
+    effects.note("weights loaded", given.name + " " + currentWeights);
   }
   if (faults.stalled) return;
   Strings ids;
@@ -233,46 +233,46 @@
     auto found = running.find(orderId);
     if (found == running.end()) continue;
     auto& run = found->second;
-    if (desk.now < run.due) continue;
+    if (effects.now < run.due) continue;
     if (run.phase == Run::Phase::pulling) {
-      begin(desk, run);
+      begin(effects, run);
     } else if (run.phase == Run::Phase::waiting) {
-      keep(desk, run.pulled, run.origins);
+      keep(effects, run.pulled, run.origins);
       if (auto* record = recordOf(run)) record->fetched = static_cast<int>(run.pulled.size());
       pulledBlocks += static_cast<std::int64_t>(run.pulled.size());
-      begin(desk, run);
+      begin(effects, run);
     } else if (run.phase == Run::Phase::computing) {
       Strings origins(run.ask.hashes.size(), originOf(currentWeights, run.ask.tenant));
-      keep(desk, run.ask.hashes, origins);
-      if (!given.storeAddress.empty() && !run.ask.hashes.empty()) desk.send(given.storeAddress, StoreMsg{run.ask.hashes, origins});
+      keep(effects, run.ask.hashes, origins);
+      if (!given.storeAddress.empty() && !run.ask.hashes.empty()) effects.send(given.storeAddress, StoreMsg{run.ask.hashes, origins});
       run.phase = Run::Phase::talking;
-      run.due = desk.now;
+      run.due = effects.now;
     }
     if (run.phase == Run::Phase::talking) {
-      while (run.said < run.ask.maxTokens && desk.now >= run.due) {
+      while (run.said < run.ask.maxTokens && effects.now >= run.due) {
         ++run.said;
         if (auto* record = recordOf(run)) record->tokens = run.said;
-        desk.send(run.from, WorkerChunk{orderId, given.name + ":" + std::to_string(run.said) + " "});
+        effects.send(run.from, WorkerChunk{orderId, given.name + ":" + std::to_string(run.said) + " "});
         run.due += spanOf(given.tokenMs);
       }
-      if (run.said >= run.ask.maxTokens) end(desk, orderId, Outcome::done, Code::done, "done");
+      if (run.said >= run.ask.maxTokens) end(effects, orderId, Outcome::done, Code::done, "done");
     }
   }
 }
 
-void KeeperNode::take(Desk& desk, const std::string& from, const Message& message) {
+void KeeperNode::take(Effects& effects, const std::string& from, const Message& message) {
   if (auto* order = std::get_if<WorkerOrder>(&message)) {
-    onOrder(desk, from, *order);
+    onOrder(effects, from, *order);
   } else if (auto* gone = std::get_if<WorkerDrop>(&message)) {
     auto found = running.find(gone->orderId);
     if (found == running.end()) return;
     if (auto* record = recordOf(found->second)) record->outcome = "dropped";
-    desk.note("worker freed", gone->orderId);
+    effects.note("worker freed", gone->orderId);
     running.erase(found);
   } else if (auto* report = std::get_if<ReportAsk>(&message)) {
-    onReport(desk, from, *report);
+    onReport(effects, from, *report);
   } else if (auto* control = std::get_if<ControlAsk>(&message)) {
-    onControl(desk, from, *control);
+    onControl(effects, from, *control);
   } else if (auto* pull = std::get_if<PullAsk>(&message)) {
     PullReply reply{pull->pullId, {}, {}};
     for (const auto& hash : pull->hashes)
@@ -280,7 +280,7 @@
         reply.hashes.push_back(hash);
         reply.origins.push_back(found->second.origin);
       }
-    desk.send(from, reply);
+    effects.send(from, reply);
   } else if (auto* reply = std::get_if<PullReply>(&message)) {
     auto found = running.find(reply->pullId);
     if (found == running.end() || found->second.phase != Run::Phase::pulling) return;
@@ -289,19 +289,19 @@
     run.origins = reply->origins;
     run.phase = Run::Phase::waiting;
     double linkMs = faults.linkMs > 0 ? faults.linkMs : given.linkMs;
-    run.due = desk.now + spanOf(static_cast<double>(run.pulled.size()) * linkMs);
-    desk.note("pulled", reply->pullId, static_cast<std::int64_t>(run.pulled.size()));
+    run.due = effects.now + spanOf(static_cast<double>(run.pulled.size()) * linkMs);
+    effects.note("pulled", reply->pullId, static_cast<std::int64_t>(run.pulled.size()));
   } else if (auto* stored = std::get_if<StoreMsg>(&message)) {
-    keep(desk, stored->hashes, stored->origins);
+    keep(effects, stored->hashes, stored->origins);
   }
 }
 
-void PlatformNode::take(Desk& desk, const std::string& from, const Message& message) {
+void PlatformNode::take(Effects& effects, const std::string& from, const Message& message) {
   auto* ask = std::get_if<MachinesAsk>(&message);
   if (!ask) return;
   MachinesReply reply{ask->askedAt, {}};
   for (const auto& [name, machine] : rows) reply.machines.push_back(machine);
-  desk.send(from, reply);
+  effects.send(from, reply);
 }
 void PlatformNode::set(const Machine& machine) { rows[machine.name] = machine; }
 void PlatformNode::mark(const std::string& name, bool leaving) {
--- a/src/standin.hpp
+++ b/src/sim/standin.hpp
@@ -2,11 +2,11 @@
 #include <list>
 
 #include "defences.hpp"
-#include "desk.hpp"
+#include "effects.hpp"
 
 namespace tt {
 
-struct KeeperProps {
+struct KeeperSettings {
   std::string name, address, kind{"language"}, model, weights, storeAddress;
   int slots{8};
   double blockMs{4}, tokenMs{20}, linkMs{0.2};
@@ -41,19 +41,19 @@
 /// Stands in for a language worker, the application worker or the store, as docs/backends.md describes them.
 class KeeperNode : public Node {
  public:
-  KeeperNode(KeeperProps keeperProps, std::string incarnationMark);
-  void take(Desk& desk, const std::string& from, const Message& message) override;
-  void tick(Desk& desk) override;
+  KeeperNode(KeeperSettings keeperSettings, std::string incarnationMark);
+  void take(Effects& effects, const std::string& from, const Message& message) override;
+  void tick(Effects& effects) override;
   KeeperFaults faults;
   const std::deque<RunRecord>& runs() const { return records; }
-  const KeeperProps& props() const { return given; }
+  const KeeperSettings& settings() const { return given; }
   const std::string& weights() const { return currentWeights; }
   bool draining() const { return drains; }
   std::size_t keptCount() const { return kept.size(); }
   bool keeps(const BlockHash& hash) const { return kept.count(hash) > 0; }
   /// Forgets every block, with or without saying so.
-  void forget(Desk& desk, bool saying);
-  void evict(Desk& desk, const Hashes& hashes) { drop(desk, hashes); }
+  void forget(Effects& effects, bool saying);
+  void evict(Effects& effects, const Hashes& hashes) { drop(effects, hashes); }
   std::int64_t crossWeights{0};
   std::map<std::string, std::int64_t> crossTenants;
   /// Blocks pulled that were beyond the prompt that a move named.
@@ -74,7 +74,7 @@
     Strings origins;
     int said{0};
   };
-  KeeperProps given;
+  KeeperSettings given;
   std::string incarnation, currentWeights, loadingWeights, loadingModel;
   bool drains{false};
   Moment loadDue{};
@@ -91,22 +91,22 @@
   std::deque<RunRecord> records;
   std::string lastHolder;
 
-  void tell(Desk& desk, KeptKind kind, const Hashes& hashes);
-  void keep(Desk& desk, const Hashes& hashes, const Strings& origins);
-  void drop(Desk& desk, const Hashes& hashes);
-  void begin(Desk& desk, Run& run);
-  void end(Desk& desk, const std::string& orderId, Outcome outcome, Code code, const char* word);
-  void onOrder(Desk& desk, const std::string& from, const WorkerOrder& ask);
-  void onReport(Desk& desk, const std::string& from, const ReportAsk& ask);
-  void onControl(Desk& desk, const std::string& from, const ControlAsk& ask);
+  void tell(Effects& effects, KeptKind kind, const Hashes& hashes);
+  void keep(Effects& effects, const Hashes& hashes, const Strings& origins);
+  void drop(Effects& effects, const Hashes& hashes);
+  void begin(Effects& effects, Run& run);
+  void end(Effects& effects, const std::string& orderId, Outcome outcome, Code code, const char* word);
+  void onOrder(Effects& effects, const std::string& from, const WorkerOrder& ask);
+  void onReport(Effects& effects, const std::string& from, const ReportAsk& ask);
+  void onControl(Effects& effects, const std::string& from, const ControlAsk& ask);
   RunRecord* recordOf(const Run& run);
 };
 
 /// Stands in for the platform: lists machines and marks those that leave.
 class PlatformNode : public Node {
  public:
-  void take(Desk& desk, const std::string& from, const Message& message) override;
-  void tick(Desk&) override {}
+  void take(Effects& effects, const std::string& from, const Message& message) override;
+  void tick(Effects&) override {}
   void set(const Machine& machine);
   void mark(const std::string& name, bool leaving);
   void remove(const std::string& name);
--- a/src/ring.hpp
+++ b/src/storage/ring.hpp
@@ -1,9 +1,9 @@
 #pragma once
-#include "desk.hpp"
+#include "effects.hpp"
 
 namespace tt {
 
-/// The few file deeds that the ring needs, so that it runs over a real folder and over sim's memory alike.
+/// The few file actions that the ring needs, so that it runs over a real folder and over sim's memory alike.
 class RingFiles {
  public:
   virtual ~RingFiles() = default;
--- a/src/main_agent.cpp
+++ b/src/tools/main_agent.cpp
@@ -4,25 +4,25 @@
 using namespace tt;
 
 int main(int count, char** words) {
-  AgentProps props;
+  AgentSettings settings;
   std::string webAddress, listenAddress;
   double threads = 2;
   bool chatty = false;
-  Props reader("trouttally-agent", "The agent beside a proxy: link to the control plane, relay of news");
-  reader.text("name", &props.name, "this machine's name", true)
-      .address("address", &props.address, "where other processes reach this one")
+  Settings reader("trouttally-agent", "The agent beside a proxy: link to the control plane, relay of news");
+  reader.text("name", &settings.name, "this machine's name", true)
+      .address("address", &settings.address, "where other processes reach this one")
       .address("listen", &listenAddress, "where it listens, if not at its address", false)
-      .text("locality", &props.locality, "this machine's locality", true)
-      .addresses("seeds", &props.seeds, "three cores to start from")
+      .text("locality", &settings.locality, "this machine's locality", true)
+      .addresses("seeds", &settings.seeds, "three cores to start from")
       .address("webAddress", &webAddress, "where condition and counters are read", false)
       .number("threads", &threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
-  startLog("agent", props.name, chatty);
+  startLog("agent", settings.name, chatty);
   asio::io_context context;
-  Agent agent(props);
+  Agent agent(settings);
   Host host(agent, context, 20ms);
-  Hub hub(context, props.address, [&](const std::string& from, Message message) { host.take(from, message); }, listenAddress);
+  Hub hub(context, settings.address, [&](const std::string& from, Message message) { host.take(from, message); }, listenAddress);
   host.carry = [&](const std::string& to, Message&& message) { hub.send(to, message); };
   agent.journal.appended.connect([](const Event& event) {
     if (event.kind == "follows" || event.kind == "parent dropped" || event.kind == "capture taken" || event.kind == "fresh" || event.kind == "stale")
@@ -34,8 +34,8 @@
       if (ask.path != "/v1/condition" && ask.path != "/v1/counters" && ask.path != "/v1/blueprint")
         return answer->finish(404, faultBody(fault(Code::unknownPath, ask.path)));
       std::string text;
-      host.with([&](Desk& desk) {
-        text = ask.path == "/v1/blueprint" ? "{\"revision\":" + std::to_string(agent.blueprint().revision()) + "}" : agent.condition(desk.now);
+      host.with([&](Effects& effects) {
+        text = ask.path == "/v1/blueprint" ? "{\"revision\":" + std::to_string(agent.configuration().revision()) + "}" : agent.condition(effects.now);
       });
       answer->finish(200, text);
     });
@@ -43,7 +43,7 @@
   }
   if (auto done = hub.listen(); !done) return failStart(done.error());
   host.start();
-  logInfo("Serving at " + props.address + ".");
+  logInfo("Serving at " + settings.address + ".");
   runPool(context, static_cast<std::size_t>(threads), [&] {
     if (server) server->close();
     hub.stop();
--- a/src/main_audit.cpp
+++ b/src/tools/main_audit.cpp
@@ -23,12 +23,12 @@
 
 int main(int count, char** words) {
   std::vector<std::string> callers, workers, events;
-  std::string blueprint, note, name;
-  Props reader("trouttally-audit", "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
+  std::string configuration, note, name;
+  Settings reader("trouttally-audit", "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
   reader.texts("callers", &callers, "the load generators' records")
       .texts("workers", &workers, "the stand-in back ends' records")
       .texts("events", &events, "what operators and the platform did, and when")
-      .text("blueprint", &blueprint, "the deployment's blueprint, for its isolated tenants")
+      .text("blueprint", &configuration, "the deployment's blueprint, for its isolated tenants")
       .text("note", &note, "print a line for the events' file instead: revoked, leaving, staying or named")
       .text("of", &name, "what that event is about: a key's secret, a worker or weights");
   if (auto code = reader.read(count, words)) return *code;
@@ -49,8 +49,8 @@
     *lines = read.value();
   }
   if (records.callers.empty() || records.workers.empty()) return failStart(fault(Code::badProps, "callers", "an audit needs records of callers and of back ends"));
-  if (!blueprint.empty()) {
-    std::ifstream source(blueprint);
+  if (!configuration.empty()) {
+    std::ifstream source(configuration);
     std::stringstream bytes;
     bytes << source.rdbuf();
     auto read = readJson(bytes.str());
--- a/src/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 struct CoreMain {
-  CoreProps props;
+  CoreSettings settings;
   std::string listenAddress, diskFaults, operatorAddress, operatorKeyHash, dataFolder;
   double ringFiles{4}, ringFileKiB{4096}, threads{3};
 };
 
-std::string operatorBody(const OperatorReply& reply) {
+std::string operatorBody(const OperatorResponse& reply) {
   JsonObject body;
   body["code"] = jsonNumber(reply.code);
   body["name"] = Json(std::string(codeName(static_cast<Code>(reply.code))));
@@ -30,15 +30,15 @@
 int main(int count, char** words) {
   CoreMain given;
   bool chatty = false;
-  Props reader("trouttally-core", "A core of the fleet: accord, cells, operator API");
-  reader.text("name", &given.props.name, "this machine's name", true)
-      .address("address", &given.props.address, "where other processes reach this one")
+  Settings reader("trouttally-core", "A core of the fleet: accord, cells, operator API");
+  reader.text("name", &given.settings.name, "this machine's name", true)
+      .address("address", &given.settings.address, "where other processes reach this one")
       .address("listen", &given.listenAddress, "where it listens, if not at its address", false)
       .text("diskFaults", &given.diskFaults, "for tries only: a file whose word the ring obeys: slow MS, stall, full, well")
-      .text("locality", &given.props.locality, "this machine's locality", true)
-      .addresses("seeds", &given.props.seeds, "the other first cores")
-      .texts("localities", &given.props.localities, "all localities that cells stand for")
-      .address("platform", &given.props.platformAddress, "the platform's HTTP address", false)
+      .text("locality", &given.settings.locality, "this machine's locality", true)
+      .addresses("seeds", &given.settings.seeds, "the other first cores")
+      .texts("localities", &given.settings.localities, "all localities that cells stand for")
+      .address("platform", &given.settings.platformAddress, "the platform's HTTP address", false)
       .address("operatorAddress", &given.operatorAddress, "where operators reach this core")
       .text("operatorKeyHash", &given.operatorKeyHash, "SHA-256 of the operator key, in hex", true)
       .text("dataFolder", &given.dataFolder, "the folder that all files live under", true)
@@ -48,7 +48,7 @@
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
   if (given.operatorKeyHash.size() != 64) return failStart(fault(Code::badProps, "operatorKeyHash", "must be 64 hexadecimal digits"));
-  startLog("core", given.props.name, chatty);
+  startLog("core", given.settings.name, chatty);
 
   auto files = FolderFiles::open(given.dataFolder, static_cast<int>(given.ringFiles), static_cast<std::size_t>(given.ringFileKiB) * 1024);
   if (!files) return failStart(files.error());
@@ -61,16 +61,16 @@
     if (!ring) return failStart(ring.error());
   }
   if (ring.value()->tornEnd()) logInfo("Torn end dropped.");
-  given.props.recordRoom = ring.value()->room() / 2;
-  if (given.props.localities.empty()) given.props.localities.push_back(given.props.locality);
+  given.settings.recordRoom = ring.value()->room() / 2;
+  if (given.settings.localities.empty()) given.settings.localities.push_back(given.settings.locality);
 
   asio::io_context context;
-  std::mt19937_64 dice(std::random_device{}());
-  Core core(given.props, ring.value()->held(), dice, Clock::now());
+  std::mt19937_64 randomSource(std::random_device{}());
+  Core core(given.settings, ring.value()->held(), randomSource, Clock::now());
   WebCalls calls;
   OpenAnswers answers;
   Host host(core, context, 20ms);
-  Hub hub(context, given.props.address, [&](const std::string& from, Message message) { host.take(from, message); }, given.listenAddress);
+  Hub hub(context, given.settings.address, [&](const std::string& from, Message message) { host.take(from, message); }, given.listenAddress);
 
   auto call = [&](const std::string& to, WebCall made, std::function<void(const std::string&)> onBody) {
     made.wholeWait = 2s;
@@ -111,12 +111,12 @@
       call(to, made, [&, to](const std::string& body) {
         if (auto reply = readControlReply(body)) host.take(to, reply.value());
       });
-    } else if (auto* reply = std::get_if<OperatorReply>(&message)) {
+    } else if (auto* reply = std::get_if<OperatorResponse>(&message)) {
       if (auto answer = answers.remove(to))
         answer->finish(codeStatus(static_cast<Code>(reply->code)), operatorBody(*reply),
                        codeStatus(static_cast<Code>(reply->code)) == 429 || codeStatus(static_cast<Code>(reply->code)) == 503 ? 1000 : 0);
-    } else if (to == given.props.address) {
-      asio::post(context, [&, message = std::move(message)] { host.take(given.props.address, message); });
+    } else if (to == given.settings.address) {
+      asio::post(context, [&, message = std::move(message)] { host.take(given.settings.address, message); });
     } else {
       hub.send(to, message);
     }
@@ -132,7 +132,7 @@
     auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
     if (ask.path == "/v1/counters" && ask.method == "GET") {
       JsonObject rows;
-      host.with([&](Desk&) {
+      host.with([&](Effects&) {
         for (const auto& [kind, number] : core.journal.counts()) rows[kind] = jsonNumber(static_cast<double>(number));
       });
       rows["bytes sent"] = jsonNumber(static_cast<double>(hub.bytesOut.load()));
@@ -142,16 +142,16 @@
     if (sha256Hex(ask.bearer) != given.operatorKeyHash) return deny(fault(Code::operatorDenied, "authorization"));
     if (ask.path == "/v1/condition" && ask.method == "GET") {
       std::string text;
-      host.with([&](Desk& desk) { text = core.condition(desk.now); });
+      host.with([&](Effects& effects) { text = core.condition(effects.now); });
       return answer->finish(200, text);
     }
     if (ask.path != "/v1/blueprint") return deny(fault(Code::unknownPath, ask.path));
     if (ask.method == "GET") {
       bool anyAge = ask.query.count("unconfirmed") > 0, confirmed = false;
       std::string text;
-      host.with([&](Desk& desk) {
-        const auto& view = core.agreement().blueprint();
-        confirmed = core.readsConfirmed(desk.now);
+      host.with([&](Effects& effects) {
+        const auto& view = core.agreement().configuration();
+        confirmed = core.readsConfirmed(effects.now);
         text = "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) +
                ",\"confirmed\":" + (confirmed ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
       });
@@ -162,8 +162,8 @@
       return answer->finish(200, text);
     }
     if (ask.method != "PUT" && ask.method != "PATCH") return deny(fault(Code::unknownPath, ask.method));
-    if (ask.body.size() > given.props.recordRoom) return deny(fault(Code::tooLarge, "body"));
-    OperatorAsk change{{}, ask.body, ask.method == "PUT", -1, {}, 0};
+    if (ask.body.size() > given.settings.recordRoom) return deny(fault(Code::tooLarge, "body"));
+    OperatorRequest change{{}, ask.body, ask.method == "PUT", -1, {}, 0};
     for (const auto& [name, value] : ask.query) {
       if (name == "changeId" && value.size() <= 128) {
         change.changeId = value;
@@ -183,9 +183,9 @@
   if (auto done = hub.listen(); !done) return failStart(done.error());
   if (auto done = server.open(); !done) return failStart(done.error());
   host.start();
-  logInfo("Serving as " + core.id() + " at " + given.props.address + ", operators at " + given.operatorAddress + ".");
+  logInfo("Serving as " + core.id() + " at " + given.settings.address + ", operators at " + given.operatorAddress + ".");
   runPool(context, static_cast<std::size_t>(given.threads), [&] {
-    host.with([&](Desk& desk) { core.resign(desk); });
+    host.with([&](Effects& effects) { core.resign(effects); });
     std::this_thread::sleep_for(100ms);
     server.close();
     hub.stop();
--- a/src/main_keeper.cpp
+++ b/src/tools/main_keeper.cpp
@@ -14,22 +14,22 @@
 #endif
 
 int main(int count, char** words) {
-  KeeperProps props;
+  KeeperSettings settings;
   std::string recordFile;
   double slots = 8, keepMost = 4000, loadMs = 1500, threads = 2;
   bool chatty = false;
-  Props reader(programName, "A stand-in back end for trying and testing the fleet");
-  reader.text("name", &props.name, "this machine's name", true)
-      .address("address", &props.address, "where this back end is reached over HTTP")
+  Settings reader(programName, "A stand-in back end for trying and testing the fleet");
+  reader.text("name", &settings.name, "this machine's name", true)
+      .address("address", &settings.address, "where this back end is reached over HTTP")
 #ifndef TT_STORE
-      .text("kind", &props.kind, "language or app")
-      .text("model", &props.model, "the model this worker serves")
-      .text("weights", &props.weights, "the weights it starts with")
-      .address("store", &props.storeAddress, "the store's HTTP address", false)
+      .text("kind", &settings.kind, "language or app")
+      .text("model", &settings.model, "the model this worker serves")
+      .text("weights", &settings.weights, "the weights it starts with")
+      .address("store", &settings.storeAddress, "the store's HTTP address", false)
       .number("slots", &slots, 1, 1024, "orders it runs at a time")
-      .number("blockMs", &props.blockMs, 0, 10000, "milliseconds to compute one block")
-      .number("tokenMs", &props.tokenMs, 0, 10000, "milliseconds between tokens")
-      .number("linkMs", &props.linkMs, 0, 10000, "milliseconds to pull one block")
+      .number("blockMs", &settings.blockMs, 0, 10000, "milliseconds to compute one block")
+      .number("tokenMs", &settings.tokenMs, 0, 10000, "milliseconds between tokens")
+      .number("linkMs", &settings.linkMs, 0, 10000, "milliseconds to pull one block")
       .number("loadMs", &loadMs, 0, 600000, "milliseconds to load weights")
 #endif
       .text("recordFile", &recordFile, "a file that what this back end did is added to")
@@ -38,19 +38,19 @@
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
 #ifdef TT_STORE
-  props.kind = "store";
+  settings.kind = "store";
 #else
-  if (props.kind != "language" && props.kind != "app") return failStart(fault(Code::badProps, "kind", "must be language or app"));
-  if (props.kind == "language" && props.model.empty()) return failStart(fault(Code::badProps, "model", "must be given"));
+  if (settings.kind != "language" && settings.kind != "app") return failStart(fault(Code::badProps, "kind", "must be language or app"));
+  if (settings.kind == "language" && settings.model.empty()) return failStart(fault(Code::badProps, "model", "must be given"));
 #endif
-  props.slots = static_cast<int>(slots);
-  props.keepMost = static_cast<std::size_t>(keepMost);
-  props.loadMs = static_cast<int>(loadMs);
-  startLog(props.kind == "store" ? "store" : "worker", props.name, chatty);
+  settings.slots = static_cast<int>(slots);
+  settings.keepMost = static_cast<std::size_t>(keepMost);
+  settings.loadMs = static_cast<int>(loadMs);
+  startLog(settings.kind == "store" ? "store" : "worker", settings.name, chatty);
 
   asio::io_context context;
   std::random_device device;
-  KeeperNode keeper(props, std::to_string(device()) + std::to_string(device()));
+  KeeperNode keeper(settings, std::to_string(device()) + std::to_string(device()));
   std::ofstream record;
   if (!recordFile.empty()) {
     record.open(recordFile, std::ios::app);
@@ -61,7 +61,7 @@
       if (!kinds.count(event.kind)) return;
       JsonObject row;
       row["at"] = Json(std::to_string(inNs(event.at)));
-      row["worker"] = Json(props.name);
+      row["worker"] = Json(settings.name);
       row["event"] = Json(event.kind);
       row["subject"] = Json(event.subject);
       row["number"] = jsonNumber(static_cast<double>(event.number));
@@ -112,7 +112,7 @@
     }
   };
 
-  WebServer server(context, props.address, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
+  WebServer server(context, settings.address, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
     auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
     auto pass = [&](const Message& message) {
       std::string name = answers.add(answer);
@@ -149,7 +149,7 @@
     }
     if (way == "GET /v1/runs") {
       JsonObject body;
-      host.with([&](Desk&) {
+      host.with([&](Effects&) {
         JsonArray rows;
         for (const auto& run : keeper.runs()) {
           JsonObject row;
@@ -177,7 +177,7 @@
       if (!read) return deny(read.error());
       Json body(read.value());
       if (flagOr(body, "crash", false)) std::_Exit(9);
-      host.with([&](Desk& desk) {
+      host.with([&](Effects& effects) {
         keeper.faults.lagMs = static_cast<int>(numberOr(body, "lagMs", keeper.faults.lagMs));
         keeper.faults.loseEvents = static_cast<int>(numberOr(body, "loseEvents", keeper.faults.loseEvents));
         keeper.faults.forgetEvents = static_cast<int>(numberOr(body, "forgetEvents", keeper.faults.forgetEvents));
@@ -185,7 +185,7 @@
         keeper.faults.loadFails = flagOr(body, "loadFails", keeper.faults.loadFails);
         keeper.faults.silentReports = flagOr(body, "silentReports", keeper.faults.silentReports);
         keeper.faults.linkMs = static_cast<double>(numberOr(body, "linkMs", static_cast<std::int64_t>(keeper.faults.linkMs)));
-        if (flagOr(body, "forget", false)) keeper.forget(desk, true);
+        if (flagOr(body, "forget", false)) keeper.forget(effects, true);
       });
       return answer->finish(200, "{}");
     }
@@ -193,7 +193,7 @@
   });
   if (auto done = server.open(); !done) return failStart(done.error());
   host.start();
-  logInfo("Serving at " + props.address + ".");
+  logInfo("Serving at " + settings.address + ".");
   runPool(context, static_cast<std::size_t>(threads), [&] {
     server.close();
     host.stop();
--- a/src/main_link.cpp
+++ b/src/tools/main_link.cpp
@@ -186,7 +186,7 @@
 int main(int count, char** words) {
   std::string name = "link", webAddress;
   std::vector<std::string> pairs;
-  Props reader("trouttally-link", "A stand-in network between the fleet's own processes, whose links can be cut, held or slowed");
+  Settings reader("trouttally-link", "A stand-in network between the fleet's own processes, whose links can be cut, held or slowed");
   reader.text("name", &name, "this process's name")
       .texts("pairs", &pairs, "SHOWN=REAL: the address that others know a process by, and the one it listens at")
       .address("webAddress", &webAddress, "where rules are set: POST /v1/rules {from, to, mode, delayMs}, DELETE /v1/rules");
--- a/src/main_loadgen.cpp
+++ b/src/tools/main_loadgen.cpp
@@ -83,7 +83,7 @@
   std::string kindsFile, jsonFile, recordFile;
   std::vector<std::string> proxies;
   double seconds = 20, seed = 1, scale = 1, everySecond = 0, obey = 0, ignore = 0, move = 0, hangUps = 0;
-  Props reader("trouttally-loadgen", "Sends a deployment's kinds of order at their intended times and measures what comes back");
+  Settings reader("trouttally-loadgen", "Sends a deployment's kinds of order at their intended times and measures what comes back");
   reader.addresses("proxies", &proxies, "callers' addresses of the proxies").text("kinds", &kindsFile, "JSON file with the kinds of order", true).number("seconds", &seconds, 0.1, 36000, "how long to send").number("scale", &scale, 0.001, 1000, "times the file's rates").number("seed", &seed, 0, 1e15, "seed for the order of things").number("everySecond", &everySecond, 0, 1, "1 prints a line each second").text("json", &jsonFile, "also write the figures to this file")
       .text("recordFile", &recordFile, "a file that each order's story is added to, for trouttally-audit")
       .number("obey", &obey, 0, 100, "per cent of callers told 'not run' that come back when they are told to")
@@ -100,7 +100,7 @@
   if (!read) return failStart(fault(Code::badProps, "kinds", read.error().subject + ": " + read.error().text));
   const auto& kinds = read.value();
 
-  std::mt19937_64 dice(static_cast<std::uint64_t>(seed));
+  std::mt19937_64 randomSource(static_cast<std::uint64_t>(seed));
   std::vector<Shot> shots;
   Moment start = Clock::now() + 200ms;
   std::vector<std::vector<std::string>> shared(kinds.size());
@@ -108,14 +108,14 @@
     const auto& kind = kinds[at];
     for (int number = 0; number < kind.prefixes; ++number) shared[at].push_back(words(kind.name + std::to_string(number), kind.sharedBytes));
     std::exponential_distribution<double> gap(kind.rate * scale);
-    for (double when = gap(dice); when < seconds; when += gap(dice)) {
+    for (double when = gap(randomSource); when < seconds; when += gap(randomSource)) {
       Shot shot;
       shot.kind = at;
       shot.due = start + std::chrono::duration_cast<Span>(std::chrono::duration<double>(when));
-      shot.key = kind.keys[dice() % kind.keys.size()];
-      shot.proxy = proxies[dice() % proxies.size()];
-      shot.prefix = dice() % shared[at].size();
-      shot.own = dice();
+      shot.key = kind.keys[randomSource() % kind.keys.size()];
+      shot.proxy = proxies[randomSource() % proxies.size()];
+      shot.prefix = randomSource() % shared[at].size();
+      shot.own = randomSource();
       shots.push_back(std::move(shot));
     }
   }
@@ -163,7 +163,7 @@
   auto comeBack = [&](const Shot& shot, const Seen& seen) {
     bool knows = seen.verdict == "not run" || seen.verdict == "no connection";
     if (seen.verdict == "done" || shot.attempt >= 5 || !(knows || kinds[shot.kind].repeatable) || (seen.verdict == "not run" && seen.retryAfterMs <= 0)) return;
-    double share = static_cast<double>(dice() % 10000) / 100;
+    double share = static_cast<double>(randomSource() % 10000) / 100;
     if (share >= obey + ignore + move) return;
     Shot again = shot;
     ++again.attempt;
@@ -263,8 +263,8 @@
           tallies[shot.kind].firstMs.push_back(firstMs);
           seconds_[static_cast<int>(inMs(shot.due - start) / 1000)].second.push_back(firstMs);
         });
-    if (static_cast<double>(dice() % 10000) / 100 < hangUps) {
-      drops.emplace(Clock::now() + std::chrono::milliseconds(dice() % 600), callId);
+    if (static_cast<double>(randomSource() % 10000) / 100 < hangUps) {
+      drops.emplace(Clock::now() + std::chrono::milliseconds(randomSource() % 600), callId);
       dropped[callId] = [&, shot, seen, sentAt] {
         if (seen->gone || seen->last) return;
         seen->gone = true;
--- a/src/main_platform.cpp
+++ b/src/tools/main_platform.cpp
@@ -10,7 +10,7 @@
 int main(int count, char** words) {
   std::string name = "platform", address, listFile;
   double threads = 1;
-  Props reader("trouttally-platform", "A stand-in platform that lists machines and marks those that leave");
+  Settings reader("trouttally-platform", "A stand-in platform that lists machines and marks those that leave");
   reader.text("name", &name, "this machine's name").address("address", &address, "where it is reached over HTTP").text("list", &listFile, "JSON file with the first list of machines").number("threads", &threads, 1, 64, "threads in the pool");
   if (auto code = reader.read(count, words)) return *code;
   startLog("platform", name, false);
@@ -31,7 +31,7 @@
     if (ask.path != "/v1/machines") return deny(fault(Code::unknownPath, ask.path));
     if (ask.method == "GET") {
       MachinesReply reply;
-      host.with([&](Desk&) {
+      host.with([&](Effects&) {
         for (const auto& [machineName, machine] : platform.machines()) reply.machines.push_back(machine);
       });
       return answer->finish(200, writeMachines(reply));
@@ -41,11 +41,11 @@
     if (ask.method == "POST") {
       auto machine = readMachine(read.value());
       if (!machine) return deny(machine.error());
-      host.with([&](Desk&) { platform.set(machine.value()); });
+      host.with([&](Effects&) { platform.set(machine.value()); });
     } else if (ask.method == "PATCH") {
-      host.with([&](Desk&) { platform.mark(textOr(read.value(), "name"), flagOr(read.value(), "leaving", true)); });
+      host.with([&](Effects&) { platform.mark(textOr(read.value(), "name"), flagOr(read.value(), "leaving", true)); });
     } else if (ask.method == "DELETE") {
-      host.with([&](Desk&) { platform.remove(textOr(read.value(), "name")); });
+      host.with([&](Effects&) { platform.remove(textOr(read.value(), "name")); });
     } else {
       return deny(fault(Code::unknownPath, ask.method));
     }
--- a/src/main_proxy.cpp
+++ b/src/tools/main_proxy.cpp
@@ -27,34 +27,34 @@
 }  // namespace
 
 int main(int count, char** words) {
-  EdgeProps props;
+  EdgeSettings settings;
   std::string callerAddress, operatorKeyHash;
   double threads = 3, pendingMost = 64, blockMs = 4;
   bool chatty = false;
-  Props reader("trouttally-proxy", "A proxy of the fleet: takes orders from callers, plans them, carries them out");
-  reader.text("name", &props.name, "this machine's name", true)
-      .address("address", &props.address, "where the agent reaches this process")
-      .text("locality", &props.locality, "this machine's locality", true)
-      .address("agentAddress", &props.agentAddress, "the agent beside this proxy")
+  Settings reader("trouttally-proxy", "A proxy of the fleet: takes orders from callers, plans them, carries them out");
+  reader.text("name", &settings.name, "this machine's name", true)
+      .address("address", &settings.address, "where the agent reaches this process")
+      .text("locality", &settings.locality, "this machine's locality", true)
+      .address("agentAddress", &settings.agentAddress, "the agent beside this proxy")
       .address("callerAddress", &callerAddress, "where callers reach this proxy")
       .text("operatorKeyHash", &operatorKeyHash, "SHA-256 of the operator key, for reading what is in force")
-      .flag("fetching", &props.fetching, "fetch prefixes from peers and the store")
+      .flag("fetching", &settings.fetching, "fetch prefixes from peers and the store")
       .number("pendingMost", &pendingMost, 1, 100000, "orders that may be pending here")
       .number("blockMs", &blockMs, 0.01, 10000, "milliseconds a worker needs for one block")
       .number("threads", &threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
-  props.pendingMost = static_cast<std::size_t>(pendingMost);
-  props.blockMs = blockMs;
-  startLog("proxy", props.name, chatty);
+  settings.pendingMost = static_cast<std::size_t>(pendingMost);
+  settings.blockMs = blockMs;
+  startLog("proxy", settings.name, chatty);
 
   asio::io_context context;
-  Edge edge(props);
+  Edge edge(settings);
   WebCalls calls;
   OpenAnswers answers;
   WorkerCalls workerCalls;
   Host host(edge, context, 10ms);
-  Hub hub(context, props.address, [&](const std::string& from, Message message) { host.take(from, message); });
+  Hub hub(context, settings.address, [&](const std::string& from, Message message) { host.take(from, message); });
 
   edge.journal.appended.connect([](const Event& event) {
     if (event.kind == "fresh" || event.kind == "stale") logInfo(event.kind + ": " + event.subject + ".");
@@ -129,29 +129,29 @@
       auto order = readCallerOrder(ask.body);
       if (!order) return deny(order.error());
       order.value().key = ask.bearer;
-      order.value().orderId = props.name + "/" + std::to_string(inNs(Clock::now())) + "/" + answers.freshName().substr(5);
+      order.value().orderId = settings.name + "/" + std::to_string(inNs(Clock::now())) + "/" + answers.freshName().substr(5);
       answers.addAs(order.value().orderId, answer);
       return host.take("caller", order.value());
     }
     if (ask.method == "GET" && ask.path == "/v1/counters") {
       JsonObject rows;
-      host.with([&](Desk&) {
+      host.with([&](Effects&) {
         for (const auto& [kind, number] : edge.journal.counts()) rows[kind] = jsonNumber(static_cast<double>(number));
       });
       return answer->finish(200, Json(rows).serialize());
     }
     if (ask.method == "GET" && ask.path == "/v1/condition") {
       std::string text;
-      host.with([&](Desk& desk) { text = edge.condition(desk.now); });
+      host.with([&](Effects& effects) { text = edge.condition(effects.now); });
       return answer->finish(200, text);
     }
     if (ask.method == "GET" && ask.path == "/v1/blueprint") {
       if (operatorKeyHash.empty() || sha256Hex(ask.bearer) != operatorKeyHash) return deny(fault(Code::operatorDenied, "authorization"));
       std::string text;
-      host.with([&](Desk& desk) {
-        const auto& view = edge.blueprint();
+      host.with([&](Effects& effects) {
+        const auto& view = edge.configuration();
         text = "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) +
-               ",\"fresh\":" + (edge.fresh(desk.now) ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
+               ",\"fresh\":" + (edge.fresh(effects.now) ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
       });
       return answer->finish(200, text);
     }
@@ -163,10 +163,10 @@
   host.start();
   logInfo("Serving callers at " + callerAddress + ".");
   runPool(context, static_cast<std::size_t>(threads), [&] {
-    host.with([&](Desk&) { edge.stop(); });
+    host.with([&](Effects&) { edge.stop(); });
     for (int round = 0; round < 200; ++round) {
       std::size_t open = 0;
-      host.with([&](Desk&) { open = edge.openOrders(); });
+      host.with([&](Effects&) { open = edge.openOrders(); });
       if (open == 0) break;
       std::this_thread::sleep_for(50ms);
     }
--- a/src/main_scale.cpp
+++ b/src/tools/main_scale.cpp
@@ -255,7 +255,7 @@
     add("fleet", "blocks indexed", static_cast<double>(cost.blocksIndexed));
     add("fleet", "events taken per s", static_cast<double>(cost.eventsTaken) / cost.seconds);
     add("fleet", "requests done per s", static_cast<double>(cost.requestsDone) / cost.seconds);
-    add("fleet", "blueprint bytes", static_cast<double>(cost.blueprintBytes));
+    add("fleet", "blueprint bytes", static_cast<double>(cost.configurationBytes));
     add("fleet", "real seconds", took);
     std::cerr << fmt::format("{}: took {:.1f} s\n", about, took);
   }
@@ -277,7 +277,7 @@
         auto seed = static_cast<std::uint64_t>(asked.seed + repeat);
         auto figures = asked.trial == "index"       ? measureIndex(static_cast<std::int64_t>(size), seed)
                        : asked.trial == "draw"      ? measureDraw(static_cast<int>(size), seed)
-                       : asked.trial == "blueprint" ? measureBlueprint(static_cast<int>(size), seed)
+                       : asked.trial == "blueprint" ? measureConfiguration(static_cast<int>(size), seed)
                                                     : measureLinks(asked.frames, static_cast<std::size_t>(size));
         if (figures.empty()) failed = true;
         for (const auto& figure : figures) samples.push_back(Sample{asked.trial, fmt::format("{}={}", xName, size), size, repeat, asked.trial, figure.name, figure.value});
--- a/tests/cells.cpp
+++ b/tests/cells.cpp
@@ -8,23 +8,23 @@
 using namespace tt;
 
 namespace {
-struct PaceKept {
-  Pace old = pace;
-  ~PaceKept() { pace = old; }
+struct TimingKept {
+  Timing old = timing;
+  ~TimingKept() { timing = old; }
 };
 
-CellProps cellProps() {
-  CellProps props;
-  props.apart = props.loadsWhole = props.seedsForm = true;
-  props.summaries = false;
-  props.askEvery = 100ms;
-  props.sweepEvery = 8s;
-  props.lateAfter = 1500ms;
-  props.goneAfter = 2s;
-  props.publishEvery = 100ms;
-  props.markWait = 400ms;
-  props.rolloutSpan = 7800ms;
-  return props;
+CellSettings cellSettings() {
+  CellSettings settings;
+  settings.apart = settings.loadsWhole = settings.seedsForm = true;
+  settings.summaries = false;
+  settings.askEvery = 100ms;
+  settings.sweepEvery = 8s;
+  settings.lateAfter = 1500ms;
+  settings.goneAfter = 2s;
+  settings.publishEvery = 100ms;
+  settings.markWait = 400ms;
+  settings.rolloutSpan = 7800ms;
+  return settings;
 }
 
 BlockHash part(const std::string& id, const std::string& salt = "salt") { return hashPart(salt, id); }
@@ -65,18 +65,18 @@
     bool alive{true};
     std::vector<CellNews> news;
   };
-  PaceKept kept;
+  TimingKept kept;
   Moment now{std::chrono::hours(9)};
-  std::mt19937_64 dice{3};
-  Blueprint blueprint;
+  std::mt19937_64 randomSource{3};
+  Configuration configuration;
   std::map<std::string, CellCore> cores;
   std::map<std::string, TestWorker> workers;
   std::multimap<Moment, Sent> due;
   std::vector<Sent> sent;
   Span transit{4ms};
 
-  explicit CellBench(int coreNumber = 1, CellProps props = cellProps()) {
-    pace.commandRest = 3300ms;
+  explicit CellBench(int coreNumber = 1, CellSettings settings = cellSettings()) {
+    timing.commandRest = 3300ms;
     name("moss/3");
     std::vector<Member> members;
     for (int at = 1; at <= coreNumber; ++at) {
@@ -86,16 +86,16 @@
     for (const auto& member : members) {
       auto& core = cores[member.address];
       core.member = member;
-      core.cell = std::make_unique<Cell>("north-a", member, member.id == "core-1", Defences{}, props);
-      core.cell->ballot.restore(Vote{}, now);
-      core.cell->ballot.setVoters(members);
-      core.cell->publish = [&core](Desk&, const CellNews& news) { core.news.push_back(news); };
+      core.cell = std::make_unique<Cell>("north-a", member, member.id == "core-1", Defences{}, settings);
+      core.cell->election.restore(Vote{}, now);
+      core.cell->election.setVoters(members);
+      core.cell->publish = [&core](Effects&, const CellNews& news) { core.news.push_back(news); };
     }
   }
   void name(const std::string& weights) {
-    auto patch = blueprint.preparePatch(R"({"weights":{")" + weights + R"(":{"model":"moss"}},"models":{"moss":{"weights":")" + weights + R"("}}})", Manner::patch);
+    auto patch = configuration.preparePatch(R"({"weights":{")" + weights + R"(":{"model":"moss"}},"models":{"moss":{"weights":")" + weights + R"("}}})", Manner::patch);
     cr_assert(bool(patch));
-    blueprint.apply(Entry{blueprint.index() + 1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
+    configuration.apply(Entry{configuration.index() + 1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
   }
   void list(int number) {
     std::vector<Machine> machines;
@@ -115,20 +115,20 @@
     }
     for (auto& [address, core] : cores) core.cell->setMachines(machines);
   }
-  void carry(const std::string& from, Desk& desk) {
-    for (auto& [to, message] : desk.sends) {
+  void carry(const std::string& from, Effects& effects) {
+    for (auto& [to, message] : effects.sends) {
       sent.push_back(Sent{now, from, to, message});
       due.emplace(now + transit, Sent{now, from, to, std::move(message)});
     }
-    desk.sends.clear();
+    effects.sends.clear();
   }
-  void with(const std::string& address, const std::function<void(Desk&, Cell&)>& deed) {
+  void with(const std::string& address, const std::function<void(Effects&, Cell&)>& action) {
     auto& core = cores.at(address);
-    Desk desk{now, dice, core.journal, {}, {}};
-    deed(desk, *core.cell);
-    carry(address, desk);
-    for (auto saves = std::move(desk.saves); !saves.empty();) {
-      Desk later{now, dice, core.journal, {}, {}};
+    Effects effects{now, randomSource, core.journal, {}, {}};
+    action(effects, *core.cell);
+    carry(address, effects);
+    for (auto saves = std::move(effects.saves); !saves.empty();) {
+      Effects later{now, randomSource, core.journal, {}, {}};
       for (auto& save : saves)
         if (save.then) save.then(later);
       carry(address, later);
@@ -183,13 +183,13 @@
       Sent row = std::move(due.begin()->second);
       due.erase(due.begin());
       if (auto core = cores.find(row.to); core != cores.end()) {
-        if (core->second.alive) with(row.to, [&](Desk& desk, Cell& cell) { cell.take(desk, row.from, row.message); });
+        if (core->second.alive) with(row.to, [&](Effects& effects, Cell& cell) { cell.take(effects, row.from, row.message); });
       } else if (auto worker = workers.find(row.to.substr(0, row.to.find(':'))); worker != workers.end()) {
         hear(worker->second, row.from, row.message);
       }
     }
     for (auto& [address, core] : cores)
-      if (core.alive) with(address, [&](Desk& desk, Cell& cell) { cell.tick(desk, blueprint); });
+      if (core.alive) with(address, [&](Effects& effects, Cell& cell) { cell.tick(effects, configuration); });
   }
   void run(Span span, const std::function<void()>& look = {}) {
     for (Moment until = now + span; now < until;) {
@@ -199,7 +199,7 @@
   }
   std::string holder() const {
     for (const auto& [address, core] : cores)
-      if (core.alive && core.cell->ballot.holds(now)) return address;
+      if (core.alive && core.cell->election.holds(now)) return address;
     return {};
   }
   Moment runToHolder(Span most = 6s) {
@@ -224,7 +224,7 @@
     LookupMsg ask{"l", "north-a", worker, weights, {}, "asker"};
     for (const auto& id : ids) ask.hashes.push_back(part(id));
     std::size_t before = sent.size();
-    with(to.empty() ? holder() : to, [&](Desk& desk, Cell& cell) { cell.take(desk, "agent", ask); });
+    with(to.empty() ? holder() : to, [&](Effects& effects, Cell& cell) { cell.take(effects, "agent", ask); });
     for (std::size_t at = before; at < sent.size(); ++at)
       if (auto* reply = std::get_if<LookupReply>(&sent[at].message)) return reply->hits;
     return {-1};
@@ -317,7 +317,7 @@
   overtaken.gaps = true;
   overtaken.sequence = 105;
   overtaken.events = {KeptEvent{105, static_cast<int>(KeptKind::stored), {part("b")}}};
-  bench.with(bench.holder(), [&](Desk& desk, Cell& cell) { cell.take(desk, "w1:80", overtaken); });
+  bench.with(bench.holder(), [&](Effects& effects, Cell& cell) { cell.take(effects, "w1:80", overtaken); });
   cr_expect(bench.lookup("w1", {"a", "b"}) == (std::vector<int>{1, 0}), "b was removed after that report was made");
 }
 
@@ -359,9 +359,9 @@
   bench.run(2s);
   auto commands = bench.all<ControlAsk>();
   cr_assert_not(commands.empty());
-  cr_expect(commands[0].at - wonAt >= pace.commandRest);
+  cr_expect(commands[0].at - wonAt >= timing.commandRest);
   const auto& first = std::get<ControlAsk>(commands[0].message);
-  cr_expect_eq(first.term, bench.cores.begin()->second.cell->ballot.term());
+  cr_expect_eq(first.term, bench.cores.begin()->second.cell->election.term());
   cr_expect_eq(first.weights, "moss/4");
   cr_expect_eq(first.model, "moss");
   cr_expect_eq(first.action, "load");
@@ -453,11 +453,11 @@
   bench.runToHolder();
   bench.run(4s);
   std::string first = bench.holder();
-  Count firstTerm = bench.cores.at(first).cell->ballot.term();
+  Count firstTerm = bench.cores.at(first).cell->election.term();
   bench.name("moss/4");
   auto looks = [&] {
     int holders = 0;
-    for (const auto& [address, core] : bench.cores) holders += core.cell->ballot.holds(bench.now);
+    for (const auto& [address, core] : bench.cores) holders += core.cell->election.holds(bench.now);
     cr_expect_leq(holders, 1);
   };
   bench.run(3s, looks);
@@ -474,8 +474,8 @@
   bench.run(14s, looks);
   auto after = bench.all<ControlAsk>(lostAt);
   cr_assert_not(after.empty());
-  cr_expect(after[0].at - wonAt >= pace.commandRest - 10ms);
-  cr_expect(after[0].at - before.back().at >= pace.commandRest);
+  cr_expect(after[0].at - wonAt >= timing.commandRest - 10ms);
+  cr_expect(after[0].at - before.back().at >= timing.commandRest);
   for (const auto& row : after) {
     cr_expect_eq(row.from, second);
     cr_expect_gt(std::get<ControlAsk>(row.message).term, firstTerm);
@@ -512,7 +512,7 @@
   bench.cores.at(first).alive = false;
   Moment lostAt = bench.now;
   bench.runToHolder();
-  Moment mayAt = bench.now + pace.commandRest;
+  Moment mayAt = bench.now + timing.commandRest;
   bench.run(14s);
   auto after = bench.all<ControlAsk>(lostAt);
   cr_assert_eq(after.size(), 2u);
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -24,9 +24,9 @@
     io.stop();
     thread.join();
   }
-  template <class Deed>
-  auto run(Deed deed) -> decltype(deed()) {
-    std::packaged_task<decltype(deed())()> task(std::move(deed));
+  template <class Action>
+  auto run(Action action) -> decltype(action()) {
+    std::packaged_task<decltype(action())()> task(std::move(action));
     auto result = task.get_future();
     asio::post(io, [&task] { task(); });
     return result.get();
@@ -599,13 +599,13 @@
 Test(gate, a_cut_answer_never_looks_whole) {
   Kept kept;
   Door door(kept.handler());
-  auto cutAfter = [&](const std::string& request, Caller& caller, const std::function<void(GateAnswer&)>& deed, bool inOneTurn) {
+  auto cutAfter = [&](const std::string& request, Caller& caller, const std::function<void(GateAnswer&)>& action, bool inOneTurn) {
     int before = kept.taken;
     caller.send(request);
     cr_assert(soon([&] { return kept.taken > before; }));
     auto answer = kept.answers.back();
     door.run([&] {
-      deed(*answer);
+      action(*answer);
       if (inOneTurn) answer->cut();
     });
     std::string got;
--- a/tests/load.cpp
+++ b/tests/load.cpp
@@ -88,9 +88,9 @@
     int running{0}, waiting{0};
   };
   Moment now{std::chrono::hours(9)};
-  std::mt19937_64 dice{3};
+  std::mt19937_64 randomSource{3};
   Journal journal;
-  Blueprint blueprint;
+  Configuration configuration;
   std::unique_ptr<Cell> cell;
   std::map<std::string, TestKeeper> keepers;
   std::vector<CellNews> news;
@@ -100,23 +100,23 @@
   std::vector<Message> replies;
 
   CellBench() {
-    CellProps props;
-    props.apart = props.loadsWhole = props.seedsForm = true;
-    props.summaries = false;
-    props.askEvery = 50ms;
-    props.conditionEvery = 100ms;
-    props.sweepEvery = 8s;
-    props.lateAfter = 1500ms;
-    props.goneAfter = 2s;
-    props.publishEvery = 100ms;
-    auto patch = blueprint.preparePatch(R"({"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})", Manner::patch);
+    CellSettings settings;
+    settings.apart = settings.loadsWhole = settings.seedsForm = true;
+    settings.summaries = false;
+    settings.askEvery = 50ms;
+    settings.conditionEvery = 100ms;
+    settings.sweepEvery = 8s;
+    settings.lateAfter = 1500ms;
+    settings.goneAfter = 2s;
+    settings.publishEvery = 100ms;
+    auto patch = configuration.preparePatch(R"({"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})", Manner::patch);
     cr_assert(bool(patch));
-    blueprint.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
+    configuration.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
     Member self{"core-1", "core-1", "core-1:1", "north-a", true};
-    cell = std::make_unique<Cell>("north-a", self, true, Defences{}, props);
-    cell->ballot.restore(Vote{}, now);
-    cell->ballot.setVoters({self});
-    cell->publish = [this](Desk&, const CellNews& told) {
+    cell = std::make_unique<Cell>("north-a", self, true, Defences{}, settings);
+    cell->election.restore(Vote{}, now);
+    cell->election.setVoters({self});
+    cell->publish = [this](Effects&, const CellNews& told) {
       news.push_back(told);
       newsAt.push_back(now);
       missed += !takeCellNews(follower, told);
@@ -148,12 +148,12 @@
     row.kept.erase(hashPart("salt", id));
     row.events.push_back(KeptEvent{++row.sequence, static_cast<int>(KeptKind::removed), {hashPart("salt", id)}});
   }
-  void with(const std::function<void(Desk&)>& deed) {
-    Desk desk{now, dice, journal, {}, {}};
-    deed(desk);
-    std::vector<std::pair<std::string, Message>> sends = std::move(desk.sends);
-    for (auto saves = std::move(desk.saves); !saves.empty();) {
-      Desk later{now, dice, journal, {}, {}};
+  void with(const std::function<void(Effects&)>& action) {
+    Effects effects{now, randomSource, journal, {}, {}};
+    action(effects);
+    std::vector<std::pair<std::string, Message>> sends = std::move(effects.sends);
+    for (auto saves = std::move(effects.saves); !saves.empty();) {
+      Effects later{now, randomSource, journal, {}, {}};
       for (auto& save : saves)
         if (save.then) save.then(later);
       for (auto& send : later.sends) sends.push_back(std::move(send));
@@ -189,12 +189,12 @@
       for (const auto& event : keeper.events)
         if (!ask.whole && event.sequence > ask.after) report.events.push_back(event);
     }
-    with([&](Desk& desk) { cell->take(desk, ask.worker + ":80", report); });
+    with([&](Effects& effects) { cell->take(effects, ask.worker + ":80", report); });
   }
   void run(Span span) {
     for (Moment until = now + span; now < until;) {
       now += 10ms;
-      with([&](Desk& desk) { cell->tick(desk, blueprint); });
+      with([&](Effects& effects) { cell->tick(effects, configuration); });
     }
   }
   void runToNews() {
@@ -204,7 +204,7 @@
   }
   std::vector<int> lookup(const std::string& keeper, const std::string& id) {
     replies.clear();
-    with([&](Desk& desk) { cell->take(desk, "agent", LookupMsg{"l", "north-a", keeper, "moss/3", {hashPart("salt", "system"), hashPart("salt", id)}, "asker"}); });
+    with([&](Effects& effects) { cell->take(effects, "agent", LookupMsg{"l", "north-a", keeper, "moss/3", {hashPart("salt", "system"), hashPart("salt", id)}, "asker"}); });
     for (const auto& message : replies)
       if (auto* reply = std::get_if<LookupReply>(&message)) return reply->hits;
     return {};
@@ -283,8 +283,8 @@
   std::size_t before = bench.news.size();
   Count term = bench.news.back().term;
   cr_expect_gt(bench.news.back().base, 0u);
-  bench.with([&](Desk& desk) { bench.cell->ballot.resign(desk); });
-  cr_expect_not(bench.cell->ballot.holds(bench.now));
+  bench.with([&](Effects& effects) { bench.cell->election.resign(effects); });
+  cr_expect_not(bench.cell->election.holds(bench.now));
   bench.runToNews();
   cr_expect_gt(bench.news[before].term, term);
   cr_expect_eq(bench.news[before].base, 0u);
@@ -360,23 +360,23 @@
 namespace {
 struct LoneCore {
   Moment now{std::chrono::hours(3)};
-  std::mt19937_64 dice{5};
+  std::mt19937_64 randomSource{5};
   Core core;
   std::string address;
-  static CoreProps propsOf(const std::string& name) {
-    CoreProps props;
-    props.name = name;
-    props.address = name + ":1";
-    props.locality = "north-a";
-    props.localities = {"north-a"};
-    props.cell.summaries = false;
-    return props;
-  }
-  explicit LoneCore(const std::string& name) : core(propsOf(name), Recovered{}, dice, now), address(name + ":1") {}
+  static CoreSettings settingsOf(const std::string& name) {
+    CoreSettings settings;
+    settings.name = name;
+    settings.address = name + ":1";
+    settings.locality = "north-a";
+    settings.localities = {"north-a"};
+    settings.cell.summaries = false;
+    return settings;
+  }
+  explicit LoneCore(const std::string& name) : core(settingsOf(name), Recovered{}, randomSource, now), address(name + ":1") {}
   std::vector<std::pair<std::string, Message>> give(const std::string& from, const Message& message) {
-    Desk desk{now, dice, core.journal, {}, {}};
-    core.take(desk, from, message);
-    return std::move(desk.sends);
+    Effects effects{now, randomSource, core.journal, {}, {}};
+    core.take(effects, from, message);
+    return std::move(effects.sends);
   }
   std::vector<NewsAsk> asksAt(const CellNews& news) {
     std::vector<NewsAsk> asks;
@@ -442,7 +442,7 @@
 }
 
 namespace {
-const std::string loadBlueprint = R"({"services":{"mill":{},"barn":{}},"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},
+const std::string loadConfiguration = R"({"services":{"mill":{},"barn":{}},"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},
   "tenants":{"asp":{"secrets":["key-a"]}},
   "routes":{"aim":{"host":"h","prefix":"/aim/","service":"mill","repeat":"safe","aimMs":1000,"tries":3,"timeoutMs":60000},
     "free":{"host":"h","prefix":"/free/","service":"mill","repeat":"safe","tries":3,"timeoutMs":60000}}})";
@@ -451,8 +451,8 @@
 
 struct EdgeBench {
   Moment now{std::chrono::hours(5)};
-  std::mt19937_64 dice{11};
-  Blueprint view;
+  std::mt19937_64 randomSource{11};
+  Configuration view;
   std::unique_ptr<Edge> edge;
   std::vector<Message> sent;
   std::map<std::string, CellNews> cells;
@@ -464,39 +464,39 @@
   std::size_t drops{0};
 
   explicit EdgeBench(double shedMost = 0) {
-    EdgeProps props;
-    props.name = "proxy-1";
-    props.address = "proxy-1:1";
-    props.locality = "north-a";
-    props.agentAddress = "agent:1";
-    props.pendingMost = 4096;
-    props.sourceRides = props.openGoOn = true;
-    props.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
-    props.retryLeast = 10000;
-    props.shedMost = shedMost;
-    edge = std::make_unique<Edge>(props);
-    auto patch = view.preparePatch(loadBlueprint, Manner::patch);
+    EdgeSettings settings;
+    settings.name = "proxy-1";
+    settings.address = "proxy-1:1";
+    settings.locality = "north-a";
+    settings.agentAddress = "agent:1";
+    settings.pendingMost = 4096;
+    settings.sourceRides = settings.openGoOn = true;
+    settings.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
+    settings.retryLeast = 10000;
+    settings.shedMost = shedMost;
+    edge = std::make_unique<Edge>(settings);
+    auto patch = view.preparePatch(loadConfiguration, Manner::patch);
     cr_assert(bool(patch));
     view.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
     NewsMsg news;
     news.commit = 1;
-    news.captures.push_back(view.capture());
+    news.snapshots.push_back(view.snapshot());
     give("agent:1", news);
     tick();
   }
   void give(const std::string& from, const Message& message) {
-    Desk desk{now, dice, edge->journal, {}, {}};
-    edge->take(desk, from, message);
-    keep(desk);
+    Effects effects{now, randomSource, edge->journal, {}, {}};
+    edge->take(effects, from, message);
+    keep(effects);
   }
   void tick() {
-    Desk desk{now, dice, edge->journal, {}, {}};
-    edge->tick(desk);
-    keep(desk);
+    Effects effects{now, randomSource, edge->journal, {}, {}};
+    edge->tick(effects);
+    keep(effects);
   }
-  void keep(Desk& desk) {
+  void keep(Effects& effects) {
     std::vector<FeedAsk> asks;
-    for (auto& [to, message] : desk.sends) {
+    for (auto& [to, message] : effects.sends) {
       if (auto* ask = std::get_if<FeedAsk>(&message)) asks.push_back(*ask);
       if (auto* order = std::get_if<WorkerOrder>(&message)) sends[order->callerOrderId].push_back(*order);
       if (auto* verdict = std::get_if<CallerVerdict>(&message)) verdicts[verdict->orderId].push_back(*verdict);
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -7,9 +7,9 @@
 using namespace tt;
 
 namespace {
-struct PaceKept {
-  Pace old = pace;
-  ~PaceKept() { pace = old; }
+struct TimingKept {
+  Timing old = timing;
+  ~TimingKept() { timing = old; }
 };
 
 struct CoreBench {
@@ -21,24 +21,24 @@
     std::string name, address;
     std::unique_ptr<Core> core;
     Recovered disk;
-    std::vector<Desk::Save> syncing;
+    std::vector<Effects::Save> syncing;
     Moment syncedAt{};
     bool alive{false}, mayForm{false};
     std::uint64_t life{0};
   };
-  PaceKept kept;
+  TimingKept kept;
   Moment now{std::chrono::hours(3)};
-  std::mt19937_64 dice;
+  std::mt19937_64 randomSource;
   std::map<std::string, Machine> machines;
   std::multimap<Moment, std::pair<std::uint64_t, Mail>> due;
   std::set<std::string> cutOff;
-  std::map<std::string, OperatorReply> replies;
+  std::map<std::string, OperatorResponse> replies;
   std::map<std::string, int> notes;
   int askCount{0};
 
-  explicit CoreBench(std::uint64_t seed = 1) : dice(seed) {
-    pace.memberGone = 6s;
-    pace.votersLeast = 3;
+  explicit CoreBench(std::uint64_t seed = 1) : randomSource(seed) {
+    timing.memberGone = 6s;
+    timing.votersLeast = 3;
     for (int at = 1; at <= 5; ++at) {
       std::string name = "core-" + std::to_string(at);
       auto& machine = machines[name];
@@ -51,16 +51,16 @@
     cr_assert_not(machine.alive);
     machine.alive = true;
     ++machine.life;
-    CoreProps props;
-    props.name = name;
-    props.address = machine.address;
-    props.locality = "north-a";
-    props.seeds = {"core-1:1", "core-2:1", "core-3:1"};
-    props.localities = {"north-a"};
-    props.mayForm = mayForm;
-    props.cell.apart = props.cell.loadsWhole = props.cell.seedsForm = true;
-    props.cell.summaries = false;
-    machine.core = std::make_unique<Core>(props, machine.disk, dice, now);
+    CoreSettings settings;
+    settings.name = name;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = {"core-1:1", "core-2:1", "core-3:1"};
+    settings.localities = {"north-a"};
+    settings.mayForm = mayForm;
+    settings.cell.apart = settings.cell.loadsWhole = settings.cell.seedsForm = true;
+    settings.cell.summaries = false;
+    machine.core = std::make_unique<Core>(settings, machine.disk, randomSource, now);
     machine.core->journal.appended.connect([this](const Event& event) { ++notes[event.kind]; });
   }
   void stop(const std::string& name) {
@@ -80,20 +80,20 @@
     return nullptr;
   }
   bool cut(const std::string& one, const std::string& other) const { return one != other && (cutOff.count(one) || cutOff.count(other)); }
-  void with(Machine& machine, const std::function<void(Desk&, Core&)>& deed) {
-    Desk desk{now, dice, machine.core->journal, {}, {}};
-    deed(desk, *machine.core);
-    for (auto& [to, message] : desk.sends) {
+  void with(Machine& machine, const std::function<void(Effects&, Core&)>& action) {
+    Effects effects{now, randomSource, machine.core->journal, {}, {}};
+    action(effects, *machine.core);
+    for (auto& [to, message] : effects.sends) {
       if (to.rfind("operator", 0) == 0) {
-        auto& reply = std::get<OperatorReply>(message);
+        auto& reply = std::get<OperatorResponse>(message);
         replies[reply.askId] = reply;
       } else if (to == machine.address) {
         due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
       } else if (auto* other = at(to)) {
-        due.emplace(now + std::chrono::milliseconds(1 + dice() % 8), std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
+        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8), std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
       }
     }
-    for (auto& save : desk.saves) machine.syncing.push_back(std::move(save));
+    for (auto& save : effects.saves) machine.syncing.push_back(std::move(save));
   }
   void sync(Machine& machine) {
     if (machine.syncing.empty() || now < machine.syncedAt) return;
@@ -101,9 +101,9 @@
     auto saves = std::move(machine.syncing);
     machine.syncing.clear();
     for (const auto& save : saves) cr_assert(machine.disk.fold(save.record));
-    with(machine, [&](Desk& desk, Core&) {
+    with(machine, [&](Effects& effects, Core&) {
       for (auto& save : saves)
-        if (save.then) save.then(desk);
+        if (save.then) save.then(effects);
     });
   }
   void step() {
@@ -114,11 +114,11 @@
       auto& machine = *at(mail.to);
       const auto* sender = at(mail.from);
       if (!machine.alive || machine.life != life || (sender && cut(sender->name, machine.name))) continue;
-      with(machine, [&, from = mail.from, message = std::move(mail.message)](Desk& desk, Core& core) { core.take(desk, from, message); });
+      with(machine, [&, from = mail.from, message = std::move(mail.message)](Effects& effects, Core& core) { core.take(effects, from, message); });
     }
     for (auto& [name, machine] : machines) {
       if (!machine.alive) continue;
-      with(machine, [](Desk& desk, Core& core) { core.tick(desk); });
+      with(machine, [](Effects& effects, Core& core) { core.tick(effects); });
       sync(machine);
     }
   }
@@ -163,12 +163,12 @@
   }
   std::string ask(const std::string& name, const std::string& changeName) {
     std::string askId = "ask-" + std::to_string(++askCount);
-    OperatorAsk change;
+    OperatorRequest change;
     change.askId = askId;
     change.body = R"({"weights":{")" + changeName + R"(":{"model":"moss"}}})";
     change.ifRevision = -1;
     change.changeId = changeName;
-    with(machines.at(name), [&](Desk& desk, Core& core) { core.take(desk, "operator", change); });
+    with(machines.at(name), [&](Effects& effects, Core& core) { core.take(effects, "operator", change); });
     return askId;
   }
   bool acknowledged(const std::string& askId) const {
@@ -180,13 +180,13 @@
     for (const auto& [name, machine] : machines) {
       if (!machine.alive) continue;
       const auto& log = machine.core->agreement();
-      text += "\n" + machine.core->id() + (log.leads(now) ? " leads" : "") + " term " + std::to_string(log.ballot.term()) + " " + log.ballot.state() + " holder " + log.ballot.holder() +
+      text += "\n" + machine.core->id() + (log.leads(now) ? " leads" : "") + " term " + std::to_string(log.election.term()) + " " + log.election.state() + " holder " + log.election.holder() +
               " end " + std::to_string(log.logEnd()) + " synced " + std::to_string(log.syncedEnd()) + " commit " + std::to_string(log.commit()) + " of";
       for (const auto& member : log.members()) text += " " + member.id + (member.votes ? "" : " (learns)");
     }
     return text;
   }
-  bool has(const std::string& name, const std::string& changeName) const { return machines.at(name).core->agreement().blueprint().section("weights").count(changeName) > 0; }
+  bool has(const std::string& name, const std::string& changeName) const { return machines.at(name).core->agreement().configuration().section("weights").count(changeName) > 0; }
 };
 const Strings four{"core-1", "core-2", "core-3", "core-4"};
 }  // namespace
@@ -292,7 +292,7 @@
 
 Test(members, with_no_span_set_none_is_taken_out) {
   CoreBench bench;
-  pace.memberGone = Span(0);
+  timing.memberGone = Span(0);
   bench.formFour();
   std::string gone = bench.follower();
   bench.stop(gone);
@@ -309,25 +309,25 @@
   for (int round = 0; round < 3; ++round) {
     std::string away;
     if (how != Away::none) {
-      away = four[bench.dice() % 4];
+      away = four[bench.randomSource() % 4];
       bench.cutOff = {away};
       cr_assert(bench.runUntil([&] { return !bench.leader().empty() && bench.leader() != away; }, 15s));
       if (how == Away::takenOut) cr_assert(bench.runUntil([&] { return !bench.leader().empty() && bench.leader() != away && bench.votersAt(bench.leader()) == 3; }, 15s));
     }
     std::string name = "change-" + std::to_string(round), asked = bench.leader();
     for (const auto& other : four)
-      if (other != away && bench.dice() % 2) asked = other;
+      if (other != away && bench.randomSource() % 2) asked = other;
     auto askId = bench.ask(asked, name);
     cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 15s), "seed %d round %d", static_cast<int>(seed), round);
     acked.push_back(name);
     std::string wiped;
-    do wiped = four[bench.dice() % 4];
+    do wiped = four[bench.randomSource() % 4];
     while (wiped == away);
     bench.wipe(wiped);
     for (const auto& other : four)
       if (other != wiped) bench.stop(other);
     bench.cutOff.clear();
-    bench.run(std::chrono::milliseconds(bench.dice() % 2000));
+    bench.run(std::chrono::milliseconds(bench.randomSource() % 2000));
     for (const auto& other : four) bench.start(other, false);
     cr_assert(bench.runUntil([&] { return bench.allVote(four) && !bench.leader().empty(); }, 60s), "seed %d round %d, %s away, %s wiped:%s", static_cast<int>(seed), round, away.c_str(), wiped.c_str(), bench.told().c_str());
     bench.run(2s);
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 
 #include "audit.hpp"
-#include "blueprint.hpp"
+#include "configuration.hpp"
 #include "cell.hpp"
 #include "chart.hpp"
 #include "contract.hpp"
@@ -43,9 +43,9 @@
     for (std::uint64_t index = 1; index <= 2000; ++index) {
       cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
       if (index % 50 == 0) {
-        Capture capture;
-        capture.index = index - 10;
-        cr_assert(bool(ring.value()->append({captureRecord(capture)})));
+        Snapshot snapshot;
+        snapshot.index = index - 10;
+        cr_assert(bool(ring.value()->append({snapshotRecord(snapshot)})));
       }
     }
     cr_assert_gt(ring.value()->generation(), 8u, "the ring must have gone round");
@@ -54,7 +54,7 @@
   cr_assert(bool(again));
   cr_assert_eq(again.value()->held().identity, "core-x");
   cr_assert_eq(again.value()->held().votes.at("accord").term, 3u);
-  cr_assert_eq(again.value()->held().capture->index, 1990u);
+  cr_assert_eq(again.value()->held().snapshot->index, 1990u);
   cr_assert_eq(again.value()->held().entries.back().index, 2000u);
   cr_assert_eq(again.value()->held().entries.size(), 10u);
 }
@@ -86,13 +86,13 @@
   auto ring = Ring::open(files);
   cr_assert(bool(ring.value()->append({identityRecord("core-x")})));
   for (std::uint64_t index = 1; index <= 150; ++index) cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
-  std::mt19937_64 dice(3);
+  std::mt19937_64 randomSource(3);
   int faults = 0;
   for (int round = 0; round < 400; ++round) {
     MemoryFiles bent = files;
     for (int bend = 0; bend < 4; ++bend) {
-      auto& row = bent.rows[dice() % bent.rows.size()];
-      row[dice() % row.size()] = static_cast<char>(dice());
+      auto& row = bent.rows[randomSource() % bent.rows.size()];
+      row[randomSource() % row.size()] = static_cast<char>(randomSource());
     }
     auto opened = Ring::open(bent);
     if (!opened) {
@@ -113,11 +113,11 @@
   cr_assert_eq(std::get<NewsMsg>(read.value()).entries[1].body, "body 6");
   for (std::size_t size = 0; size < frame.size(); ++size) cr_assert_not(bool(decodeMessage(frame.substr(0, size))));
   cr_assert_not(bool(decodeMessage(frame + "x")));
-  std::mt19937_64 dice(1);
+  std::mt19937_64 randomSource(1);
   int kept = 0;
   for (int round = 0; round < 20000; ++round) {
     std::string bent = frame;
-    for (int bend = 0; bend < 3; ++bend) bent[dice() % bent.size()] = static_cast<char>(dice());
+    for (int bend = 0; bend < 3; ++bend) bent[randomSource() % bent.size()] = static_cast<char>(randomSource());
     kept += bool(decodeMessage(bent));
   }
   cr_assert_lt(kept, 20000);
@@ -162,8 +162,8 @@
   cr_assert_not(layPrompt({"a", "b"}) == layPrompt({"a\x1e" "b"}));
 }
 
-Test(blueprint, changes_are_checked_whole_and_faults_name_the_field) {
-  Blueprint view;
+Test(configuration, changes_are_checked_whole_and_faults_name_the_field) {
+  Configuration view;
   std::uint64_t index = 0;
   auto take = [&](const std::string& text, bool whole) {
     auto patch = view.preparePatch(text, whole);
@@ -182,21 +182,21 @@
   cr_assert_eq(view.revision(), 1u, "nothing of a denied change may stick");
   cr_assert(bool(take(R"({"keys":{"k":null}})", false)));
   cr_assert_not(view.findKey(sha256Hex("abcdefgh")).has_value());
-  Blueprint copy;
-  cr_assert(bool(copy.adopt(view.capture())));
+  Configuration copy;
+  cr_assert(bool(copy.adopt(view.snapshot())));
   cr_assert_eq(copy.text(), view.text());
   cr_assert_eq(copy.takenAs("c2").value(), 2u);
 }
 
-Test(blueprint, bent_texts_are_denied_with_a_field_or_taken_whole) {
+Test(configuration, bent_texts_are_denied_with_a_field_or_taken_whole) {
   std::string good = R"({"weights":{"w1":{"model":"m"}},"models":{"m":{"weights":"w1"}},"tenants":{"t":{"isolated":true}},)"
                      R"("keys":{"k":{"tenant":"t","secret":"abcdefgh"}},"policies":{"p":"fetch peer when hits > 3"},"routes":{"r":{"model":"m"}}})";
-  std::mt19937_64 dice(4);
+  std::mt19937_64 randomSource(4);
   int denied = 0;
   for (int round = 0; round < 5000; ++round) {
     std::string bent = good;
-    for (int bend = 0; bend < 2; ++bend) bent[dice() % bent.size()] = static_cast<char>(dice() % 128);
-    Blueprint view;
+    for (int bend = 0; bend < 2; ++bend) bent[randomSource() % bent.size()] = static_cast<char>(randomSource() % 128);
+    Configuration view;
     auto patch = view.preparePatch(bent, round % 2 == 0);
     if (!patch) {
       cr_assert_not(patch.error().subject.empty());
@@ -204,8 +204,8 @@
       continue;
     }
     view.apply(Entry{1, 1, 1, patch.value(), {}});
-    Blueprint copy;
-    cr_assert(bool(copy.adopt(view.capture())));
+    Configuration copy;
+    cr_assert(bool(copy.adopt(view.snapshot())));
     cr_assert_eq(copy.text(), view.text());
   }
   cr_assert_gt(denied, 500);
@@ -233,7 +233,7 @@
 }
 
 Test(logic, reads_no_clock_but_the_one_it_is_handed) {
-  for (const char* name : {"ballot", "accord", "cell", "core", "agent", "edge", "blueprint", "standin", "ring", "desk"}) {
+  for (const char* name : {"consensus/election", "consensus/replicated_log", "consensus/membership", "consensus/snapshot", "consensus/change_requests", "index/cell", "cluster/core", "cluster/core_operators", "cluster/core_membership", "cluster/core_report", "agent/agent", "routing/edge", "config/configuration", "sim/standin", "storage/ring", "base/effects"}) {
     std::string path = std::string(TT_SOURCE "/src/") + name + ".cpp", text;
     FILE* file = std::fopen(path.c_str(), "r");
     cr_assert(file != nullptr);
@@ -254,11 +254,11 @@
   cr_assert_eq(readCallerOrder("{").error().code, Code::badJson);
   cr_assert_eq(readCallerOrder(std::string(100000, '[')).error().code, Code::badJson);
   cr_assert_eq(readCallerOrder(std::string((1 << 20) + 1, ' ')).error().code, Code::tooLarge);
-  std::mt19937_64 dice(2);
+  std::mt19937_64 randomSource(2);
   int denied = 0;
   for (int round = 0; round < 20000; ++round) {
     std::string bent = good;
-    bent[dice() % bent.size()] = static_cast<char>(dice());
+    bent[randomSource() % bent.size()] = static_cast<char>(randomSource());
     auto read = readCallerOrder(bent);
     if (!read) {
       cr_assert_not(read.error().subject.empty());
@@ -296,8 +296,8 @@
   cr_assert_geq(deepest, 1);
 }
 
-Test(blueprint, says_where_its_memory_of_change_ids_ends) {
-  Blueprint view;
+Test(configuration, says_where_its_memory_of_change_ids_ends) {
+  Configuration view;
   auto change = [&](std::uint64_t number) {
     view.apply(Entry{number, 1, static_cast<int>(EntryKind::change), "{\"weights\":{\"w\":{\"model\":\"m\"}}}", "id-" + std::to_string(number)});
   };
@@ -307,8 +307,8 @@
   cr_assert_eq(view.forgottenRevision(), 4200u - 4096u);
   cr_assert_not(view.takenAs("id-104").has_value());
   cr_assert_eq(*view.takenAs("id-105"), 105u);
-  Blueprint again;
-  cr_assert(bool(again.adopt(view.capture())));
+  Configuration again;
+  cr_assert(bool(again.adopt(view.snapshot())));
   cr_assert_eq(again.forgottenRevision(), view.forgottenRevision(), "a capture must not make it forget where its memory ends");
 }
 
@@ -316,7 +316,8 @@
   // Leases, freshness and order of lists rest on steady clocks, so that no jump of a wall clock can move them.
   std::filesystem::path folder = std::filesystem::path(TT_SOURCE) / "src";
   std::size_t looked = 0;
-  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+  for (const auto& file : std::filesystem::recursive_directory_iterator(folder)) {
+    if (!file.is_regular_file()) continue;
     std::ifstream source(file.path());
     std::stringstream text;
     text << source.rdbuf();
@@ -432,7 +433,8 @@
 
 Test(style, comments_in_code_document_items_only) {
   std::size_t looked = 0;
-  for (const auto& file : std::filesystem::directory_iterator(std::filesystem::path(TT_SOURCE) / "src")) {
+  for (const auto& file : std::filesystem::recursive_directory_iterator(std::filesystem::path(TT_SOURCE) / "src")) {
+    if (!file.is_regular_file()) continue;
     std::ifstream source(file.path());
     ++looked;
     for (std::string line; std::getline(source, line);) {
--- a/tests/path_routes.cpp
+++ b/tests/path_routes.cpp
@@ -11,7 +11,7 @@
 
 class Declared {
  public:
-  Blueprint view;
+  Configuration view;
   Result<std::string> prepare(const std::string& text, Manner manner = Manner::patch) const { return view.preparePatch(text, manner); }
   Entry change(const std::string& text, Manner manner = Manner::patch, std::uint64_t revision = 0, const std::string& changeId = {}) {
     auto patch = prepare(text, manner);
@@ -34,7 +34,7 @@
   }
 };
 
-Json itemOf(const Blueprint& view, const std::string& section, const std::string& name) {
+Json itemOf(const Configuration& view, const std::string& section, const std::string& name) {
   auto items = view.section(section);
   auto found = items.find(name);
   return found == items.end() ? Json() : found->second;
@@ -197,7 +197,7 @@
     "keys":{"k1":{"tenant":"olm","secret":"secret-one"}},"services":{"barn":{"storeAddress":"10.0.0.9:80","locality":"north-b"}},
     "limits":{"callers":{"headerBytes":1000,"bodyBytes":2000,"headerMs":30,"idleMs":40}},"policies":{"p":"fetch peer when hits >= 5"},
     "weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},"extra":{"mark":{"a":[1,{"b":2}]}}})", Manner::patch, 0, "second");
-  auto read = decodeCapture(encodeCapture(declared.view.capture()));
+  auto read = decodeSnapshot(encodeSnapshot(declared.view.snapshot()));
   cr_assert(bool(read));
   Declared again;
   again.change(R"({"services":{"old":{}},"routes":{"old":{"host":"old.example","prefix":"/","service":"old"}},"tenants":{"old":{"secrets":["key-old"]}}})");
@@ -223,12 +223,12 @@
 }
 
 namespace {
-struct PaceKept {
-  Pace old = pace;
-  ~PaceKept() { pace = old; }
+struct TimingKept {
+  Timing old = timing;
+  ~TimingKept() { timing = old; }
 };
 
-const std::string proxyBlueprint = R"({"services":{"mill":{},"weir":{}},
+const std::string proxyConfiguration = R"({"services":{"mill":{},"weir":{}},
   "weights":{"moss/3":{"model":"moss"},"moss/4":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},
   "tenants":{"asp":{"secrets":["key-a"]},"olm":{"secrets":["key-b"]},"own":{"secrets":["key-c"],"isolated":true}},
   "routes":{"once":{"host":"h","prefix":"/once/","service":"mill","repeat":"once","tries":1,"timeoutMs":4000},
@@ -246,7 +246,7 @@
     Message message;
   };
   Moment now{std::chrono::hours(5)};
-  std::mt19937_64 dice{11};
+  std::mt19937_64 randomSource{11};
   Declared declared;
   std::unique_ptr<Edge> edge;
   std::vector<Sent> sent;
@@ -255,40 +255,40 @@
   int orderCount{0};
 
   explicit ProxyBench(const std::string& name = "proxy-1") {
-    EdgeProps props;
-    props.name = name;
-    props.address = name + ":1";
-    props.locality = "north-a";
-    props.agentAddress = agentAddress;
-    props.pendingMost = 256;
-    props.sourceRides = props.openGoOn = true;
-    props.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
-    props.retryShare = 0.15;
-    props.retryLeast = 2.9;
-    props.retrySpan = 10s;
-    props.retryAtOnce = 2s;
-    edge = std::make_unique<Edge>(props);
-    declared.change(proxyBlueprint);
+    EdgeSettings settings;
+    settings.name = name;
+    settings.address = name + ":1";
+    settings.locality = "north-a";
+    settings.agentAddress = agentAddress;
+    settings.pendingMost = 256;
+    settings.sourceRides = settings.openGoOn = true;
+    settings.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
+    settings.retryShare = 0.15;
+    settings.retryLeast = 2.9;
+    settings.retrySpan = 10s;
+    settings.retryAtOnce = 2s;
+    edge = std::make_unique<Edge>(settings);
+    declared.change(proxyConfiguration);
     NewsMsg news;
     news.commit = 1;
-    news.captures.push_back(declared.view.capture());
+    news.snapshots.push_back(declared.view.snapshot());
     give(agentAddress, news);
     tick();
   }
 
   void give(const std::string& from, const Message& message) {
-    Desk desk{now, dice, edge->journal, {}, {}};
-    edge->take(desk, from, message);
-    keep(desk);
+    Effects effects{now, randomSource, edge->journal, {}, {}};
+    edge->take(effects, from, message);
+    keep(effects);
   }
   void tick() {
-    Desk desk{now, dice, edge->journal, {}, {}};
-    edge->tick(desk);
-    keep(desk);
+    Effects effects{now, randomSource, edge->journal, {}, {}};
+    edge->tick(effects);
+    keep(effects);
   }
-  void keep(Desk& desk) {
+  void keep(Effects& effects) {
     std::vector<FeedAsk> asks;
-    for (auto& [to, message] : desk.sends) {
+    for (auto& [to, message] : effects.sends) {
       if (auto* ask = std::get_if<FeedAsk>(&message)) asks.push_back(*ask);
       sent.push_back(Sent{now, to, std::move(message)});
     }
@@ -435,7 +435,7 @@
 
 Test(path_orders, go_where_rendezvous_says_and_all_proxies_agree) {
   ProxyBench one("proxy-1"), other("proxy-2");
-  other.dice.seed(99);
+  other.randomSource.seed(99);
   for (auto* bench : {&one, &other}) bench->workers(6);
   std::map<std::string, int> drawn;
   for (int number = 0; number < 60; ++number) {
@@ -569,12 +569,12 @@
   bench.workers(4);
   bench.store("barn", "north-b");
   bench.tell();
-  std::mt19937_64 dice(5);
+  std::mt19937_64 randomSource(5);
   int named = 0, unnamed = 0;
   auto prefixOf = [](const std::vector<int>& hits) { return std::find(hits.begin(), hits.end(), 0) - hits.begin(); };
   for (int number = 0; number < 400; ++number) {
     std::map<std::string, std::vector<int>> hits;
-    for (const char* name : {"w1", "w2", "w3", "w4", "barn"}) hits[name] = {static_cast<int>(dice() % 2), static_cast<int>(dice() % 2)};
+    for (const char* name : {"w1", "w2", "w3", "w4", "barn"}) hits[name] = {static_cast<int>(randomSource() % 2), static_cast<int>(randomSource() % 2)};
     auto orderId = bench.place("/once/x", "key-a", promptOf(number), promptTokens);
     std::set<std::string> asked;
     for (const auto& ask : bench.openLookups()) {
@@ -692,8 +692,8 @@
 }
 
 Test(path_orders, workers_with_old_weights_are_drawn_only_while_a_roll_out_may_last) {
-  PaceKept kept;
-  pace.rolloutMost = 4s;
+  TimingKept kept;
+  timing.rolloutMost = 4s;
   ProxyBench bench;
   bench.worker("w1");
   bench.worker("w2");
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -68,7 +68,7 @@
   for (const auto& figure : measureDraw(60, 1))
     if (figure.name == "requests done") done = figure.value == 1;
   cr_assert(done, "every request must come to its end");
-  cr_assert_geq(measureBlueprint(8, 1).size(), 8u);
+  cr_assert_geq(measureConfiguration(8, 1).size(), 8u);
 }
 
 Test(scale, a_plot_holds_every_point) {
