--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -15,7 +15,8 @@
 
 Agent::Agent(AgentSettings agentSettings)
     : settings(std::move(agentSettings)),
-      clusterView(ReaderSettings{settings.name, settings.address, settings.locality, settings.seeds, true, settings.defences}) {}
+      clusterView(ReaderSettings{settings.name, settings.address, settings.locality, settings.seeds, true,
+                                 settings.defences}) {}
 
 std::vector<CellMark> Agent::cellMarks() const {
   std::vector<CellMark> rows;
@@ -52,7 +53,8 @@
     suspect = effects.now >= suspect->second ? suspects.erase(suspect) : std::next(suspect);
   Strings order = clusterView.watch();
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  for (const auto& address : clusterView.coreAddresses(view)) ranked.emplace_back(rendezvous(settings.address, address), address);
+  for (const auto& address : clusterView.coreAddresses(view))
+    ranked.emplace_back(rendezvous(settings.address, address), address);
   std::sort(ranked.rbegin(), ranked.rend());
   for (const auto& [weight, address] : ranked) order.push_back(address);
   if (order.empty()) return;
@@ -108,7 +110,8 @@
   clusterView.weigh(effects.now, view);
 }
 
-void Agent::onNewsAsk(Effects& effects, const std::string& from, std::uint64_t applied, const std::vector<CellMark>& known) {
+void Agent::onNewsAsk(Effects& effects, const std::string& from, std::uint64_t applied,
+                      const std::vector<CellMark>& known) {
   NewsMsg news{clusterView.knownCommit(), {}, {}};
   std::uint64_t reach = recent.empty() ? view.index() : recent.front().index - 1;
   if (applied < reach) {
@@ -183,12 +186,13 @@
     bool lags = feed->applied < view.index() || feed->applied == 0 || feed->cells.size() < cells.size();
     for (const auto& mark : feed->cells)
       if (auto kept = cells.find(mark.locality); kept != cells.end())
-        lags = lags || std::make_pair(mark.term, mark.sequence) <
-                           std::make_pair(kept->second.term, kept->second.sequence);
+        lags =
+            lags || std::make_pair(mark.term, mark.sequence) < std::make_pair(kept->second.term, kept->second.sequence);
     if (lags) onNewsAsk(effects, from, feed->applied, feed->cells);
     if (clusterView.marksKnown() && feed->marksDigest != clusterView.marksDigest())
       effects.send(from, MarksMsg{(effects.now - clusterView.marksAt()).count(), clusterView.machines()});
-    effects.send(from, FeedReply{feed->sentAt, known ? (effects.now - clusterView.stamp()).count() : 0, view.index(), known});
+    effects.send(from,
+                 FeedReply{feed->sentAt, known ? (effects.now - clusterView.stamp()).count() : 0, view.index(), known});
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
     auto cell = cells.find(lookup->locality);
     if (cell == cells.end()) return;
@@ -214,7 +218,8 @@
   JsonObject whole;
   whole["agent"] = Json(settings.name);
   whole["fresh"] = Json(fresh(now));
-  whole["freshAgeMs"] = jsonNumber(clusterView.stamp() == Moment{} ? -1 : static_cast<double>(inMs(now - clusterView.stamp())));
+  whole["freshAgeMs"] =
+      jsonNumber(clusterView.stamp() == Moment{} ? -1 : static_cast<double>(inMs(now - clusterView.stamp())));
   whole["revision"] = jsonNumber(static_cast<double>(view.revision()));
   whole["applied"] = jsonNumber(static_cast<double>(view.index()));
   whole["follows"] = Json(parent);
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -1,8 +1,8 @@
 #pragma once
 #include <deque>
 
-#include "core.hpp"
 #include "cluster_view.hpp"
+#include "core.hpp"
 
 namespace tt {
 
--- a/src/base/base.hpp
+++ b/src/base/base.hpp
@@ -1,5 +1,7 @@
 #pragma once
 #include <array>
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/result.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -14,8 +16,6 @@
 #include <unordered_set>
 #include <variant>
 #include <vector>
-#include <boost/outcome/basic_result.hpp>
-#include <boost/outcome/result.hpp>
 
 namespace tt {
 
@@ -56,9 +56,7 @@
   std::uint64_t high{0};
   std::uint64_t low{0};
   bool operator==(const BlockHash& other) const { return high == other.high && low == other.low; }
-  bool operator<(const BlockHash& other) const {
-    return high != other.high ? high < other.high : low < other.low;
-  }
+  bool operator<(const BlockHash& other) const { return high != other.high ? high < other.high : low < other.low; }
   std::string hex() const;
   static std::optional<BlockHash> parse(std::string_view text);
 };
@@ -86,9 +84,7 @@
 std::vector<std::string> cutPrompt(const std::vector<std::string>& parts, std::size_t blocks);
 
 /// Milliseconds of a span.
-inline std::int64_t inMs(Span span) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
+inline std::int64_t inMs(Span span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span).count(); }
 inline std::int64_t inNs(Moment moment) {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(moment.time_since_epoch()).count();
 }
--- a/src/base/effects.cpp
+++ b/src/base/effects.cpp
@@ -15,7 +15,8 @@
 Count digestOf(const std::vector<Machine>& machines) {
   Count digest = 1;
   for (const auto& machine : machines) {
-    std::string row = machine.name + "\n" + machine.address + "\n" + machine.locality + "\n" + machine.kind + (machine.leaving ? "\nleaving" : "");
+    std::string row = machine.name + "\n" + machine.address + "\n" + machine.locality + "\n" + machine.kind +
+                      (machine.leaving ? "\nleaving" : "");
     digest = rendezvous(std::to_string(digest), row);
   }
   return digest;
@@ -41,7 +42,8 @@
   if (news.light)
     for (auto& worker : taken.workers)
       for (const auto& known : kept.workers)
-        if (known.name == worker.name && known.weights == worker.weights && worker.confirmed) worker.summary = known.summary;
+        if (known.name == worker.name && known.weights == worker.weights && worker.confirmed)
+          worker.summary = known.summary;
   taken.light = false;
   kept = std::move(taken);
   return true;
--- a/src/base/effects.hpp
+++ b/src/base/effects.hpp
@@ -18,8 +18,8 @@
 /// The journal in memory: parts append, views fold what they are told through the signal.
 class Journal {
  public:
-  boost::signals2::signal_type<void(const Event&), boost::signals2::keywords::mutex_type<boost::signals2::dummy_mutex>>::type
-      appended;
+  boost::signals2::signal_type<void(const Event&),
+                               boost::signals2::keywords::mutex_type<boost::signals2::dummy_mutex>>::type appended;
   void append(Moment at, std::string kind, std::string subject = {}, std::int64_t number = 0);
   const std::deque<Event>& events() const { return rows; }
   /// How often each kind was appended: the view that counters are read from.
@@ -69,7 +69,9 @@
   std::vector<Save> saves;
 
   void send(const std::string& to, Message message) { sends.emplace_back(to, std::move(message)); }
-  void save(Record record, std::function<void(Effects&)> then = {}) { saves.push_back({std::move(record), std::move(then)}); }
+  void save(Record record, std::function<void(Effects&)> then = {}) {
+    saves.push_back({std::move(record), std::move(then)});
+  }
   std::uint64_t roll(std::uint64_t below) { return below ? randomSource() % below : 0; }
   void note(std::string kind, std::string subject = {}, std::int64_t number = 0) {
     journal.append(now, std::move(kind), std::move(subject), number);
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -15,7 +15,8 @@
 namespace {
 std::string prefix;
 std::string stampNow() {
-  return date::format("%FT%TZ", std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()));
+  return date::format("%FT%TZ",
+                      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()));
 }
 }  // namespace
 
--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -135,8 +135,8 @@
 
 /// The name of what a message is.
 const char* messageName(const Message& message);
-/// Takes newer cell news in. Light ones carry no summaries, so those that were known stay. Ones with a base hold only what
-/// has changed since that sequence, and are not taken by who does not have just that.
+/// Takes newer cell news in. Light ones carry no summaries, so those that were known stay. Ones with a base hold only
+/// what has changed since that sequence, and are not taken by who does not have just that.
 bool takeCellNews(CellNews& kept, const CellNews& news);
 /// Tells one list of machines from another.
 Count digestOf(const std::vector<Machine>& machines);
--- a/src/base/wire.cpp
+++ b/src/base/wire.cpp
@@ -46,7 +46,7 @@
   constexpr bool loading = Archive::is_loading::value;
   if constexpr (std::is_same_v<T, std::string>) {
     std::uint32_t size = static_cast<std::uint32_t>(value.size());
-    archive & size;
+    archive& size;
     if constexpr (loading) {
       value.clear();
       while (value.size() < size) {
@@ -60,7 +60,7 @@
     }
   } else if constexpr (IsRow<T>::value) {
     std::uint32_t size = static_cast<std::uint32_t>(value.size());
-    archive & size;
+    archive& size;
     if constexpr (loading) {
       value.clear();
       for (std::uint32_t at = 0; at < size; ++at) {
@@ -71,15 +71,15 @@
       for (auto& item : value) stow(archive, item);
     }
   } else if constexpr (std::is_same_v<T, BlockHash>) {
-    archive & value.high;
-    archive & value.low;
+    archive& value.high;
+    archive& value.low;
   } else if constexpr (std::is_arithmetic_v<T>) {
     if constexpr (std::is_same_v<T, bool>) {
       std::uint8_t byte = value ? 1 : 0;
-      archive & byte;
+      archive& byte;
       value = byte != 0;
     } else {
-      archive & value;
+      archive& value;
     }
   } else {
     value.serialize(archive, 0);
@@ -92,7 +92,7 @@
   FrameSink sink;
   {
     Packer packer(sink, archiveFlags);
-    packer & kind;
+    packer& kind;
     stow(packer, const_cast<T&>(value));
   }
   return std::move(sink.bytes);
@@ -103,7 +103,7 @@
     FrameSource source(bytes);
     Unpacker unpacker(source, archiveFlags);
     std::uint16_t kind = 0;
-    unpacker & kind;
+    unpacker& kind;
     T value{};
     stow(unpacker, value);
     if (source.left() != 0) return fault(Code::badFrame, "length");
@@ -143,8 +143,8 @@
 
 Result<Message> decodeMessage(std::string_view frame) {
   if (frame.size() < 2) return fault(Code::badFrame, "length");
-  std::uint16_t kind = static_cast<std::uint16_t>(static_cast<unsigned char>(frame[0]) |
-                                                  (static_cast<unsigned char>(frame[1]) << 8));
+  std::uint16_t kind =
+      static_cast<std::uint16_t>(static_cast<unsigned char>(frame[0]) | (static_cast<unsigned char>(frame[1]) << 8));
   return unpackKind<>(kind, frame);
 }
 
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -19,16 +19,19 @@
   if (!settings.defences.stands(Defence::freshnessWeighed)) weigh(effects.now, view);
   auto addresses = coreAddresses(view);
   for (auto row = cores.begin(); row != cores.end();)
-    row = std::find(addresses.begin(), addresses.end(), row->first) == addresses.end() ? cores.erase(row) : std::next(row);
+    row = std::find(addresses.begin(), addresses.end(), row->first) == addresses.end() ? cores.erase(row)
+                                                                                       : std::next(row);
   for (const auto& address : addresses) {
     auto& core = cores[address];
     while (core.asks.size() > 16) core.asks.erase(core.asks.begin());
     core.asks[++askCount] = effects.now;
-    effects.send(address, LogEndRequest{askCount, settings.name, settings.locality, applied, cells, fresh(effects.now), settings.relays, digest});
+    effects.send(address, LogEndRequest{askCount, settings.name, settings.locality, applied, cells, fresh(effects.now),
+                                        settings.relays, digest});
   }
 }
 
-void ClusterView::take(Effects& effects, const std::string& from, const LogEndResponse& reply, const Configuration& view) {
+void ClusterView::take(Effects& effects, const std::string& from, const LogEndResponse& reply,
+                       const Configuration& view) {
   auto found = cores.find(from);
   if (found == cores.end()) return;
   auto& core = found->second;
@@ -113,7 +116,8 @@
     if (newest) heard.push_back(newest);
   }
   if (voters == 0) return;
-  std::sort(heard.begin(), heard.end(), [](const CoreRow* one, const CoreRow* other) { return one->askedAt > other->askedAt; });
+  std::sort(heard.begin(), heard.end(),
+            [](const CoreRow* one, const CoreRow* other) { return one->askedAt > other->askedAt; });
   for (std::size_t number = 1; number <= heard.size(); ++number) {
     std::vector<const CoreRow*> newest(heard.begin(), heard.begin() + static_cast<std::ptrdiff_t>(number));
     auto needed = neededBy(newest, voters);
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -18,7 +18,8 @@
   std::uint64_t ownRank = rendezvous("rank", agent);
   std::vector<std::pair<std::uint64_t, std::string>> lower;
   for (const auto& fellow : fellows)
-    if (std::uint64_t rank = rendezvous("rank", fellow); fellow != agent && rank < ownRank) lower.emplace_back(rank, fellow);
+    if (std::uint64_t rank = rendezvous("rank", fellow); fellow != agent && rank < ownRank)
+      lower.emplace_back(rank, fellow);
   if (lower.size() < rootRanks) return {};
   std::sort(lower.begin(), lower.end());
   lower.resize(std::max(rootRanks, lower.size() * 3 / 4));
@@ -41,7 +42,8 @@
   }
   self = Member{id, settings.name, settings.address, settings.locality, true};
   replicatedLog = std::make_unique<ReplicatedLog>(self, settings.recordRoom, settings.defences);
-  clusterView = std::make_unique<ClusterView>(ReaderSettings{self.id, self.address, self.locality, settings.seeds, false, settings.defences});
+  clusterView = std::make_unique<ClusterView>(
+      ReaderSettings{self.id, self.address, self.locality, settings.seeds, false, settings.defences});
   replicatedLog->restore(recovered, now);
   for (const auto& locality : settings.localities) cellFor(locality);
   for (const auto& [duty, vote] : recovered.votes)
@@ -86,7 +88,9 @@
 
 void Core::askMissed(Effects& effects, const CellNews& news) {
   const auto& kept = lastNews[news.locality];
-  if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence) || effects.now - missedAt < missedEvery) return;
+  if (std::make_pair(news.term, news.sequence) <= std::make_pair(kept.term, kept.sequence) ||
+      effects.now - missedAt < missedEvery)
+    return;
   missedAt = effects.now;
   std::vector<CellMark> marks;
   for (const auto& [locality, row] : lastNews) marks.push_back(CellMark{locality, row.term, row.sequence});
@@ -116,9 +120,18 @@
     row.watch = watchFor(from, effects.now);
     row.watchAt = effects.now;
   }
-  LogEndResponse reply{ask.askId, self.id, replicatedLog->election.term(), replicatedLog->speaksForTerm(), replicatedLog->syncedEnd(),
-                  replicatedLog->commit(), replicatedLog->members(), ask.relays ? row.watch : Strings{}, clusterView->marksKnown(),
-                  0, clusterView->marksDigest(), {}};
+  LogEndResponse reply{ask.askId,
+                       self.id,
+                       replicatedLog->election.term(),
+                       replicatedLog->speaksForTerm(),
+                       replicatedLog->syncedEnd(),
+                       replicatedLog->commit(),
+                       replicatedLog->members(),
+                       ask.relays ? row.watch : Strings{},
+                       clusterView->marksKnown(),
+                       0,
+                       clusterView->marksDigest(),
+                       {}};
   if (reply.marksKnown) reply.marksAge = (effects.now - clusterView->marksAt()).count();
   if (reply.marksKnown && ask.marksDigest != reply.marksDigest) reply.machines = clusterView->machines();
   effects.send(from, reply);
@@ -140,7 +153,8 @@
 
 void Core::takeMarks(Effects& effects) {
   Count stores = 1;
-  for (const auto& store : replicatedLog->configuration().stores()) stores = rendezvous(std::to_string(stores) + store.address, store.service + store.locality);
+  for (const auto& store : replicatedLog->configuration().stores())
+    stores = rendezvous(std::to_string(stores) + store.address, store.service + store.locality);
   if (cellDigest == clusterView->marksDigest() && stores == storesDigest) return;
   cellDigest = clusterView->marksDigest();
   storesDigest = stores;
@@ -171,7 +185,8 @@
   for (auto& [locality, cell] : cells) cell->election.mayStand = !diskStalled;
   replicatedLog->tick(effects);
   for (auto& [locality, cell] : cells) cell->tick(effects, replicatedLog->configuration());
-  bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() || effects.now - clusterView->marksAt() >= timing.listOld;
+  bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() ||
+               effects.now - clusterView->marksAt() >= timing.listOld;
   if (!settings.platformAddress.empty() && lists && effects.now - platformAt >= timing.listEvery) {
     platformAt = effects.now;
     effects.send(settings.platformAddress, MachinesAsk{inNs(effects.now)});
@@ -244,8 +259,8 @@
     auto duty = std::visit(
         [](const auto& value) -> std::string {
           using T = std::decay_t<decltype(value)>;
-          if constexpr (std::is_same_v<T, VoteRequest> || std::is_same_v<T, VoteResponse> || std::is_same_v<T, Heartbeat> ||
-                        std::is_same_v<T, HeartbeatResponse>)
+          if constexpr (std::is_same_v<T, VoteRequest> || std::is_same_v<T, VoteResponse> ||
+                        std::is_same_v<T, Heartbeat> || std::is_same_v<T, HeartbeatResponse>)
             return value.duty;
           else
             return "accord";
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "replicated_log.hpp"
 #include "cell.hpp"
 #include "cluster_view.hpp"
+#include "replicated_log.hpp"
 
 namespace tt {
 
@@ -16,7 +16,8 @@
   Defences defences;
 };
 
-/// What a core does: one voice in the replicated log, one cell for each locality, the root of the news tree, the operators' door.
+/// What a core does: one voice in the replicated log, one cell for each locality, the root of the news tree, the
+/// operators' door.
 class Core : public Node {
  public:
   Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now);
--- a/src/cluster/core_membership.cpp
+++ b/src/cluster/core_membership.cpp
@@ -18,8 +18,11 @@
     return;
   }
   bool member = false;
-  for (const auto& row : replicatedLog->members()) member = member || (row.id == self.id && row.address == self.address);
-  if (replicatedLog->formed() && member && (replicatedLog->election.won() || effects.now - replicatedLog->heardLeaderAt() < leaderSilent)) return;
+  for (const auto& row : replicatedLog->members())
+    member = member || (row.id == self.id && row.address == self.address);
+  if (replicatedLog->formed() && member &&
+      (replicatedLog->election.won() || effects.now - replicatedLog->heardLeaderAt() < leaderSilent))
+    return;
   if (effects.now - helloAt >= helloEvery) {
     helloAt = effects.now;
     for (const auto& seed : settings.seeds)
@@ -39,7 +42,9 @@
 void Core::considerForming(Effects& effects) {
   if (replicatedLog->formed() || !settings.mayForm) return;
   std::vector<Member> first{self};
-  if (std::find(settings.seeds.begin(), settings.seeds.end(), self.address) == settings.seeds.end() && settings.cell.seedsForm) return;
+  if (std::find(settings.seeds.begin(), settings.seeds.end(), self.address) == settings.seeds.end() &&
+      settings.cell.seedsForm)
+    return;
   for (const auto& seed : settings.seeds) {
     if (seed == self.address) continue;
     auto found = hellos.find(seed);
--- a/src/cluster/core_operators.cpp
+++ b/src/cluster/core_operators.cpp
@@ -30,7 +30,7 @@
 void Core::onOperator(Effects& effects, const std::string& from, const OperatorRequest& ask) {
   if (asked.size() >= mostAsked) {
     effects.send(from, OperatorResponse{ask.askId, static_cast<int>(Code::changesFull), "changes",
-                                  codeText(Code::changesFull), 0, 0});
+                                        codeText(Code::changesFull), 0, 0});
     return;
   }
   Asked row;
@@ -38,7 +38,9 @@
   row.askId = ask.askId;
   row.at = effects.now;
   row.ask = ask;
-  if (row.ask.changeId.empty()) row.ask.changeId = self.id + "/" + std::to_string(startedAt.time_since_epoch().count()) + "/" + std::to_string(++askCount);
+  if (row.ask.changeId.empty())
+    row.ask.changeId =
+        self.id + "/" + std::to_string(startedAt.time_since_epoch().count()) + "/" + std::to_string(++askCount);
   asked[self.id + "/" + std::to_string(++askCount)] = row;
   settleAsked(effects);
 }
@@ -67,14 +69,21 @@
   for (auto row = asked.begin(); row != asked.end();) {
     auto& ask = row->second;
     if (ask.agreed) {
-      if (readersHave(ask, effects.now) || effects.now - ask.agreedAt >= timing.readersWait || !settings.defences.stands(Defence::ackWaits)) {
+      if (readersHave(ask, effects.now) || effects.now - ask.agreedAt >= timing.readersWait ||
+          !settings.defences.stands(Defence::ackWaits)) {
         std::uint64_t reached = 0;
-        for (const auto& [address, agent] : agents) reached += agent.relays && effects.now - agent.at < agentKept && agent.applied >= ask.index;
+        for (const auto& [address, agent] : agents)
+          reached += agent.relays && effects.now - agent.at < agentKept && agent.applied >= ask.index;
         effects.note("change acked", ask.ask.changeId, static_cast<std::int64_t>(ask.index));
         effects.note("ack wait ms", ask.ask.changeId, inMs(effects.now - ask.agreedAt));
-        effects.note("change in force", ask.ask.changeId + " touches" + touchedBy(ask.ask.body), static_cast<std::int64_t>(ask.revision));
-        effects.send(ask.from, OperatorResponse{ask.askId, static_cast<int>(Code::changeTaken), {},
-                                          codeText(Code::changeTaken), ask.revision, reached});
+        effects.note("change in force", ask.ask.changeId + " touches" + touchedBy(ask.ask.body),
+                     static_cast<std::int64_t>(ask.revision));
+        effects.send(ask.from, OperatorResponse{ask.askId,
+                                                static_cast<int>(Code::changeTaken),
+                                                {},
+                                                codeText(Code::changeTaken),
+                                                ask.revision,
+                                                reached});
         row = asked.erase(row);
         continue;
       }
@@ -84,8 +93,8 @@
       row = asked.erase(row);
       continue;
     } else if (ask.sentAt == Moment{} || effects.now - ask.sentAt >= passAgain) {
-      ChangeRequest change{row->first, ask.ask.body, ask.ask.whole, ask.ask.ifRevision, ask.ask.changeId, ask.ask.sinceRevision,
-                       ask.ask.manner, ask.ask.toRevision};
+      ChangeRequest change{row->first,       ask.ask.body,          ask.ask.whole,  ask.ask.ifRevision,
+                           ask.ask.changeId, ask.ask.sinceRevision, ask.ask.manner, ask.ask.toRevision};
       if (replicatedLog->leads(effects.now)) {
         ask.sentAt = effects.now;
         effects.send(self.address, change);
@@ -100,7 +109,9 @@
 
 bool Core::readersHave(const Asked& row, Moment now) const {
   if (membersMovedAt != Moment{} && now - membersMovedAt < timing.readersWait) return false;
-  if (row.term != replicatedLog->election.term() || round.index < row.index || round.having.size() < replicatedLog->election.quorum() || !round.answered.count(row.leaderAddress)) return false;
+  if (row.term != replicatedLog->election.term() || round.index < row.index ||
+      round.having.size() < replicatedLog->election.quorum() || !round.answered.count(row.leaderAddress))
+    return false;
   for (const auto& [address, applied] : round.appliedByReader)
     if (applied < row.index) return false;
   return true;
@@ -113,13 +124,15 @@
     if (row.agreed && (!furthest || row.index > furthest->index)) furthest = &row;
   if (!furthest) return;
   round = ReadersRound{round.id + 1, furthest->index, furthest->term, effects.now, {}, {}, {}};
-  for (const auto& member : replicatedLog->members()) effects.send(member.address, ReadersRequest{round.id, round.index, round.term});
+  for (const auto& member : replicatedLog->members())
+    effects.send(member.address, ReadersRequest{round.id, round.index, round.term});
 }
 
 void Core::onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask) {
   ReadersResponse reply{ask.roundId, self.id, replicatedLog->hasSynced(ask.index, ask.term), {}};
   for (const auto& [address, row] : agents)
-    if (effects.now - row.at < timing.readersWait) reply.readers.push_back(Reader{address, row.applied, (effects.now - row.at).count()});
+    if (effects.now - row.at < timing.readersWait)
+      reply.readers.push_back(Reader{address, row.applied, (effects.now - row.at).count()});
   effects.send(from, reply);
 }
 
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -2,7 +2,8 @@
 
 namespace tt {
 namespace {
-const std::set<std::string> sectionNames{"models", "weights", "tenants", "keys", "routes", "policies", "services", "limits", "extra"};
+const std::set<std::string> sectionNames{"models",   "weights",  "tenants", "keys", "routes",
+                                         "policies", "services", "limits",  "extra"};
 /// Sections whose items hold what a translator gave, checked by field here where the logic reads them.
 const std::set<std::string> freeSections{"limits", "extra"};
 const std::map<std::string, std::set<std::string>> itemFields{
@@ -10,10 +11,12 @@
     {"weights", {"model"}},
     {"tenants", {"isolated", "at", "secrets", "priority", "extra"}},
     {"keys", {"tenant", "hash", "secret"}},
-    {"routes", {"model", "kind", "tenants", "policy", "at", "host", "prefix", "repeat", "timeoutMs", "aimMs", "priority", "tries",
-                "gapMs", "open", "sticky", "resumable", "service", "split", "extra"}},
-    {"services", {"at", "healthPath", "connections", "protocol", "tls", "engine", "storeAddress", "locality", "tokens", "linkMbps",
-                  "reports", "extra"}},
+    {"routes",
+     {"model", "kind", "tenants", "policy", "at", "host", "prefix", "repeat", "timeoutMs", "aimMs", "priority", "tries",
+      "gapMs", "open", "sticky", "resumable", "service", "split", "extra"}},
+    {"services",
+     {"at", "healthPath", "connections", "protocol", "tls", "engine", "storeAddress", "locality", "tokens", "linkMbps",
+      "reports", "extra"}},
 };
 constexpr std::size_t changesRemembered = 4096;
 constexpr std::size_t longestName = 128;
@@ -37,7 +40,9 @@
   return Json(rows);
 }
 
-std::string wholePrefix(const std::string& prefix) { return prefix.empty() || prefix.back() == '/' ? prefix : prefix + "/"; }
+std::string wholePrefix(const std::string& prefix) {
+  return prefix.empty() || prefix.back() == '/' ? prefix : prefix + "/";
+}
 
 RouteView readRoute(const std::string& name, const Json& item) {
   RouteView route;
@@ -183,7 +188,8 @@
     for (const auto& secret : secrets->second.get<JsonArray>()) secretOwners[secret.to_str()] = name;
   });
   untouched("routes", [&](const std::string& name, const Json& item) {
-    if (auto prefix = textOr(item, "prefix"); !prefix.empty()) prefixOwners[{textOr(item, "host"), wholePrefix(prefix)}] = name;
+    if (auto prefix = textOr(item, "prefix"); !prefix.empty())
+      prefixOwners[{textOr(item, "host"), wholePrefix(prefix)}] = name;
   });
   auto checkItem = [&](const std::string& sectionName, const std::string& name, const Json& item) -> Result<void> {
     std::string path = sectionName + "." + name;
@@ -213,7 +219,8 @@
         for (const auto& secret : secrets.value()) {
           if (secret.empty()) return fault(Code::badField, path + ".secrets", "a key is empty");
           auto owner = secretOwners.emplace(secret, name).first->second;
-          if (owner != name) return fault(Code::blueprintBad, path + ".secrets", "tenant " + owner + " has this key too");
+          if (owner != name)
+            return fault(Code::blueprintBad, path + ".secrets", "tenant " + owner + " has this key too");
         }
       }
     } else if (sectionName == "keys") {
@@ -229,10 +236,12 @@
       if (known != keyIdByHash.end() && known->second != name && find("keys", known->second) &&
           textOr(*find("keys", known->second), "hash") == hash.value())
         return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
-      if (!hashOwners.emplace(hash.value(), name).second) return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
+      if (!hashOwners.emplace(hash.value(), name).second)
+        return fault(Code::blueprintBad, path + ".secret", "another key has this secret");
     } else if (sectionName == "services") {
       auto store = textOr(item, "storeAddress");
-      if (fields.count("storeAddress") && store.empty()) return fault(Code::badField, path + ".storeAddress", "must be ip:port");
+      if (fields.count("storeAddress") && store.empty())
+        return fault(Code::badField, path + ".storeAddress", "must be ip:port");
     } else if (sectionName == "routes" && fields.count("prefix")) {
       auto host = textField(fields, "host", path);
       if (!host) return host.error();
@@ -241,10 +250,12 @@
       auto route = readRoute(name, item);
       auto owner = prefixOwners.emplace(std::make_pair(route.host, route.prefix), name).first->second;
       if (owner != name) return fault(Code::blueprintBad, path, "route " + owner + " has the same host and prefix");
-      if (fields.count("timeoutMs") && route.timeout <= Span(0)) return fault(Code::blueprintBad, path + ".timeoutMs", "must be more than 0");
+      if (fields.count("timeoutMs") && route.timeout <= Span(0))
+        return fault(Code::blueprintBad, path + ".timeoutMs", "must be more than 0");
       double sum = 0;
       for (const auto& [service, weight] : route.split) {
-        if (!find("services", service)) return fault(Code::blueprintBad, path + ".service", "no such service: " + service);
+        if (!find("services", service))
+          return fault(Code::blueprintBad, path + ".service", "no such service: " + service);
         if (weight < 0) return fault(Code::blueprintBad, path + ".split", "a weight is below 0");
         sum += weight;
       }
@@ -264,7 +275,8 @@
         auto tenants = textsField(fields, "tenants", path);
         if (!tenants) return tenants.error();
         for (const auto& tenant : tenants.value())
-          if (!find("tenants", tenant)) return fault(Code::blueprintBad, path + ".tenants", "no such tenant: " + tenant);
+          if (!find("tenants", tenant))
+            return fault(Code::blueprintBad, path + ".tenants", "no such tenant: " + tenant);
       }
       if (fields.count("policy")) {
         auto policy = textField(fields, "policy", path);
@@ -306,7 +318,9 @@
   if (old != items.end()) {
     weight -= std::min(weight, name.size() + old->second.serialize().size());
     if (sectionName == "keys")
-      if (auto known = keyIdByHash.find(textOr(old->second, "hash")); known != keyIdByHash.end() && known->second == name) keyIdByHash.erase(known);
+      if (auto known = keyIdByHash.find(textOr(old->second, "hash"));
+          known != keyIdByHash.end() && known->second == name)
+        keyIdByHash.erase(known);
     if (sectionName == "policies") policies.erase(name);
   }
   if (!value) {
@@ -320,7 +334,8 @@
     if (auto policy = Policy::read(value->get<std::string>())) policies[name] = policy.value();
 }
 
-void Configuration::foldItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value) {
+void Configuration::foldItem(const std::string& sectionName, const std::string& name, const Json* old,
+                             const Json* value) {
   auto secretsOf = [](const Json& item) {
     Strings rows;
     const auto& fields = item.get<JsonObject>();
@@ -332,14 +347,16 @@
   if (sectionName == "tenants") {
     if (old && old->is<JsonObject>())
       for (const auto& secret : secretsOf(*old))
-        if (auto found = tenantByHash.find(sha256Hex(secret)); found != tenantByHash.end() && found->second == name) tenantByHash.erase(found);
+        if (auto found = tenantByHash.find(sha256Hex(secret)); found != tenantByHash.end() && found->second == name)
+          tenantByHash.erase(found);
     if (value && value->is<JsonObject>())
       for (const auto& secret : secretsOf(*value)) tenantByHash[sha256Hex(secret)] = name;
   } else if (sectionName == "routes") {
     if (auto known = routeRows.find(name); known != routeRows.end()) {
       if (known->second.byPath()) {
         auto& prefixes = routeByPrefix[known->second.host];
-        if (auto found = prefixes.find(known->second.prefix); found != prefixes.end() && found->second == name) prefixes.erase(found);
+        if (auto found = prefixes.find(known->second.prefix); found != prefixes.end() && found->second == name)
+          prefixes.erase(found);
         if (prefixes.empty()) routeByPrefix.erase(known->second.host);
       }
       routeRows.erase(known);
@@ -350,7 +367,8 @@
       routeRows[name] = std::move(route);
     }
   } else if (sectionName == "services") {
-    for (auto row = storeRows.begin(); row != storeRows.end();) row = row->service == name ? storeRows.erase(row) : std::next(row);
+    for (auto row = storeRows.begin(); row != storeRows.end();)
+      row = row->service == name ? storeRows.erase(row) : std::next(row);
     if (value && !textOr(*value, "storeAddress").empty())
       storeRows.push_back(StoreView{name, textOr(*value, "storeAddress"), textOr(*value, "locality")});
   } else if (sectionName == "limits" && name == "callers") {
@@ -473,7 +491,8 @@
   auto found = tenants->find(name);
   if (found == tenants->end()) return std::nullopt;
   TenantView tenant;
-  if (auto priority = numberOr(found->second, "priority", -1); priority >= 0) tenant.priority = static_cast<int>(priority);
+  if (auto priority = numberOr(found->second, "priority", -1); priority >= 0)
+    tenant.priority = static_cast<int>(priority);
   return tenant;
 }
 
@@ -481,7 +500,8 @@
   auto prefixes = routeByPrefix.find(host);
   if (prefixes == routeByPrefix.end()) return nullptr;
   std::string known = path.substr(0, path.find('?'));
-  for (auto slash = known.rfind('/'); slash != std::string::npos; slash = slash == 0 ? std::string::npos : known.rfind('/', slash - 1)) {
+  for (auto slash = known.rfind('/'); slash != std::string::npos;
+       slash = slash == 0 ? std::string::npos : known.rfind('/', slash - 1)) {
     known.resize(slash + 1);
     if (auto found = prefixes->second.find(known); found != prefixes->second.end()) return &routeRows.at(found->second);
   }
--- a/src/config/manifests.cpp
+++ b/src/config/manifests.cpp
@@ -5,7 +5,8 @@
 
 Result<void> onlyFields(const JsonObject& object, const std::set<std::string>& known, const std::string& path) {
   for (const auto& [name, value] : object)
-    if (!known.count(name)) return fault(Code::unknownField, pathOf(path, name), "this field of a manifest is not supported");
+    if (!known.count(name))
+      return fault(Code::unknownField, pathOf(path, name), "this field of a manifest is not supported");
   return boost::outcome_v2::success();
 }
 
@@ -31,10 +32,12 @@
   if (auto known = onlyFields(whole, {"apiVersion", "kind", "metadata", "spec"}, path); !known) return known.error();
   if (textOr(manifest, "apiVersion") != "gateway.networking.k8s.io/v1")
     return fault(Code::badField, pathOf(path, "apiVersion"), "must be gateway.networking.k8s.io/v1");
-  if (textOr(manifest, "kind") != "HTTPRoute") return fault(Code::badField, pathOf(path, "kind"), "only HTTPRoute is supported");
+  if (textOr(manifest, "kind") != "HTTPRoute")
+    return fault(Code::badField, pathOf(path, "kind"), "only HTTPRoute is supported");
   auto metadata = objectAt(whole, "metadata", path);
   if (!metadata) return metadata.error();
-  if (auto known = onlyFields(*metadata.value(), {"name", "annotations"}, pathOf(path, "metadata")); !known) return known.error();
+  if (auto known = onlyFields(*metadata.value(), {"name", "annotations"}, pathOf(path, "metadata")); !known)
+    return known.error();
   auto name = textField(*metadata.value(), "name", pathOf(path, "metadata"));
   if (!name) return name.error();
   JsonObject route;
@@ -42,7 +45,8 @@
     std::string notesPath = pathOf(path, "metadata.annotations");
     auto notes = objectAt(*metadata.value(), "annotations", pathOf(path, "metadata"));
     if (!notes) return notes.error();
-    if (auto known = onlyFields(*notes.value(), {"trouttally/policy", "trouttally/kind"}, notesPath); !known) return known.error();
+    if (auto known = onlyFields(*notes.value(), {"trouttally/policy", "trouttally/kind"}, notesPath); !known)
+      return known.error();
     for (const char* word : {"policy", "kind"}) {
       std::string full = std::string("trouttally/") + word;
       if (!notes.value()->count(full)) continue;
--- a/src/consensus/change_requests.cpp
+++ b/src/consensus/change_requests.cpp
@@ -9,7 +9,7 @@
   auto answer = [&](Code code, const std::string& subject, const std::string& text, std::uint64_t revision = 0,
                     std::uint64_t index = 0) {
     effects.send(from, ChangeResponse{ask.askId, static_cast<int>(code), subject, text.empty() ? codeText(code) : text,
-                                revision, index, termAt(index)});
+                                      revision, index, termAt(index)});
   };
   if (!election.holds(effects.now)) return answer(Code::notLeading, "accord", {});
   if (auto revision = head.takenAs(ask.changeId); revision && defences.stands(Defence::changeIdOnce)) {
@@ -30,7 +30,9 @@
   auto patch = head.preparePatch(ask.body, ask.whole ? Manner::whole : static_cast<Manner>(ask.manner));
   if (!patch) return answer(patch.error().code, patch.error().subject, patch.error().text);
   if (head.bytes() + patch.value().size() > room) return answer(Code::blueprintLarge, "body", {});
-  std::uint64_t revision = ask.toRevision > 0 ? static_cast<std::uint64_t>(ask.toRevision) : ask.toRevision < 0 ? head.revision() : 0;
+  std::uint64_t revision = ask.toRevision > 0   ? static_cast<std::uint64_t>(ask.toRevision)
+                           : ask.toRevision < 0 ? head.revision()
+                                                : 0;
   append(effects, EntryKind::change, patch.value(), ask.changeId, revision);
   waiters.push_back({from, ask.askId, logEnd(), head.revision()});
   sendAll(effects);
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -73,7 +73,8 @@
     return;
   }
   if (walk.in("idle")) {
-    if (effects.now >= standAt && effects.now >= promisedUntil && voter() && mayStand) walk.happen(*this, "vacant", effects);
+    if (effects.now >= standAt && effects.now >= promisedUntil && voter() && mayStand)
+      walk.happen(*this, "vacant", effects);
   } else if (effects.now >= askedAt + timing.voteWait + (walk.in("asking") ? slowness() : Span(0))) {
     walk.happen(*this, "lapsed", effects);
   }
@@ -150,19 +151,22 @@
 
 void Election::onAsk(Effects& effects, const std::string& from, const VoteRequest& ask) {
   bool bound = effects.now < promisedUntil && knownHolder != ask.candidate && defences.stands(Defence::promiseBinds);
-  bool granted = ask.term > vote.term || (!ask.probe && ask.term == vote.term && (vote.votedFor.empty() || vote.votedFor == ask.candidate));
+  bool granted = ask.term > vote.term ||
+                 (!ask.probe && ask.term == vote.term && (vote.votedFor.empty() || vote.votedFor == ask.candidate));
   if (holds(effects.now) || bound || !voter()) granted = false;
   if (granted && logEnd) {
     auto end = logEnd();
     granted = std::make_pair(ask.lastTerm, ask.lastIndex) >= end;
   }
   if (ask.probe || !granted) {
-    effects.send(from, VoteResponse{dutyName, std::max(vote.term, ask.probe ? 0 : vote.term), selfId, ask.probe, granted});
+    effects.send(from,
+                 VoteResponse{dutyName, std::max(vote.term, ask.probe ? 0 : vote.term), selfId, ask.probe, granted});
     return;
   }
   seeTerm(effects, ask.term);
   vote = Vote{ask.term, ask.candidate};
-  standAt = std::max(standAt, effects.now + 2 * timing.voteWait + slowness() + eagerness + std::chrono::milliseconds(effects.roll(300)));
+  standAt = std::max(standAt, effects.now + 2 * timing.voteWait + slowness() + eagerness +
+                                  std::chrono::milliseconds(effects.roll(300)));
   if (!defences.stands(Defence::syncBeforeVote)) {
     effects.send(from, VoteResponse{dutyName, ask.term, selfId, false, true});
     effects.save(voteRecord(dutyName, vote));
@@ -205,7 +209,8 @@
       return;
     }
     if (!reply->granted || !addressById.count(reply->voter)) return;
-    bool fits = (reply->probe && walk.in("probing")) || (!reply->probe && walk.in("asking") && reply->term == vote.term);
+    bool fits =
+        (reply->probe && walk.in("probing")) || (!reply->probe && walk.in("asking") && reply->term == vote.term);
     if (!fits) return;
     grants.insert(reply->voter);
     if (grants.size() >= quorum() && grants.count(selfId)) walk.happen(*this, "granted", effects);
--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -28,7 +28,8 @@
 };
 inline Timing timing;
 
-/// One core's part in one duty. A duty is won by election, kept by a lease that a quorum renews, and told apart by term.
+/// One core's part in one duty. A duty is won by election, kept by a lease that a quorum renews, and told apart by
+/// term.
 class Election {
  public:
   using LogEnd = std::function<std::pair<std::uint64_t, std::uint64_t>()>;
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -8,7 +8,6 @@
 constexpr Span goneAfter = 3s;
 }  // namespace
 
-
 std::string packMembers(const std::vector<Member>& rows) {
   Snapshot snapshot;
   snapshot.members = rows;
@@ -98,8 +97,8 @@
       auto heardMember = heardFrom.find(member.id);
       auto heardOther = heardFrom.find(other.id);
       bool memberGone = heardMember == heardFrom.end() || effects.now - heardMember->second > goneAfter;
-      bool otherAlive = other.id == selfRow.id ||
-                        (heardOther != heardFrom.end() && effects.now - heardOther->second < goneAfter);
+      bool otherAlive =
+          other.id == selfRow.id || (heardOther != heardFrom.end() && effects.now - heardOther->second < goneAfter);
       if (member.id == selfRow.id || !memberGone || !otherAlive) continue;
       auto rows = memberRows;
       rows.erase(std::remove_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == member.id; }),
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -12,10 +12,11 @@
 }  // namespace
 
 ReplicatedLog::ReplicatedLog(Member self, std::size_t recordRoom, Defences defencesGiven)
-    : election("accord", self.id, 0ms, defencesGiven), selfRow(std::move(self)), room(recordRoom), defences(defencesGiven) {
-  election.logEnd = [this] {
-    return std::make_pair(termAt(syncedIndex), syncedIndex);
-  };
+    : election("accord", self.id, 0ms, defencesGiven),
+      selfRow(std::move(self)),
+      room(recordRoom),
+      defences(defencesGiven) {
+  election.logEnd = [this] { return std::make_pair(termAt(syncedIndex), syncedIndex); };
   election.changed = [this](Effects& effects, bool won) { whenLeads(effects, won); };
 }
 
@@ -64,7 +65,9 @@
   std::uint64_t index = entry.index, term = entry.term;
   if (!defences.stands(Defence::syncBeforeCount)) syncedIndex = index;
   effects.save(entryRecord(entry), [this, index, term](Effects& later) {
-    if (termAt(index) != term || index < syncedIndex || (index == syncedIndex && defences.stands(Defence::syncBeforeCount))) return;
+    if (termAt(index) != term || index < syncedIndex ||
+        (index == syncedIndex && defences.stands(Defence::syncBeforeCount)))
+      return;
     syncedIndex = index;
     if (election.won())
       advance(later);
@@ -80,7 +83,8 @@
   effects.send(address, AppendResponse{election.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
 }
 
-void ReplicatedLog::append(Effects& effects, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision) {
+void ReplicatedLog::append(Effects& effects, EntryKind kind, std::string body, std::string changeId,
+                           std::uint64_t revision) {
   Entry entry{logEnd() + 1, election.term(), static_cast<int>(kind), std::move(body), std::move(changeId), revision};
   head.apply(entry);
   store(effects, entry);
@@ -97,7 +101,7 @@
   if (!won) {
     for (const auto& waiter : waiters)
       effects.send(waiter.from, ChangeResponse{waiter.askId, static_cast<int>(Code::changeUnsure), "accord",
-                                         codeText(Code::changeUnsure), 0, 0, 0});
+                                               codeText(Code::changeUnsure), 0, 0, 0});
     waiters.clear();
     return;
   }
@@ -156,8 +160,10 @@
 
 void ReplicatedLog::advance(Effects& effects) {
   std::uint64_t agreed = agreedAmong(memberRows);
-  auto passing = std::find_if(log.rbegin(), log.rend(), [](const Entry& entry) { return entry.kind == static_cast<int>(EntryKind::members); });
-  if (passing != log.rend() && passing->index > commitIndex && agreed >= passing->index && defences.stands(Defence::jointMembers)) {
+  auto passing = std::find_if(log.rbegin(), log.rend(),
+                              [](const Entry& entry) { return entry.kind == static_cast<int>(EntryKind::members); });
+  if (passing != log.rend() && passing->index > commitIndex && agreed >= passing->index &&
+      defences.stands(Defence::jointMembers)) {
     auto before = membersBefore(passing->index);
     if (!before.empty() && agreedAmong(before) < passing->index) agreed = passing->index - 1;
   }
@@ -183,8 +189,13 @@
     if (waiter.index > commitIndex)
       left.push_back(waiter);
     else
-      effects.send(waiter.from, ChangeResponse{waiter.askId, static_cast<int>(Code::changeTaken), {}, {}, waiter.revision,
-                                         waiter.index, termAt(waiter.index)});
+      effects.send(waiter.from, ChangeResponse{waiter.askId,
+                                               static_cast<int>(Code::changeTaken),
+                                               {},
+                                               {},
+                                               waiter.revision,
+                                               waiter.index,
+                                               termAt(waiter.index)});
   }
   waiters = std::move(left);
   trim(effects);
@@ -210,7 +221,8 @@
   election.seeTerm(effects, message.term);
   if (election.won()) return;
   leaderHeard = effects.now;
-  if (message.prevIndex > logEnd() || (message.prevIndex >= base.index && termAt(message.prevIndex) != message.prevTerm)) {
+  if (message.prevIndex > logEnd() ||
+      (message.prevIndex >= base.index && termAt(message.prevIndex) != message.prevTerm)) {
     std::uint64_t hint = message.prevIndex > logEnd() ? logEnd() : commitIndex;
     effects.send(from, AppendResponse{election.term(), selfRow.id, false, hint});
     return;
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "election.hpp"
 #include "configuration.hpp"
 #include "defences.hpp"
+#include "election.hpp"
 
 namespace tt {
 
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -45,9 +45,9 @@
 }
 
 const Cell::RolloutActions& Cell::rolloutActions() {
-  static const RolloutActions table{{"hold", &Cell::hold},           {"sendDrain", &Cell::sendDrain},
-                                  {"sendLoad", &Cell::sendLoad},   {"sendAdmit", &Cell::sendAdmit},
-                                  {"release", &Cell::release},     {"giveUp", &Cell::giveUp}};
+  static const RolloutActions table{{"hold", &Cell::hold},         {"sendDrain", &Cell::sendDrain},
+                                    {"sendLoad", &Cell::sendLoad}, {"sendAdmit", &Cell::sendAdmit},
+                                    {"release", &Cell::release},   {"giveUp", &Cell::giveUp}};
   return table;
 }
 const Cell::WatchActions& Cell::watchActions() {
@@ -123,17 +123,20 @@
   for (auto& [name, keeper] : rows) {
     if (keeper.known && effects.now - keeper.heardAt > settings.lateAfter) doubt(effects, keeper, "late");
     if (settings.apart) askCondition(effects, keeper);
-    if (keeper.askPending ? effects.now - keeper.askedAt < askAgain : effects.now - keeper.askedAt < settings.askEvery) continue;
+    if (keeper.askPending ? effects.now - keeper.askedAt < askAgain : effects.now - keeper.askedAt < settings.askEvery)
+      continue;
     bool sweeping = false;
-    if (keeper.confirmed && settings.sweepEvery > Span(0) && effects.now - sweptAt > settings.sweepEvery && name > sweptLast) {
+    if (keeper.confirmed && settings.sweepEvery > Span(0) && effects.now - sweptAt > settings.sweepEvery &&
+        name > sweptLast) {
       sweeping = true;
       sweptAt = effects.now;
       sweptLast = name;
     }
     keeper.askPending = true;
     keeper.askedAt = effects.now;
-    effects.send(keeper.machine.address, ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed,
-                                                    static_cast<int>(settings.apart ? Scope::index : Scope::all), name});
+    effects.send(keeper.machine.address,
+                 ReportAsk{keeper.applied, keeper.last.incarnation, sweeping || !keeper.confirmed,
+                           static_cast<int>(settings.apart ? Scope::index : Scope::all), name});
   }
   if (effects.now - sweptAt > 2 * settings.sweepEvery) sweptLast.clear();
 }
@@ -141,17 +144,20 @@
 void Cell::askCondition(Effects& effects, Keeper& keeper) {
   if (keeper.machine.kind != "language" || keeper.machine.leaving) return;
   auto rollout = rollouts.find(keeper.machine.name);
-  bool moving = rollout != rollouts.end() && !rollout->second.walk->in("serving") && !rollout->second.walk->in("marking");
+  bool moving =
+      rollout != rollouts.end() && !rollout->second.walk->in("serving") && !rollout->second.walk->in("marking");
   if (keeper.conditionAt != Moment{} && !moving && settings.conditionEvery == Span(0)) return;
   Span every = moving ? movingEvery : keeper.conditionAt == Moment{} ? askAgain : settings.conditionEvery;
   if (effects.now - keeper.conditionAskedAt < every) return;
   keeper.conditionAskedAt = effects.now;
-  effects.send(keeper.machine.address, ReportAsk{0, {}, false, static_cast<int>(Scope::condition), keeper.machine.name});
+  effects.send(keeper.machine.address,
+               ReportAsk{0, {}, false, static_cast<int>(Scope::condition), keeper.machine.name});
 }
 
 void Cell::onCondition(Effects& effects, Keeper& keeper, const Report& report) {
-  bool changed = keeper.last.weights != report.weights || keeper.last.draining != report.draining || keeper.conditionAt == Moment{} ||
-                 keeper.last.waiting != report.waiting || keeper.last.running / 4 != report.running / 4;
+  bool changed = keeper.last.weights != report.weights || keeper.last.draining != report.draining ||
+                 keeper.conditionAt == Moment{} || keeper.last.waiting != report.waiting ||
+                 keeper.last.running / 4 != report.running / 4;
   keeper.conditionAt = effects.now;
   keeper.last.weights = report.weights;
   keeper.last.model = report.model;
@@ -178,7 +184,9 @@
     return;
   }
   bool indexOnly = report.scope == static_cast<int>(Scope::index);
-  bool changed = !keeper.known || (!indexOnly && (keeper.last.running != report.running || keeper.last.weights != report.weights || keeper.last.draining != report.draining));
+  bool changed =
+      !keeper.known || (!indexOnly && (keeper.last.running != report.running || keeper.last.weights != report.weights ||
+                                       keeper.last.draining != report.draining));
   if (keeper.known && keeper.last.incarnation != report.incarnation) {
     doubt(effects, keeper, "new incarnation");
     keeper.applied = 0;
@@ -190,7 +198,8 @@
     keeper.last.incarnation = report.incarnation;
     keeper.last.sequence = report.sequence;
     if (report.lost) doubt(effects, keeper, "gap");
-    if (keeper.confirmed && !report.whole && report.sequence < keeper.applied) return effects.note("report late", report.worker);
+    if (keeper.confirmed && !report.whole && report.sequence < keeper.applied)
+      return effects.note("report late", report.worker);
   } else {
     keeper.last = report;
     keeper.last.kept.clear();
@@ -266,9 +275,10 @@
   LookupReply reply{ask.lookupId, ask.keeper, {}};
   if (found != rows.end()) {
     auto& keeper = found->second;
-    if (keeper.machine.kind == "store" && keeper.confirmed && !ask.hashes.empty()) weighStore(keeper, ask.hashes.back(), effects.now);
-    bool usable = keeper.confirmed && effects.now - keeper.heardAt < settings.lateAfter && (!keeper.last.draining || settings.apart) &&
-                  !keeper.machine.leaving &&
+    if (keeper.machine.kind == "store" && keeper.confirmed && !ask.hashes.empty())
+      weighStore(keeper, ask.hashes.back(), effects.now);
+    bool usable = keeper.confirmed && effects.now - keeper.heardAt < settings.lateAfter &&
+                  (!keeper.last.draining || settings.apart) && !keeper.machine.leaving &&
                   (keeper.machine.kind == "store" || keeper.last.weights == ask.weights);
     for (const auto& hash : ask.hashes) reply.hits.push_back(usable && keeper.kept.count(hash) ? 1 : 0);
   }
@@ -281,7 +291,8 @@
   auto& rollout = rollouts[worker];
   rollout.sentAt = effects.now;
   if (found == rows.end() || !election.holds(effects.now) || effects.now - wonAt < timing.commandRest) return;
-  effects.send(found->second.machine.address, ControlAsk{election.term(), selfId, action, rollout.model, rollout.weights, found->second.last.incarnation, worker});
+  effects.send(found->second.machine.address, ControlAsk{election.term(), selfId, action, rollout.model,
+                                                         rollout.weights, found->second.last.incarnation, worker});
 }
 
 void Cell::hold(Effects& effects, const std::string& worker) {
@@ -332,7 +343,8 @@
 
 bool Cell::startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now) {
   auto& known = wantedByModel[model];
-  if (known.weights != wanted) known = Wanted{wanted, now - (workers > 0 ? settings.rolloutSpan * started / workers : Span(0))};
+  if (known.weights != wanted)
+    known = Wanted{wanted, now - (workers > 0 ? settings.rolloutSpan * started / workers : Span(0))};
   return workers > 0 && now - known.since < settings.rolloutSpan * started / workers;
 }
 
@@ -385,7 +397,8 @@
     if (!wanted) continue;
     auto& rollout = rollouts[name];
     if (!rollout.walk)
-      rollout.walk = std::make_unique<ChartWalk<Cell, Effects&, const std::string&>>(settings.loadsWhole ? "weightsWhole" : "weights", rolloutActions(), "serving");
+      rollout.walk = std::make_unique<ChartWalk<Cell, Effects&, const std::string&>>(
+          settings.loadsWhole ? "weightsWhole" : "weights", rolloutActions(), "serving");
     auto& walk = *rollout.walk;
     auto happen = [&](const char* event) {
       std::string before = walk.state();
@@ -403,8 +416,12 @@
       int room = std::max(1, (workers[report.model] + settings.rolloutParts - 1) / settings.rolloutParts);
       if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
       if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
-      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 && waitsItsTurn(report.model, *wanted, effects.now)) continue;
-      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model], busy[report.model] + successes[report.model], effects.now)) continue;
+      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 &&
+          waitsItsTurn(report.model, *wanted, effects.now))
+        continue;
+      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model],
+                                                 busy[report.model] + successes[report.model], effects.now))
+        continue;
       ++busy[report.model];
       rollout.weights = *wanted;
       rollout.model = report.model;
@@ -412,8 +429,10 @@
       continue;
     }
     bool unanswered = rollout.takenAt < rollout.sentAt && effects.now - rollout.sentAt >= commandAgain;
-    bool idled = rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
-    bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) && defences.stands(Defence::commandAgain);
+    bool idled =
+        rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
+    bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) &&
+                 defences.stands(Defence::commandAgain);
     if (rollout.weights != *wanted) {
       rollout.failed = false;
       rollout.weights = *wanted;
@@ -421,7 +440,8 @@
       happen("wanted");
     }
     if (walk.in("marking")) {
-      if (effects.now - rollout.since >= settings.markWait || (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, effects.now)))
+      if (effects.now - rollout.since >= settings.markWait ||
+          (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, effects.now)))
         happen(right && (report.draining || settings.loadsWhole) ? "settled" : "cleared");
     } else if (walk.in("draining")) {
       if (right && report.draining)
@@ -469,7 +489,8 @@
   auto& speed = speeds[{watch.ask.source, watch.ask.target}];
   speed = Speed{static_cast<double>(watch.ask.hashes.size()) / seconds / 2, effects.now};
   newsDue = true;
-  if (auto source = rows.find(watch.ask.source); source != rows.end() && !settings.apart) doubt(effects, source->second, "move came short");
+  if (auto source = rows.find(watch.ask.source); source != rows.end() && !settings.apart)
+    doubt(effects, source->second, "move came short");
   effects.note("transfer failed", watch.ask.moveId);
   effects.send(watch.ask.replyTo, TransferDone{watch.ask.moveId, false});
 }
@@ -504,13 +525,15 @@
   }
   bool whole = sequence <= 1 || said.empty();
   auto stated = [](const WorkerView& row) {
-    return std::tie(row.address, row.kind, row.weights, row.model, row.running, row.slots, row.held, row.alive, row.confirmed, row.service, row.waiting, row.savedShare);
+    return std::tie(row.address, row.kind, row.weights, row.model, row.running, row.slots, row.held, row.alive,
+                    row.confirmed, row.service, row.waiting, row.savedShare);
   };
   if (!whole) {
     news.base = news.sequence - 1;
     news.workers.clear();
     for (const auto& [name, worker] : now)
-      if (auto old = said.find(name); old == said.end() || stated(old->second) != stated(worker)) news.workers.push_back(worker);
+      if (auto old = said.find(name); old == said.end() || stated(old->second) != stated(worker))
+        news.workers.push_back(worker);
     for (const auto& [name, worker] : said)
       if (!now.count(name)) news.gone.push_back(name);
   }
@@ -524,18 +547,21 @@
   bool light = sequence > 0 && effects.now - summariesAt < summariesEvery;
   if (!light) summariesAt = effects.now;
   newsDue = light;
-  CellNews news{place, election.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
+  CellNews news{
+      place, election.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
   for (auto& [name, keeper] : rows) {
     if (keeper.summaryStale && !light && settings.summaries) {
       keeper.summary = Summary::make(keeper.kept);
       keeper.summaryStale = false;
     }
     auto rollout = rollouts.find(name);
-    bool held = (keeper.last.draining && !settings.loadsWhole) || (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
+    bool held = (keeper.last.draining && !settings.loadsWhole) ||
+                (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
     bool alive = keeper.known && effects.now - keeper.heardAt < settings.goneAfter;
     news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
                                       keeper.last.model, keeper.last.running, keeper.last.slots, held, alive,
-                                      keeper.confirmed, keeper.kept.size(), keeper.last.sequence, light ? std::string() : keeper.summary, keeper.machine.service,
+                                      keeper.confirmed, keeper.kept.size(), keeper.last.sequence,
+                                      light ? std::string() : keeper.summary, keeper.machine.service,
                                       keeper.last.waiting, keeper.last.memory, keeper.savedShare});
   }
   if (!settings.summaries) tellChanges(news);
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "election.hpp"
 #include "configuration.hpp"
+#include "election.hpp"
 
 namespace tt {
 
@@ -21,8 +21,8 @@
   std::unordered_set<BlockHash, BlockHashKey> kept;
   std::string summary;
   bool summaryStale{true};
-  /// A store's prefixes that gave way of late; of lookups lately, those it had and those that it had let go; and the share
-  /// of prefixes, in thousandths, that it is to be given so that what it has is still there when it is wanted.
+  /// A store's prefixes that gave way of late; of lookups lately, those it had and those that it had let go; and the
+  /// share of prefixes, in thousandths, that it is to be given so that what it has is still there when it is wanted.
   std::unordered_map<BlockHash, Moment, BlockHashKey> dropped;
   int found{0}, regretted{0}, savedShare{1000};
   Moment weighedAt{};
@@ -43,7 +43,8 @@
   Span askEvery{50ms}, sweepEvery{1s}, lateAfter{1s}, goneAfter{1500ms}, publishEvery{60ms}, markWait{1s};
   /// How many workers of a model in this locality may be taken to other weights at once: one in so many.
   int rolloutParts{3};
-  /// Over how long a locality's workers are started on other weights, one after the other; 0 starts all that there is room for.
+  /// Over how long a locality's workers are started on other weights, one after the other; 0 starts all that there is
+  /// room for.
   Span rolloutSpan{0};
 };
 
@@ -51,7 +52,8 @@
 /// each locality; only the holder of the cell's duty asks, commands and answers.
 class Cell {
  public:
-  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {}, CellSettings cellSettings = {});
+  Cell(std::string locality, const Member& self, bool local, Defences defencesGiven = {},
+       CellSettings cellSettings = {});
   Election election;
   void setMachines(const std::vector<Machine>& machines);
   void tick(Effects& effects, const Configuration& configuration);
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -28,9 +28,12 @@
     return std::isalnum(letter) || marks.find(static_cast<char>(letter)) != std::string_view::npos;
   });
 }
-bool isFieldValue(std::string_view text) { return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos; }
+bool isFieldValue(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+}
 bool isTarget(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char letter) { return letter > ' ' && letter != 0x7f; });
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) { return letter > ' ' && letter != 0x7f; });
 }
 bool isFraming(std::string_view name) {
   return sameName(name, "Content-Length") || sameName(name, "Transfer-Encoding") || sameName(name, "Expect");
@@ -44,7 +47,8 @@
     auto equals = part.find('=');
     if (equals == std::string_view::npos || !sameName(trimmed(part.substr(0, equals)), "timeout")) continue;
     auto number = trimmed(part.substr(equals + 1));
-    if (number.empty() || number.size() > 6 || number.find_first_not_of("0123456789") != std::string_view::npos) return std::nullopt;
+    if (number.empty() || number.size() > 6 || number.find_first_not_of("0123456789") != std::string_view::npos)
+      return std::nullopt;
     return std::stol(std::string(number));
   }
   return std::nullopt;
@@ -94,7 +98,6 @@
   std::uint64_t lastId{0}, opened{0};
   bool insideLibrary{false}, timerSet{false};
 
-
   static int onSocket(CURL*, curl_socket_t socket, int what, void* owner, void*) {
     auto* self = static_cast<Inner*>(owner);
     auto found = self->watches.find(socket);
@@ -141,14 +144,15 @@
   }
   void wait(curl_socket_t socket, const std::shared_ptr<Watch>& watch, bool Watch::*flag,
             asio::posix::stream_descriptor::wait_type type, int poll, int select) {
-    watch->descriptor.async_wait(type, [weak = weak_from_this(), socket, watch, flag, poll, select](const asio::error_code& error) {
-      auto self = weak.lock();
-      if (!self || watch->closed) return;
-      (*watch).*flag = false;
-      if (!(watch->wanted & poll)) return;
-      self->act(socket, error ? CURL_CSELECT_ERR : select);
-      self->arm(socket, watch);
-    });
+    watch->descriptor.async_wait(
+        type, [weak = weak_from_this(), socket, watch, flag, poll, select](const asio::error_code& error) {
+          auto self = weak.lock();
+          if (!self || watch->closed) return;
+          (*watch).*flag = false;
+          if (!(watch->wanted & poll)) return;
+          self->act(socket, error ? CURL_CSELECT_ERR : select);
+          self->arm(socket, watch);
+        });
   }
 
   static curl_socket_t onOpen(void* owner, curlsocktype, curl_sockaddr* address) {
@@ -185,14 +189,14 @@
     if (found != self->watches.end()) {
       found->second->closed = true;
       found->second->descriptor.release();
-      if (auto named = self->socketOf.find(found->second->ends); named != self->socketOf.end() && named->second == socket)
+      if (auto named = self->socketOf.find(found->second->ends);
+          named != self->socketOf.end() && named->second == socket)
         self->socketOf.erase(named);
       self->watches.erase(found);
     }
     return ::close(socket);
   }
 
-
   static int onRequest(void* owner, char* peerIp, char* localIp, int peerPort, int localPort) {
     auto* row = static_cast<Row*>(owner);
     auto* self = row->owner;
@@ -201,7 +205,8 @@
       row->resendRefused = true;
       return CURL_PREREQFUNC_ABORT;
     }
-    std::string ends = std::string(localIp) + " " + std::to_string(localPort) + " " + peerIp + " " + std::to_string(peerPort);
+    std::string ends =
+        std::string(localIp) + " " + std::to_string(localPort) + " " + peerIp + " " + std::to_string(peerPort);
     if (auto fresh = std::exchange(row->newSocket, CURL_SOCKET_BAD); fresh != CURL_SOCKET_BAD) {
       ++self->opened;
       self->socketOf[ends] = fresh;
@@ -264,7 +269,6 @@
     return row->dropped ? 0 : bytes;
   }
 
-
   void act(curl_socket_t socket, int events) {
     insideLibrary = true;
     timerSet = false;
--- a/src/net/calls.hpp
+++ b/src/net/calls.hpp
@@ -33,9 +33,9 @@
   std::string trouble;
 };
 
-/// An HTTP/1.1 client on an io_context, with kept connections and no thread of its own: libcurl's multi socket interface.
-/// Everything is called on the context's thread. Callbacks may start and drop calls, their own too, but not destroy the
-/// client. Kept connections keep a wait on the context until the client goes.
+/// An HTTP/1.1 client on an io_context, with kept connections and no thread of its own: libcurl's multi socket
+/// interface. Everything is called on the context's thread. Callbacks may start and drop calls, their own too, but not
+/// destroy the client. Kept connections keep a wait on the context until the client goes.
 class HttpCalls {
  public:
   explicit HttpCalls(asio::io_context& context);
--- a/src/net/contract.cpp
+++ b/src/net/contract.cpp
@@ -47,7 +47,8 @@
   if (order.moves) body["move"] = Json(true);
   JsonObject params;
   if (!order.params.empty())
-    if (auto given = readJson(order.params); given && given.value().is<JsonObject>()) params = given.value().get<JsonObject>();
+    if (auto given = readJson(order.params); given && given.value().is<JsonObject>())
+      params = given.value().get<JsonObject>();
   if (!order.sourceAddress.empty()) {
     auto colon = order.sourceAddress.rfind(':');
     JsonObject source;
@@ -89,7 +90,8 @@
     const auto& rows = params->second.get<JsonObject>();
     if (auto source = rows.find("remote_kv_source"); source != rows.end()) {
       order.transferId = textOr(source->second, "kv_request_id");
-      order.sourceAddress = textOr(source->second, "remote_host") + ":" + std::to_string(numberOr(source->second, "remote_port", 0));
+      order.sourceAddress =
+          textOr(source->second, "remote_host") + ":" + std::to_string(numberOr(source->second, "remote_port", 0));
     }
   }
   return order;
@@ -112,7 +114,8 @@
   return Json(body).serialize();
 }
 
-std::variant<std::monostate, WorkerChunk, WorkerEnd> readWorkerLine(const std::string& orderId, const std::string& line) {
+std::variant<std::monostate, WorkerChunk, WorkerEnd> readWorkerLine(const std::string& orderId,
+                                                                    const std::string& line) {
   auto read = readJson(line);
   if (!read || !read.value().is<JsonObject>()) return std::monostate{};
   const auto& body = read.value();
@@ -121,7 +124,10 @@
     if (!body.get<JsonObject>().count("token")) return std::monostate{};
     return WorkerChunk{orderId, textOr(body, "token")};
   }
-  Outcome outcome = end == "done" ? Outcome::done : end == "denied" ? Outcome::denied : end == "broken" ? Outcome::broken : Outcome::failed;
+  Outcome outcome = end == "done"     ? Outcome::done
+                    : end == "denied" ? Outcome::denied
+                    : end == "broken" ? Outcome::broken
+                                      : Outcome::failed;
   return WorkerEnd{orderId,
                    static_cast<int>(outcome),
                    static_cast<int>(numberOr(body, "code", 0)),
@@ -187,7 +193,9 @@
       event.sequence = static_cast<Count>(numberOr(row, "sequence", 0));
       std::string kind = textOr(row, "kind");
       if (kind != "stored" && kind != "removed" && kind != "cleared") return fault(Code::badField, "events.kind");
-      event.kind = static_cast<int>(kind == "stored" ? KeptKind::stored : kind == "removed" ? KeptKind::removed : KeptKind::cleared);
+      event.kind = static_cast<int>(kind == "stored"    ? KeptKind::stored
+                                    : kind == "removed" ? KeptKind::removed
+                                                        : KeptKind::cleared);
       auto hashes = readHashes(row.get<JsonObject>(), "hashes");
       if (!hashes) return hashes.error();
       event.hashes = hashes.value();
@@ -217,7 +225,8 @@
   if (action.value() != "drain" && action.value() != "load" && action.value() != "admit")
     return fault(Code::badField, "action", "must be drain, load or admit");
   Json whole(body);
-  return ControlAsk{static_cast<Count>(term.value()), textOr(whole, "holder"), action.value(), textOr(whole, "model"), textOr(whole, "weights"), textOr(whole, "incarnation")};
+  return ControlAsk{static_cast<Count>(term.value()), textOr(whole, "holder"),  action.value(),
+                    textOr(whole, "model"),           textOr(whole, "weights"), textOr(whole, "incarnation")};
 }
 std::string writeControlReply(const ControlReply& reply) {
   JsonObject body;
@@ -230,7 +239,8 @@
   auto read = readAnyObject(text);
   if (!read) return read.error();
   Json whole(read.value());
-  return ControlReply{textOr(whole, "worker"), static_cast<Count>(numberOr(whole, "term", 0)), static_cast<int>(numberOr(whole, "code", 0))};
+  return ControlReply{textOr(whole, "worker"), static_cast<Count>(numberOr(whole, "term", 0)),
+                      static_cast<int>(numberOr(whole, "code", 0))};
 }
 
 std::string writeBlocks(const Hashes& hashes, const Strings& origins) {
@@ -271,8 +281,10 @@
 Result<Machine> readMachine(const Json& value) {
   if (!value.is<JsonObject>()) return fault(Code::badField, "machines");
   Machine machine;
-  for (auto [name, field] : std::initializer_list<std::pair<const char*, std::string*>>{
-           {"name", &machine.name}, {"address", &machine.address}, {"locality", &machine.locality}, {"kind", &machine.kind}}) {
+  for (auto [name, field] : std::initializer_list<std::pair<const char*, std::string*>>{{"name", &machine.name},
+                                                                                        {"address", &machine.address},
+                                                                                        {"locality", &machine.locality},
+                                                                                        {"kind", &machine.kind}}) {
     auto text = textField(value.get<JsonObject>(), name, "machines");
     if (!text) return text.error();
     *field = text.value();
@@ -297,7 +309,8 @@
 }
 
 Result<CallerOrder> readCallerOrder(const std::string& text) {
-  if (text.size() > callerBodyMost) return fault(Code::tooLarge, "body", "a body has " + std::to_string(callerBodyMost) + " bytes at most");
+  if (text.size() > callerBodyMost)
+    return fault(Code::tooLarge, "body", "a body has " + std::to_string(callerBodyMost) + " bytes at most");
   auto read = readObject(text, {"route", "model", "parts", "repeatable", "maxTokens", "tenant", "kv_transfer_params"});
   if (!read) return read.error();
   const auto& body = read.value();
--- a/src/net/contract.hpp
+++ b/src/net/contract.hpp
@@ -11,7 +11,8 @@
 std::string writeWorkerChunk(const WorkerChunk& chunk);
 std::string writeWorkerEnd(const WorkerEnd& end);
 /// Reads one line of a worker's stream: a chunk or the end.
-std::variant<std::monostate, WorkerChunk, WorkerEnd> readWorkerLine(const std::string& orderId, const std::string& line);
+std::variant<std::monostate, WorkerChunk, WorkerEnd> readWorkerLine(const std::string& orderId,
+                                                                    const std::string& line);
 std::string writeReport(const Report& report);
 Result<Report> readReport(const std::string& text);
 std::string writeControl(const ControlAsk& ask);
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -55,7 +55,8 @@
     if (letter <= ' ' || letter > '~' || letter == '#') return false;
   return version == "HTTP/1.1" || version == "HTTP/1.0";
 }
-/// Whether a head, up to and with its empty line, has the lines that HTTP/1.1 asks for and nothing that parsers read differently.
+/// Whether a head, up to and with its empty line, has the lines that HTTP/1.1 asks for and nothing that parsers read
+/// differently.
 bool soundHead(std::string_view head) {
   auto end = head.find("\r\n");
   if (!soundRequestLine(head.substr(0, end))) return false;
@@ -65,7 +66,8 @@
 }
 bool soundHost(std::string_view host) {
   for (char letter : host)
-    if (letter <= ' ' || letter > '~' || std::string_view(",/\\@?#<>\"").find(letter) != std::string_view::npos) return false;
+    if (letter <= ' ' || letter > '~' || std::string_view(",/\\@?#<>\"").find(letter) != std::string_view::npos)
+      return false;
   return true;
 }
 std::optional<std::uint64_t> readDigits(std::string_view text) {
@@ -166,7 +168,12 @@
 
 struct Gate::Inner : std::enable_shared_from_this<Inner> {
   Inner(asio::io_context& context, std::string at, GateHandler taken)
-      : io(context), address(std::move(at)), handler(std::move(taken)), acceptor(context), pause(context), sweepTimer(context) {}
+      : io(context),
+        address(std::move(at)),
+        handler(std::move(taken)),
+        acceptor(context),
+        pause(context),
+        sweepTimer(context) {}
   asio::io_context& io;
   std::string address;
   GateHandler handler;
@@ -294,8 +301,10 @@
     if (auto on = connection) on->cut();
   }
   void onGone(std::function<void()> gone) override {
-    if (connection && !connection->hasEnded()) connection->gone = std::move(gone);
-    else if (callerLeft && gone) asio::post(io, std::move(gone));
+    if (connection && !connection->hasEnded())
+      connection->gone = std::move(gone);
+    else if (callerLeft && gone)
+      asio::post(io, std::move(gone));
   }
   std::size_t unwritten() const override { return connection ? connection->unwritten() : 0; }
   bool started() const override { return connection ? connection->hasStarted() : wasStarted; }
@@ -321,8 +330,9 @@
     readRoom = room;
   }
   reading = true;
-  socket.async_read_some(asio::buffer(readSpace.get(), readRoom),
-                         [self = shared_from_this()](asio::error_code error, std::size_t size) { self->onRead(error, size); });
+  socket.async_read_some(
+      asio::buffer(readSpace.get(), readRoom),
+      [self = shared_from_this()](asio::error_code error, std::size_t size) { self->onRead(error, size); });
 }
 
 void Gate::Connection::watch() {
@@ -354,8 +364,11 @@
     case Phase::body:
       in.append(readSpace.get(), size);
       return parse();
-    case Phase::exchange: in.append(readSpace.get(), size); return read();
-    default: return read();
+    case Phase::exchange:
+      in.append(readSpace.get(), size);
+      return read();
+    default:
+      return read();
   }
 }
 
@@ -421,7 +434,8 @@
     taken = isChunked ? takeChunks() : takeBody();
     if (taken == Taken::refused) return;
     if (taken == Taken::whole) return beginExchange();
-    const auto* expected = in.empty() && request.body.empty() && !isHttp10 ? findHeader(request.headers, "Expect") : nullptr;
+    const auto* expected =
+        in.empty() && request.body.empty() && !isHttp10 ? findHeader(request.headers, "Expect") : nullptr;
     if (expected && sameName(*expected, "100-continue") && deadline == never) {
       pending += "HTTP/1.1 100 Continue\r\n\r\n";
       flush();
@@ -520,13 +534,18 @@
       request.body.append(left.data(), size);
       left.remove_prefix(size);
       bodyLeft -= size;
-      if (bodyLeft > 0) taken = Taken::part;
-      else chunkPart = ChunkPart::dataEnd;
+      if (bodyLeft > 0)
+        taken = Taken::part;
+      else
+        chunkPart = ChunkPart::dataEnd;
       continue;
     }
     auto feed = left.find('\n');
-    std::size_t most = chunkPart == ChunkPart::trailer ? limits.headerBytes - trailerBytes : chunkPart == ChunkPart::size ? chunkLineBytes : 2;
-    if ((feed == std::string_view::npos ? left.size() : feed + 1) > most) return refuse(chunkPart == ChunkPart::trailer ? 431 : 400);
+    std::size_t most = chunkPart == ChunkPart::trailer ? limits.headerBytes - trailerBytes
+                       : chunkPart == ChunkPart::size  ? chunkLineBytes
+                                                       : 2;
+    if ((feed == std::string_view::npos ? left.size() : feed + 1) > most)
+      return refuse(chunkPart == ChunkPart::trailer ? 431 : 400);
     if (feed == std::string_view::npos) {
       if (chunkPart == ChunkPart::dataEnd && !left.empty() && left[0] != '\r') return refuse(400);
       taken = Taken::part;
@@ -540,8 +559,10 @@
       chunkPart = ChunkPart::size;
     } else if (chunkPart == ChunkPart::trailer) {
       trailerBytes += feed + 1;
-      if (line.empty()) taken = Taken::whole;
-      else if (!soundFieldLine(line)) return refuse(400);
+      if (line.empty())
+        taken = Taken::whole;
+      else if (!soundFieldLine(line))
+        return refuse(400);
     } else {
       auto size = readChunkSize(line);
       if (!size) return refuse(400);
@@ -562,7 +583,8 @@
   deadline = never;
   in = std::string();
   request = GateRequest{};
-  pending += "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  pending += "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) +
+             "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   flush();
   read();
   return Taken::refused;
@@ -586,9 +608,12 @@
   if (phase != Phase::exchange || ended || answering != Answering::nothing) return;
   if (status < 200 || status > 599) status = 500;
   bool bare = status == 204 || status == 304;
-  if (bare || isHead || (length && *length == 0)) answering = Answering::empty;
-  else if (length) answering = Answering::length;
-  else answering = isHttp10 ? Answering::untilClose : Answering::chunks;
+  if (bare || isHead || (length && *length == 0))
+    answering = Answering::empty;
+  else if (length)
+    answering = Answering::length;
+  else
+    answering = isHttp10 ? Answering::untilClose : Answering::chunks;
   answerLeft = length.value_or(0);
   keeps = mayKeep && !gate->leaving && answering != Answering::untilClose;
 
@@ -619,8 +644,10 @@
   } else {
     pending += "Connection: close\r\n";
   }
-  if (answering == Answering::empty) tail = "\r\n";
-  else pending += "\r\n";
+  if (answering == Answering::empty)
+    tail = "\r\n";
+  else
+    pending += "\r\n";
   if (answering == Answering::chunks) tail = "0\r\n\r\n";
   postFlush();
 }
@@ -629,7 +656,8 @@
   if (phase != Phase::exchange || ended || bytes.empty()) return;
   switch (answering) {
     case Answering::nothing:
-    case Answering::empty: return;
+    case Answering::empty:
+      return;
     case Answering::length:
       if (bytes.size() > answerLeft) return cut();
       answerLeft -= bytes.size();
@@ -646,7 +674,9 @@
       pending += "\r\n";
       break;
     }
-    case Answering::untilClose: pending += bytes; break;
+    case Answering::untilClose:
+      pending += bytes;
+      break;
   }
   postFlush();
 }
@@ -788,8 +818,10 @@
   std::vector<std::shared_ptr<Connection>> due;
   Moment next = never;
   for (const auto& connection : connections) {
-    if (connection->due() <= lastSweep) due.push_back(connection);
-    else next = std::min(next, connection->due());
+    if (connection->due() <= lastSweep)
+      due.push_back(connection);
+    else
+      next = std::min(next, connection->due());
   }
   for (const auto& connection : due) connection->onDeadline();
   if (next != never) wakeBy(next);
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -42,8 +42,8 @@
   virtual void end() = 0;
   /// Ends the connection so that the answer cannot look whole.
   virtual void cut() = 0;
-  /// Called once if the caller goes away before the end (EOF, reset or write error), also while nothing is being written;
-  /// never from within a call on this answer, and not when the gate itself is closed.
+  /// Called once if the caller goes away before the end (EOF, reset or write error), also while nothing is being
+  /// written; never from within a call on this answer, and not when the gate itself is closed.
   virtual void onGone(std::function<void()> gone) = 0;
   /// Bytes not yet taken by the socket.
   virtual std::size_t unwritten() const = 0;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -12,7 +12,9 @@
   asio::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  auto set = [&](int name, int value) { (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value); };
+  auto set = [&](int name, int value) {
+    (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
+  };
   set(TCP_USER_TIMEOUT, static_cast<int>(inMs(untakenMost)));
   set(TCP_KEEPIDLE, 5);
   set(TCP_KEEPINTVL, 2);
@@ -39,8 +41,8 @@
   auto ip = asio::ip::make_address(text.substr(0, colon), error);
   if (error) return fault(Code::badProps, text, "the IP number is not valid");
   std::string port = text.substr(colon + 1);
-  if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoul(port) > 65535 ||
-      std::stoul(port) == 0)
+  if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
+      std::stoul(port) > 65535 || std::stoul(port) == 0)
     return fault(Code::badProps, text, "the port must be from 1 to 65535");
   return Address{ip.to_string(), static_cast<unsigned short>(std::stoul(port))};
 }
@@ -178,7 +180,11 @@
 };
 
 Hub::Hub(asio::io_context& context, std::string ownAddress, Taken taken, std::string listenAt)
-    : io(context), self(std::move(ownAddress)), listenAddress(listenAt.empty() ? self : std::move(listenAt)), onTaken(std::move(taken)), acceptor(context) {}
+    : io(context),
+      self(std::move(ownAddress)),
+      listenAddress(listenAt.empty() ? self : std::move(listenAt)),
+      onTaken(std::move(taken)),
+      acceptor(context) {}
 
 Result<void> Hub::listen() {
   auto address = readAddress(listenAddress);
@@ -189,7 +195,8 @@
   if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
   if (!error) acceptor.bind(end, error);
   if (!error) acceptor.listen(128, error);
-  if (error) return fault(Code::badProps, listenAddress == self ? "address" : "listen", listenAddress + ": " + error.message());
+  if (error)
+    return fault(Code::badProps, listenAddress == self ? "address" : "listen", listenAddress + ": " + error.message());
   accept();
   return boost::outcome_v2::success();
 }
--- a/src/net/host.hpp
+++ b/src/net/host.hpp
@@ -45,7 +45,8 @@
 };
 
 /// Runs one piece of logic in a real process: a lock around it, a tick, and hands that carry out what it asks for.
-/// Lock order: logic, then journal views, then hub links, then open exchanges. Nothing is called back under a later lock.
+/// Lock order: logic, then journal views, then hub links, then open exchanges. Nothing is called back under a later
+/// lock.
 class Host {
  public:
   using Carry = std::function<void(const std::string& to, Message&& message)>;
--- a/src/net/process.cpp
+++ b/src/net/process.cpp
@@ -7,7 +7,8 @@
 
 namespace tt {
 
-Settings::Settings(std::string programName, std::string about) : app(about, programName), program(std::move(programName)) {
+Settings::Settings(std::string programName, std::string about)
+    : app(about, programName), program(std::move(programName)) {
   app.set_version_flag("--version", program + " " TROUTTALLY_VERSION);
   app.add_option("--props", file, "JSON file with this program's props");
   app.add_flag("--check", checkOnly, "Check the props, say what is wrong, and end");
@@ -70,7 +71,8 @@
       if (!item.is<std::string>()) return wrong("must be a list of texts");
       row.texts->push_back(item.get<std::string>());
       if (row.isAddress)
-        if (auto read = readAddress(row.texts->back()); !read) return wrong(row.texts->back() + ": " + read.error().text);
+        if (auto read = readAddress(row.texts->back()); !read)
+          return wrong(row.texts->back() + ": " + read.error().text);
     }
   } else if (row.number) {
     if (!value.is<double>()) return wrong("must be a number");
@@ -131,7 +133,8 @@
     if (auto done = set(*row, value); !done) return failStart(done.error());
   }
   for (const auto& row : rows)
-    if (row->needed && row->text && row->text->empty()) return failStart(fault(Code::badProps, row->key, "must be given"));
+    if (row->needed && row->text && row->text->empty())
+      return failStart(fault(Code::badProps, row->key, "must be given"));
   if (checkOnly) {
     std::cout << "props are good\n";
     return 0;
@@ -140,7 +143,8 @@
 }
 
 int failStart(const Fault& fault) {
-  std::cerr << "error " << static_cast<int>(fault.code) << " " << codeName(fault.code) << ": " << fault.subject << ": " << fault.text << "\n";
+  std::cerr << "error " << static_cast<int>(fault.code) << " " << codeName(fault.code) << ": " << fault.subject << ": "
+            << fault.text << "\n";
   return 2;
 }
 
--- a/src/net/web.cpp
+++ b/src/net/web.cpp
@@ -76,18 +76,30 @@
   }
   static const char* reason(int status) {
     switch (status) {
-      case 200: return "OK";
-      case 400: return "Bad Request";
-      case 401: return "Unauthorized";
-      case 403: return "Forbidden";
-      case 404: return "Not Found";
-      case 409: return "Conflict";
-      case 412: return "Precondition Failed";
-      case 413: return "Payload Too Large";
-      case 429: return "Too Many Requests";
-      case 503: return "Service Unavailable";
-      case 504: return "Gateway Timeout";
-      default: return status < 500 ? "Denied" : "Failed";
+      case 200:
+        return "OK";
+      case 400:
+        return "Bad Request";
+      case 401:
+        return "Unauthorized";
+      case 403:
+        return "Forbidden";
+      case 404:
+        return "Not Found";
+      case 409:
+        return "Conflict";
+      case 412:
+        return "Precondition Failed";
+      case 413:
+        return "Payload Too Large";
+      case 429:
+        return "Too Many Requests";
+      case 503:
+        return "Service Unavailable";
+      case 504:
+        return "Gateway Timeout";
+      default:
+        return status < 500 ? "Denied" : "Failed";
     }
   }
 };
@@ -123,7 +135,10 @@
       .read_next_http_message_timelimit(120s)
       .write_http_response_timelimit(10s)
       .handle_request_timeout(600s)
-      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t().max_body_size(hardBodyMost).max_url_size(4096).max_field_value_size(8192))
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
+                                    .max_body_size(hardBodyMost)
+                                    .max_url_size(4096)
+                                    .max_field_value_size(8192))
       .acceptor_options_setter([](auto& options) { options.set_option(asio::socket_base::reuse_address(true)); })
       .socket_options_setter([](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
       .request_handler([handler](restinio::request_handle_t request) {
@@ -132,13 +147,15 @@
         ask.path = std::string(request->header().path());
         ask.query = readQuery(request->header().query());
         ask.body = request->body();
-        request->header().for_each_field([&](const auto& field) { ask.headers.emplace_back(field.name(), field.value()); });
+        request->header().for_each_field(
+            [&](const auto& field) { ask.headers.emplace_back(field.name(), field.value()); });
         std::string authorization = request->header().get_field_or(restinio::http_field::authorization, "");
         if (authorization.rfind("Bearer ", 0) == 0) ask.bearer = authorization.substr(7);
         handler(std::move(ask), std::make_shared<RestAnswer>(request));
         return restinio::request_accepted();
       });
-  inner->server = std::make_unique<restinio::http_server_t<Traits>>(restinio::external_io_context(context), std::move(settings));
+  inner->server =
+      std::make_unique<restinio::http_server_t<Traits>>(restinio::external_io_context(context), std::move(settings));
 }
 
 WebServer::~WebServer() = default;
@@ -205,7 +222,8 @@
   static std::size_t onHeader(char* start, std::size_t size, std::size_t count, void* owner) {
     std::string text(start, size * count);
     for (auto& letter : text) letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
-    if (text.rfind("retry-after:", 0) == 0) static_cast<Row*>(owner)->retryAfterMs = std::atoi(text.c_str() + 12) * 1000;
+    if (text.rfind("retry-after:", 0) == 0)
+      static_cast<Row*>(owner)->retryAfterMs = std::atoi(text.c_str() + 12) * 1000;
     return size * count;
   }
 
@@ -218,7 +236,8 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(inMs(row->call.connectWait)));
-    if (row->call.wholeWait > Span(0)) curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(inMs(row->call.wholeWait)));
+    if (row->call.wholeWait > Span(0))
+      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(inMs(row->call.wholeWait)));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Inner::onBytes);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, row.get());
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Inner::onHeader);
--- a/src/net/web.hpp
+++ b/src/net/web.hpp
@@ -73,8 +73,8 @@
   std::unique_ptr<Inner> inner;
 };
 
-/// What the end of a call to a worker says of the order in it, where the worker's own last line has not: unsent only if no byte
-/// left, denied only if the whole denial came.
+/// What the end of a call to a worker says of the order in it, where the worker's own last line has not: unsent only if
+/// no byte left, denied only if the whole denial came.
 WorkerEnd endOfCall(const std::string& sendId, const WebResult& result);
 
 /// A call made and waited for, for tools.
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -53,16 +53,14 @@
 }
 
 const Edge::Actions& Edge::actions() {
-  static const Actions table{{"sendOrder", &Edge::sendOrder},     {"sendLookup", &Edge::sendLookup},
-                           {"sendMove", &Edge::sendMove},       {"dropMove", &Edge::dropMove},
-                           {"freeWorker", &Edge::freeWorker},   {"passChunk", &Edge::passChunk},
-                           {"endDone", &Edge::endDone},         {"endFailed", &Edge::endFailed},
-                           {"endBroken", &Edge::endBroken},     {"endSilent", &Edge::endSilent},
-                           {"endRevoked", &Edge::endRevoked},   {"denyLate", &Edge::denyLate},
-                           {"denyKey", &Edge::denyKey},         {"dropOrder", &Edge::dropOrder},
-                           {"weighUnsent", &Edge::weighUnsent}, {"weighBroken", &Edge::weighBroken},
-                           {"redraw", &Edge::redraw},           {"drawAgain", &Edge::drawAgain},
-                           {"weighResume", &Edge::weighResume}};
+  static const Actions table{
+      {"sendOrder", &Edge::sendOrder},     {"sendLookup", &Edge::sendLookup}, {"sendMove", &Edge::sendMove},
+      {"dropMove", &Edge::dropMove},       {"freeWorker", &Edge::freeWorker}, {"passChunk", &Edge::passChunk},
+      {"endDone", &Edge::endDone},         {"endFailed", &Edge::endFailed},   {"endBroken", &Edge::endBroken},
+      {"endSilent", &Edge::endSilent},     {"endRevoked", &Edge::endRevoked}, {"denyLate", &Edge::denyLate},
+      {"denyKey", &Edge::denyKey},         {"dropOrder", &Edge::dropOrder},   {"weighUnsent", &Edge::weighUnsent},
+      {"weighBroken", &Edge::weighBroken}, {"redraw", &Edge::redraw},         {"drawAgain", &Edge::drawAgain},
+      {"weighResume", &Edge::weighResume}};
   return table;
 }
 
@@ -144,7 +142,8 @@
   } else if (code == Code::stopping) {
     least = 500;
   } else if (code == Code::pendingFull) {
-    double timing = std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(settings.retrySpan).count());
+    double timing =
+        std::max(1.0, static_cast<double>(doneAt.size()) / std::chrono::duration<double>(settings.retrySpan).count());
     least = static_cast<int>(std::clamp(1000.0 * static_cast<double>(pending.size()) / timing, 300.0, 5000.0));
   } else if (code == Code::noWorker) {
     bool held = false;
@@ -161,7 +160,8 @@
   std::map<std::string, std::size_t> pendingByTenant{{tenant, 0}};
   for (const auto& orderId : pending)
     if (auto found = orders.find(orderId); found != orders.end()) ++pendingByTenant[found->second->tenant];
-  auto greediest = std::max_element(pendingByTenant.begin(), pendingByTenant.end(), [](const auto& one, const auto& other) { return one.second < other.second; });
+  auto greediest = std::max_element(pendingByTenant.begin(), pendingByTenant.end(),
+                                    [](const auto& one, const auto& other) { return one.second < other.second; });
   std::size_t share = settings.pendingMost / pendingByTenant.size();
   if (pendingByTenant[tenant] >= share || greediest->second <= share) return false;
   for (auto row = pending.rbegin(); row != pending.rend(); ++row) {
@@ -220,7 +220,8 @@
     }
     order->route = *pathRoute;
     order->policy = pathRoute->policy.empty() ? routePolicy : view.policyOf(pathRoute->policy);
-    if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant)) return deny(Code::pendingFull, "pending");
+    if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant))
+      return deny(Code::pendingFull, "pending");
     return accept(effects, std::move(order));
   }
   auto route = view.findRoute(ask.route);
@@ -229,8 +230,10 @@
   if (route->model != ask.model) return deny(Code::badField, "model", "this route serves model " + route->model);
   if (!route->tenants.empty() && !route->tenants.count(order->tenant)) return deny(Code::unknownTenant, "route");
   if (!ask.tenant.empty() && ask.tenant != order->tenant) return deny(Code::unknownTenant, "tenant");
-  if (auto modes = checkModes(ask.modes); !modes) return deny(modes.error().code, modes.error().subject, modes.error().text);
-  if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant)) return deny(Code::pendingFull, "pending");
+  if (auto modes = checkModes(ask.modes); !modes)
+    return deny(modes.error().code, modes.error().subject, modes.error().text);
+  if (pending.size() >= settings.pendingMost && !makeRoom(effects, order->tenant))
+    return deny(Code::pendingFull, "pending");
   order->route = *route;
   order->policy = view.policyOf(route->policy);
   accept(effects, std::move(order));
@@ -258,7 +261,8 @@
   if (found == locals.end()) return 0;
   const auto& local = found->second;
   bool told = now - local.loadAt < loadOld;
-  return std::max(local.unread / settings.tokensPerMs, told ? local.waiting * waitingMs : 0) + std::max(local.open, told ? local.running : 0) * runningMs;
+  return std::max(local.unread / settings.tokensPerMs, told ? local.waiting * waitingMs : 0) +
+         std::max(local.open, told ? local.running : 0) * runningMs;
 }
 
 bool Edge::savesTo(const std::string& store, const BlockHash& prefix, Moment now) {
@@ -300,14 +304,17 @@
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.service != order.service || worker.kind == "store" || !worker.alive || (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw))) continue;
+      if (worker.service != order.service || worker.kind == "store" || !worker.alive ||
+          (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
+        continue;
       if (!order.ask.model.empty() && (worker.model != order.ask.model || worker.weights.empty())) continue;
       ranked.push_back(Choice{&worker, rendezvous(key, worker.name)});
     }
   std::sort(ranked.begin(), ranked.end(), [](const Choice& one, const Choice& other) { return one.rank > other.rank; });
   const WorkerView* best = nullptr;
   double bestCost = 0, sharedMs = 0;
-  for (std::size_t at = 0; at + 1 < order.ask.partTokens.size(); ++at) sharedMs += order.ask.partTokens[at] / settings.tokensPerMs;
+  for (std::size_t at = 0; at + 1 < order.ask.partTokens.size(); ++at)
+    sharedMs += order.ask.partTokens[at] / settings.tokensPerMs;
   std::vector<std::size_t> drawable;
   std::size_t bestAt = 0;
   for (std::size_t at = 0; at < ranked.size(); ++at) {
@@ -343,7 +350,8 @@
     for (std::size_t at = 0; at < drawable.size(); ++at) {
       const auto& worker = *ranked[drawable[at]].worker;
       if (worker.weights != plan.weights || (at != bestAt && ++others > ranksAsked)) continue;
-      plan.candidates.push_back(Plan::Candidate{worker.name, worker.address, worker.locality, false, 0, 0, 0, static_cast<int>(at)});
+      plan.candidates.push_back(
+          Plan::Candidate{worker.name, worker.address, worker.locality, false, 0, 0, 0, static_cast<int>(at)});
     }
   }
   order.plan = std::move(plan);
@@ -362,16 +370,19 @@
 void Edge::drawRideSources(Order& order, Moment now) {
   auto& plan = order.plan;
   bool namesSource = false;
-  for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
+  for (const auto& mode : order.ask.modes)
+    namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
   int shared = 0;
   for (std::size_t at = 0; at + 1 < plan.tokens.size(); ++at) shared += plan.tokens[at];
-  if (!settings.fetching || namesSource || plan.hashes.size() < 2 || shared < leastTokens) return plan.candidates.clear();
+  if (!settings.fetching || namesSource || plan.hashes.size() < 2 || shared < leastTokens)
+    return plan.candidates.clear();
   plan.hashes.pop_back();
   const WorkerView* store = nullptr;
   std::uint64_t storeRank = 0;
   for (const auto& [locality, news] : cells)
     for (const auto& keeper : news.workers)
-      if (std::uint64_t rank = rendezvous(plan.hashes.back().hex(), keeper.name); keeper.kind == "store" && keeper.alive && (!store || rank > storeRank)) {
+      if (std::uint64_t rank = rendezvous(plan.hashes.back().hex(), keeper.name);
+          keeper.kind == "store" && keeper.alive && (!store || rank > storeRank)) {
         store = &keeper;
         storeRank = rank;
       }
@@ -405,7 +416,8 @@
     for (const auto& candidate : plan.candidates) {
       if (candidate.name == target.name) continue;
       int tokens = tokensOf(candidate);
-      if (auto local = locals.find(candidate.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
+      if (auto local = locals.find(candidate.name); local != locals.end() && effects.now < local->second.shunUntil)
+        continue;
       FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
       if (tokens < own + leastTokens || !order.policy.fetches(facts)) continue;
       bool nearer = best && candidate.locality == target.locality && best->locality != target.locality;
@@ -424,7 +436,9 @@
     int missing = shared - std::max(own, fetched);
     double load = loadOf(candidate.name, effects.now);
     if (candidate.name == plan.worker) load -= runningMs;
-    double leaving = candidate.rank == 0 ? 0 : (candidate.rank == 1 ? secondMs : otherMs) + (shared - own) / settings.tokensPerMs * copyX;
+    double leaving = candidate.rank == 0
+                         ? 0
+                         : (candidate.rank == 1 ? secondMs : otherMs) + (shared - own) / settings.tokensPerMs * copyX;
     double cost = load + (source ? moveMs : 0) + leaving +
                   missing / settings.tokensPerMs * (candidate.rank == 0 ? 1 : readAgainX);
     if (target && cost >= leastCost) continue;
@@ -444,7 +458,9 @@
     most = fetched;
     if (source) plan.source = *source;
   }
-  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved && savesTo(store->name, plan.hashes.back(), effects.now)) plan.sinkAddress = store->address;
+  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved &&
+      savesTo(store->name, plan.hashes.back(), effects.now))
+    plan.sinkAddress = store->address;
   plan.unread -= std::max(own, most);
   if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
@@ -480,11 +496,16 @@
   std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.kind != kind || !worker.alive || worker.held || (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw))) continue;
-      if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty() || (!oldToo && worker.weights != wanted))) continue;
+      if (worker.kind != kind || !worker.alive || worker.held ||
+          (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
+        continue;
+      if (kind == "language" &&
+          (worker.model != order.ask.model || worker.weights.empty() || (!oldToo && worker.weights != wanted)))
+        continue;
       anyAlive = true;
       if (order.tried.count(worker.name)) continue;
-      if (auto local = locals.find(worker.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
+      if (auto local = locals.find(worker.name); local != locals.end() && effects.now < local->second.shunUntil)
+        continue;
       if (busyOf(worker, effects.now) >= worker.slots) continue;
       able.push_back(&worker);
     }
@@ -500,8 +521,9 @@
     if (!order.route.app) {
       auto& hashed = byWeights[worker->weights];
       if (hashed.first.empty()) {
-        hashed.first = cacheSalt(order.ask.model, settings.defences.stands(Defence::saltWeights) ? worker->weights : "any",
-                                 settings.defences.stands(Defence::saltTenant) ? domain : "shared");
+        hashed.first =
+            cacheSalt(order.ask.model, settings.defences.stands(Defence::saltWeights) ? worker->weights : "any",
+                      settings.defences.stands(Defence::saltTenant) ? domain : "shared");
         hashed.second = hashPrompt(order.ask.parts, hashed.first);
       }
       if (worker->confirmed)
@@ -539,16 +561,19 @@
   auto& plan = order.plan;
   plan.candidates.clear();
   bool namesSource = false;
-  for (const auto& mode : order.ask.modes) namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
+  for (const auto& mode : order.ask.modes)
+    namesSource = namesSource || mode == "remote_kv_source" || mode == "remote_prefiller";
   if (!settings.fetching || order.route.app || namesSource || order.tries > 0) return;
   std::optional<Plan::Candidate> bestPeer, bestStore;
   for (const auto& [locality, news] : cells)
     for (const auto& keeper : news.workers) {
       bool store = keeper.kind == "store";
-      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held || (!staying.count(keeper.name) && settings.defences.stands(Defence::marksAtDraw)))
+      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held ||
+          (!staying.count(keeper.name) && settings.defences.stands(Defence::marksAtDraw)))
         continue;
       if (!store && (keeper.kind != "language" || keeper.weights != plan.weights)) continue;
-      Plan::Candidate candidate{keeper.name, keeper.address, keeper.locality, store, 0, 0, linkSpeed(keeper.name, plan.worker)};
+      Plan::Candidate candidate{
+          keeper.name, keeper.address, keeper.locality, store, 0, 0, linkSpeed(keeper.name, plan.worker)};
       while (candidate.guessedHits < plan.hashes.size() &&
              Summary::mayHold(keeper.summary, plan.hashes[candidate.guessedHits]))
         ++candidate.guessedHits;
@@ -568,7 +593,8 @@
 void Edge::servePending(Effects& effects) {
   std::map<std::string, std::deque<std::string>> byTenant;
   for (const auto& orderId : pending)
-    if (auto found = orders.find(orderId); found != orders.end() && found->second->walk->in("pending")) byTenant[found->second->tenant].push_back(orderId);
+    if (auto found = orders.find(orderId); found != orders.end() && found->second->walk->in("pending"))
+      byTenant[found->second->tenant].push_back(orderId);
   pending.clear();
   std::deque<std::string> left;
   auto openOf = [&](const std::string& tenant) {
@@ -576,14 +602,17 @@
     return open == openByTenant.end() ? 0 : open->second;
   };
   while (!byTenant.empty()) {
-    auto next = std::min_element(byTenant.begin(), byTenant.end(), [&](const auto& one, const auto& other) { return openOf(one.first) < openOf(other.first); });
+    auto next = std::min_element(byTenant.begin(), byTenant.end(), [&](const auto& one, const auto& other) {
+      return openOf(one.first) < openOf(other.first);
+    });
     std::string orderId = next->second.front();
     next->second.pop_front();
     if (next->second.empty()) byTenant.erase(next);
     auto found = orders.find(orderId);
     if (found == orders.end()) continue;
     auto& order = *found->second;
-    if (effects.now - order.takenAt >= pendingMostOf(order) || overdue(order, effects.now) || !fresh(effects.now) || stopping) {
+    if (effects.now - order.takenAt >= pendingMostOf(order) || overdue(order, effects.now) || !fresh(effects.now) ||
+        stopping) {
       if (!fresh(effects.now)) order.lastCode = Code::staleEdge;
       happen(effects, orderId, "late");
       continue;
@@ -628,7 +657,8 @@
   order.counted = false;
   auto& local = locals[order.plan.worker];
   if (local.open > 0) --local.open;
-  if (auto open = openByTenant.find(order.tenant); open != openByTenant.end() && --open->second <= 0) openByTenant.erase(open);
+  if (auto open = openByTenant.find(order.tenant); open != openByTenant.end() && --open->second <= 0)
+    openByTenant.erase(open);
 }
 
 bool Edge::stillGood(const Order& order) const {
@@ -653,9 +683,26 @@
   order.heardAt = effects.now;
   orderBySend[order.sendId] = order.ask.orderId;
   effects.note("order sent", order.sendId + " " + order.plan.worker);
-  WorkerOrder sent{order.sendId, order.plan.model, order.plan.weights, order.plan.salt, order.ask.parts,
-                   order.plan.hashes, order.ask.maxTokens, false, {}, {}, order.tenant, order.route.app,
-                   order.ask.params, order.ask.orderId, order.plan.worker, order.plan.sinkAddress, order.urgency, 0, order.lastPiece, !order.ask.repeatable};
+  WorkerOrder sent{order.sendId,
+                   order.plan.model,
+                   order.plan.weights,
+                   order.plan.salt,
+                   order.ask.parts,
+                   order.plan.hashes,
+                   order.ask.maxTokens,
+                   false,
+                   {},
+                   {},
+                   order.tenant,
+                   order.route.app,
+                   order.ask.params,
+                   order.ask.orderId,
+                   order.plan.worker,
+                   order.plan.sinkAddress,
+                   order.urgency,
+                   0,
+                   order.lastPiece,
+                   !order.ask.repeatable};
   if (order.route.byPath()) {
     sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - effects.now));
     if (order.plan.source) sent.sourceAddress = order.plan.source->address;
@@ -677,7 +724,7 @@
     std::string lookupId = settings.name + "/l" + std::to_string(++idCount);
     orderByLookup[lookupId] = order.ask.orderId;
     effects.send(settings.agentAddress,
-              LookupMsg{lookupId, candidate.locality, candidate.name, order.plan.weights, order.plan.hashes, {}});
+                 LookupMsg{lookupId, candidate.locality, candidate.name, order.plan.weights, order.plan.hashes, {}});
   }
   effects.note("lookup asked", order.ask.orderId, static_cast<std::int64_t>(order.plan.candidates.size()));
 }
@@ -732,11 +779,23 @@
   double expectedMs = static_cast<double>(prefix.size()) / std::max(plan.source->speed, 1.0) * 1000;
   auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(expectedMs * 3 + 300, 400.0, 1200.0)));
   move.deadline = effects.now + wait + 50ms;
-  effects.note("move sent", move.sendId + " " + plan.source->name + " " + plan.worker, static_cast<std::int64_t>(plan.confirmedHits));
-  effects.send(settings.agentAddress, WatchMsg{move.sendId, plan.locality, plan.source->name, plan.worker, prefix, inMs(wait), {}});
-  effects.send(plan.address, WorkerOrder{move.sendId, plan.model, plan.weights, plan.salt,
-                                      cutPrompt(order.ask.parts, blocks), prefix, 0, true, move.sendId,
-                                      plan.source->address, order.tenant, false, {}});
+  effects.note("move sent", move.sendId + " " + plan.source->name + " " + plan.worker,
+               static_cast<std::int64_t>(plan.confirmedHits));
+  effects.send(settings.agentAddress,
+               WatchMsg{move.sendId, plan.locality, plan.source->name, plan.worker, prefix, inMs(wait), {}});
+  effects.send(plan.address, WorkerOrder{move.sendId,
+                                         plan.model,
+                                         plan.weights,
+                                         plan.salt,
+                                         cutPrompt(order.ask.parts, blocks),
+                                         prefix,
+                                         0,
+                                         true,
+                                         move.sendId,
+                                         plan.source->address,
+                                         order.tenant,
+                                         false,
+                                         {}});
 }
 
 void Edge::dropMove(Effects&, Order& order) {
@@ -766,12 +825,14 @@
 }
 
 bool Edge::cutOff(Moment now) const {
-  return !settings.openGoOn && freshUntil != Moment{} && now - freshUntil > staleMost && settings.defences.stands(Defence::staleEndsStreams);
+  return !settings.openGoOn && freshUntil != Moment{} && now - freshUntil > staleMost &&
+         settings.defences.stands(Defence::staleEndsStreams);
 }
 
 void Edge::passChunk(Effects& effects, Order& order) {
   if (!order.began && order.route.byPath()) noteDelay(order, effects.now);
-  if (!order.began && order.plan.source) effects.note("transfer inferred", order.plan.source->name, inMs(effects.now - order.heardAt));
+  if (!order.began && order.plan.source)
+    effects.note("transfer inferred", order.plan.source->name, inMs(effects.now - order.heardAt));
   readDone(order);
   order.began = true;
   effects.send("caller", CallerChunk{order.ask.orderId, order.chunk});
@@ -782,17 +843,23 @@
   doneAt.push_back(effects.now);
   verdict(effects, order, "done", Code::done);
 }
-void Edge::endFailed(Effects& effects, Order& order) { verdict(effects, order, "failed", Code::workerFailed, order.plan.worker); }
+void Edge::endFailed(Effects& effects, Order& order) {
+  verdict(effects, order, "failed", Code::workerFailed, order.plan.worker);
+}
 void Edge::endBroken(Effects& effects, Order& order) {
   bool says = settings.defences.stands(Defence::brokenSaysSo);
   verdict(effects, order, says ? "failed" : "done", says ? Code::workerBroke : Code::done, order.plan.worker);
 }
-void Edge::endSilent(Effects& effects, Order& order) { verdict(effects, order, "failed", Code::workerSilent, order.plan.worker); }
+void Edge::endSilent(Effects& effects, Order& order) {
+  verdict(effects, order, "failed", Code::workerSilent, order.plan.worker);
+}
 void Edge::endRevoked(Effects& effects, Order& order) {
   verdict(effects, order, "failed", order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyRevoked);
 }
 void Edge::denyLate(Effects& effects, Order& order) { denyOrUnknown(effects, order, order.lastCode); }
-void Edge::denyKey(Effects& effects, Order& order) { denyOrUnknown(effects, order, order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyDenied, "authorization"); }
+void Edge::denyKey(Effects& effects, Order& order) {
+  denyOrUnknown(effects, order, order.lastCode == Code::staleEdge ? Code::staleEdge : Code::keyDenied, "authorization");
+}
 void Edge::dropOrder(Effects& effects, Order& order) { effects.send(order.plan.address, WorkerDrop{order.sendId}); }
 
 void Edge::weighUnsent(Effects& effects, Order& order) {
@@ -800,7 +867,9 @@
   freeWorker(effects, order);
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
-  if (order.route.byPath() && static_cast<Outcome>(order.end.outcome) == Outcome::brokenUnsent && ++order.unsent <= mostUnsent) --order.tries;
+  if (order.route.byPath() && static_cast<Outcome>(order.end.outcome) == Outcome::brokenUnsent &&
+      ++order.unsent <= mostUnsent)
+    --order.tries;
   order.retryAsked = order.tries < mostTriesOf(order) && !overdue(order, effects.now);
   if (!order.retryAsked) denyOrUnknown(effects, order, Code::noWorker);
 }
@@ -861,7 +930,8 @@
   for (const auto& [locality, news] : cells) {
     for (const auto& worker : news.workers)
       if (worker.alive && worker.model == model && worker.weights == named->second.weights) return false;
-    givenUp = givenUp || std::find(news.givenUp.begin(), news.givenUp.end(), named->second.weights) != news.givenUp.end();
+    givenUp =
+        givenUp || std::find(news.givenUp.begin(), news.givenUp.end(), named->second.weights) != news.givenUp.end();
   }
   return givenUp;
 }
@@ -899,7 +969,8 @@
       happen(effects, orderId, "revoked");
       continue;
     }
-    if (order.walk->in("lookup") && effects.now - order.lookupAt >= settings.lookupWait && settings.defences.stands(Defence::lookupExpires))
+    if (order.walk->in("lookup") && effects.now - order.lookupAt >= settings.lookupWait &&
+        settings.defences.stands(Defence::lookupExpires))
       settleLookup(effects, order);
     else if (order.route.byPath() && !order.walk->in("pending")) {
       if (effects.now >= order.deadline + deadlineSlack) happen(effects, orderId, "silent");
@@ -946,15 +1017,20 @@
     auto& local = locals[order.plan.worker];
     if (outcome == Outcome::brokenUnsent || outcome == Outcome::broken || outcome == Outcome::denied)
       local.shunUntil = effects.now + (outcome == Outcome::denied ? Span(200ms) : shunFor);
-    if (outcome == Outcome::denied) effects.note(std::string("turned away ") + codeName(static_cast<Code>(end->code)), end->orderId);
+    if (outcome == Outcome::denied)
+      effects.note(std::string("turned away ") + codeName(static_cast<Code>(end->code)), end->orderId);
     const char* event = outcome == Outcome::done           ? "finished"
                         : outcome == Outcome::denied       ? "denied"
                         : outcome == Outcome::brokenUnsent ? "unsent"
                         : outcome == Outcome::failed       ? "failed"
                         : outcome == Outcome::silent       ? "silent"
                                                            : "broken";
-    if (order.walk->in("streaming") && order.route.resumable && (outcome == Outcome::broken || outcome == Outcome::denied || outcome == Outcome::brokenUnsent)) event = "cut";
-    if (outcome == Outcome::broken && order.walk->in("streaming") && !settings.defences.stands(Defence::retryBeforeBytes)) event = "brokenAnew";
+    if (order.walk->in("streaming") && order.route.resumable &&
+        (outcome == Outcome::broken || outcome == Outcome::denied || outcome == Outcome::brokenUnsent))
+      event = "cut";
+    if (outcome == Outcome::broken && order.walk->in("streaming") &&
+        !settings.defences.stands(Defence::retryBeforeBytes))
+      event = "brokenAnew";
     happen(effects, orderId, event);
     servePending(effects);
   } else if (auto* load = std::get_if<WorkerLoad>(&message)) {
@@ -998,7 +1074,9 @@
     servePending(effects);
   } else if (auto* newMarks = std::get_if<MarksMsg>(&message)) {
     Moment listedAt = effects.now - Span(newMarks->age);
-    if (newMarks->age < 0 || newMarks->machines.empty() || (marksDigest && listedAt < marksAt && settings.defences.stands(Defence::listOrder))) return;
+    if (newMarks->age < 0 || newMarks->machines.empty() ||
+        (marksDigest && listedAt < marksAt && settings.defences.stands(Defence::listOrder)))
+      return;
     marksAt = listedAt;
     marksDigest = digestOf(newMarks->machines);
     staying.clear();
--- a/src/sim/scale.cpp
+++ b/src/sim/scale.cpp
@@ -1,8 +1,8 @@
 #include "scale.hpp"
 
+#include <fmt/format.h>
 #include <algorithm>
 #include <ctime>
-#include <fmt/format.h>
 
 namespace tt {
 
@@ -70,9 +70,13 @@
   value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
   return value ^ (value >> 31);
 }
-BlockHash blockOf(std::uint64_t worker, std::uint64_t number) { return BlockHash{mix(worker << 40 ^ number), mix(number << 20 ^ worker)}; }
+BlockHash blockOf(std::uint64_t worker, std::uint64_t number) {
+  return BlockHash{mix(worker << 40 ^ number), mix(number << 20 ^ worker)};
+}
 
-std::string zoneName(const FleetSize& size, int zone) { return fmt::format("region-{}-zone-{}", zone % size.regions + 1, zone / size.regions + 1); }
+std::string zoneName(const FleetSize& size, int zone) {
+  return fmt::format("region-{}-zone-{}", zone % size.regions + 1, zone / size.regions + 1);
+}
 std::string secretOf(int tenant) { return fmt::format("sk-{:040x}", mix(static_cast<std::uint64_t>(tenant))); }
 std::string modelName(int model) { return fmt::format("model-{}", model + 1); }
 std::string serviceName(int model) { return fmt::format("service-{}", model + 1); }
@@ -135,8 +139,15 @@
 
 Machine machineOf(const FleetSize& size, int worker) {
   int zone = worker % size.zones, model = (worker + worker / size.zones) % size.models;
-  return Machine{fmt::format("worker-{:04}", worker), fmt::format("10.{}.{}.{}:8000", 100 + zone, worker / 250 % 250, worker % 250), zoneName(size, zone),
-                 "language", false, serviceName(model), modelName(model), modelName(model) + "/1", 4};
+  return Machine{fmt::format("worker-{:04}", worker),
+                 fmt::format("10.{}.{}.{}:8000", 100 + zone, worker / 250 % 250, worker % 250),
+                 zoneName(size, zone),
+                 "language",
+                 false,
+                 serviceName(model),
+                 modelName(model),
+                 modelName(model) + "/1",
+                 4};
 }
 
 CellSettings platformCell() {
@@ -152,7 +163,8 @@
   settings.rolloutSpan = 7800ms;
   return settings;
 }
-EdgeSettings platformEdge(const std::string& name, const std::string& address, const std::string& zone, const std::string& agentAddress) {
+EdgeSettings platformEdge(const std::string& name, const std::string& address, const std::string& zone,
+                          const std::string& agentAddress) {
   EdgeSettings settings;
   settings.name = name;
   settings.address = address;
@@ -191,7 +203,8 @@
   order.host = fmt::format("tenant-{}.example", tenant);
   order.path = "/v1/chat";
   order.model = modelName(tenant % size.models);
-  order.parts = {fmt::format("system-{}", tenant), fmt::format("document-{}", number % 64), fmt::format("turn-{}", number)};
+  order.parts = {fmt::format("system-{}", tenant), fmt::format("document-{}", number % 64),
+                 fmt::format("turn-{}", number)};
   order.partTokens = {600, 1200, 200};
   order.maxTokens = 470;
   order.deadlineMs = 60000;
@@ -200,7 +213,8 @@
 
 class HollowFleet {
  public:
-  HollowFleet(const FleetSize& fleetSize, std::uint64_t seed) : size(fleetSize), randomSource(seed), clock(Moment(std::chrono::hours(1))) {
+  HollowFleet(const FleetSize& fleetSize, std::uint64_t seed)
+      : size(fleetSize), randomSource(seed), clock(Moment(std::chrono::hours(1))) {
     setPlatformTiming();
     clockCost = clockCostNs();
     for (int worker = 0; worker < size.workers; ++worker) {
@@ -257,17 +271,22 @@
   std::map<std::string, Change> changes;
   const std::string cloudAddress{"10.0.0.1:80"};
 
-  static bool later(const Due& one, const Due& other) { return one.at != other.at ? one.at > other.at : one.number > other.number; }
+  static bool later(const Due& one, const Due& other) {
+    return one.at != other.at ? one.at > other.at : one.number > other.number;
+  }
   void push(Due due) {
     due.number = ++dueCount;
     dues.push_back(std::move(due));
     std::push_heap(dues.begin(), dues.end(), later);
   }
-  std::size_t add(const std::string& role, const std::string& name, const std::string& address, const std::function<void(Actor&)>& make);
+  std::size_t add(const std::string& role, const std::string& name, const std::string& address,
+                  const std::function<void(Actor&)>& make);
   void startCores();
   void startDaemons();
-  void drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Effects&)>& action);
-  void carry(std::size_t at, std::vector<std::pair<std::string, std::string>>& frames, std::vector<std::pair<std::string, Message>>& direct);
+  void drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local,
+             const std::function<void(Effects&)>& action);
+  void carry(std::size_t at, std::vector<std::pair<std::string, std::string>>& frames,
+             std::vector<std::pair<std::string, Message>>& direct);
   void toWorker(std::size_t core, int worker, const Message& message);
   void fromPlatform(std::size_t core, std::int64_t askedAt);
   void toProxy(std::size_t proxy, const WorkerOrder& order);
@@ -285,7 +304,8 @@
   void watchChanges();
 };
 
-std::size_t HollowFleet::add(const std::string& role, const std::string& name, const std::string& address, const std::function<void(Actor&)>& make) {
+std::size_t HollowFleet::add(const std::string& role, const std::string& name, const std::string& address,
+                             const std::function<void(Actor&)>& make) {
   std::size_t at = actors.size();
   actors.push_back(std::make_unique<Actor>());
   auto& actor = *actors.back();
@@ -304,7 +324,8 @@
 
 void HollowFleet::startCores() {
   Strings seeds, localities;
-  for (int number = 0; number < std::min(3, size.cores); ++number) seeds.push_back(fmt::format("10.1.{}.1:7000", number));
+  for (int number = 0; number < std::min(3, size.cores); ++number)
+    seeds.push_back(fmt::format("10.1.{}.1:7000", number));
   for (int zone = 0; zone < size.zones; ++zone) localities.push_back(zoneName(size, zone));
   for (int number = 0; number < size.cores; ++number) {
     std::string address = fmt::format("10.1.{}.1:7000", number);
@@ -330,9 +351,11 @@
 
 void HollowFleet::startDaemons() {
   Strings seeds;
-  for (int number = 0; number < std::min(3, size.cores); ++number) seeds.push_back(actors[coreAt[static_cast<std::size_t>(number)]]->address);
+  for (int number = 0; number < std::min(3, size.cores); ++number)
+    seeds.push_back(actors[coreAt[static_cast<std::size_t>(number)]]->address);
   for (int number = 0; number < size.daemons; ++number) {
-    std::string zone = zoneName(size, number % size.zones), host = fmt::format("10.2.{}.{}", number / 250, number % 250);
+    std::string zone = zoneName(size, number % size.zones),
+                host = fmt::format("10.2.{}.{}", number / 250, number % 250);
     std::string name = fmt::format("edge-{:04}", number);
     agentAt.push_back(add("agent", name, host + ":7001", [&](Actor& actor) {
       AgentSettings settings;
@@ -351,7 +374,8 @@
   }
 }
 
-void HollowFleet::drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local, const std::function<void(Effects&)>& action) {
+void HollowFleet::drive(std::size_t at, const std::string& cause, std::int64_t bytesIn, bool local,
+                        const std::function<void(Effects&)>& action) {
   auto& actor = *actors[at];
   std::vector<std::pair<std::string, std::string>> frames;
   std::vector<std::pair<std::string, Message>> direct;
@@ -387,18 +411,26 @@
   }
 }
 
-void HollowFleet::carry(std::size_t at, std::vector<std::pair<std::string, std::string>>& frames, std::vector<std::pair<std::string, Message>>& direct) {
+void HollowFleet::carry(std::size_t at, std::vector<std::pair<std::string, std::string>>& frames,
+                        std::vector<std::pair<std::string, Message>>& direct) {
   auto& actor = *actors[at];
   for (auto& [to, frame] : frames) {
     if (measuring) {
       auto bytes = static_cast<std::int64_t>(frame.size() + frameHead);
-      std::uint16_t number = static_cast<std::uint16_t>(static_cast<unsigned char>(frame[0]) | static_cast<unsigned char>(frame[1]) << 8);
+      std::uint16_t number =
+          static_cast<std::uint16_t>(static_cast<unsigned char>(frame[0]) | static_cast<unsigned char>(frame[1]) << 8);
       auto& kind = actor.cost.byMessage["sends " + std::to_string(number)];
       ++kind.count;
       kind.bytesOut += bytes;
       (to == actor.beside ? actor.cost.localBytes : actor.cost.fleet.bytesOut) += bytes;
     }
-    push(Due{clock + (to == actor.beside ? Span(50us) : size.link), 0, What::frame, actorByAddress[to], actor.address, std::move(frame), {}});
+    push(Due{clock + (to == actor.beside ? Span(50us) : size.link),
+             0,
+             What::frame,
+             actorByAddress[to],
+             actor.address,
+             std::move(frame),
+             {}});
   }
   for (auto& [to, message] : direct) {
     if (to == actor.address) {
@@ -439,13 +471,16 @@
   report.sequence = static_cast<Count>(reach);
   auto own = static_cast<std::uint64_t>(number);
   if (whole) {
-    for (std::int64_t block = reach / 2; block < kept + (reach + 1) / 2; ++block) report.kept.push_back(blockOf(own, static_cast<std::uint64_t>(block)));
+    for (std::int64_t block = reach / 2; block < kept + (reach + 1) / 2; ++block)
+      report.kept.push_back(blockOf(own, static_cast<std::uint64_t>(block)));
     return report;
   }
   for (std::int64_t event = after + 1; event <= reach; ++event) {
     bool stored = event % 2 == 1;
     auto block = static_cast<std::uint64_t>(stored ? kept + (event - 1) / 2 : event / 2 - 1);
-    report.events.push_back(KeptEvent{static_cast<Count>(event), static_cast<int>(stored ? KeptKind::stored : KeptKind::removed), {blockOf(own, block)}});
+    report.events.push_back(KeptEvent{static_cast<Count>(event),
+                                      static_cast<int>(stored ? KeptKind::stored : KeptKind::removed),
+                                      {blockOf(own, block)}});
   }
   return report;
 }
@@ -470,7 +505,9 @@
   } else {
     *reply = *asked;
     double rate = size.eventsPerSecond / size.workers;
-    Span wait = rate > 0 ? std::min<Span>(pollWait, std::chrono::duration_cast<Span>(std::chrono::duration<double>(1 / rate))) : Span(pollWait);
+    Span wait =
+        rate > 0 ? std::min<Span>(pollWait, std::chrono::duration_cast<Span>(std::chrono::duration<double>(1 / rate)))
+                 : Span(pollWait);
     when += wait;
   }
   push(Due{when, 0, What::message, at, worker.machine.address, {}, std::move(reply)});
@@ -480,12 +517,15 @@
   MachinesReply reply;
   reply.askedAt = askedAt;
   for (const auto& worker : workers) reply.machines.push_back(worker.machine);
-  push(Due{clock + 10 * size.link, 0, What::message, at, cloudAddress, {}, std::make_shared<Message>(std::move(reply))});
+  push(
+      Due{clock + 10 * size.link, 0, What::message, at, cloudAddress, {}, std::make_shared<Message>(std::move(reply))});
 }
 
 void HollowFleet::toProxy(std::size_t at, const WorkerOrder& order) {
   Moment when = clock + firstPieceAfter;
-  auto give = [&](Message message) { push(Due{when, 0, What::message, at, order.worker, {}, std::make_shared<Message>(std::move(message))}); };
+  auto give = [&](Message message) {
+    push(Due{when, 0, What::message, at, order.worker, {}, std::make_shared<Message>(std::move(message))});
+  };
   give(WorkerLoad{order.orderId, 2, 0, 4});
   for (int piece = 0; piece < answerPieces; ++piece) {
     give(WorkerChunk{order.orderId, std::string(200, 'x'), std::to_string(piece)});
@@ -501,16 +541,21 @@
     push(Due{clock + tickEvery, 0, What::tick, due.to, {}, {}, {}});
   } else if (due.what == What::frame) {
     bool local = due.from == actor.beside;
-    std::uint16_t number = static_cast<std::uint16_t>(static_cast<unsigned char>(due.frame[0]) | static_cast<unsigned char>(due.frame[1]) << 8);
-    drive(due.to, "takes " + std::to_string(number), static_cast<std::int64_t>(due.frame.size() + frameHead), local, [&](Effects& effects) {
-      auto message = decodeMessage(due.frame);
-      if (message) actor.node->take(effects, due.from, message.value());
-    });
+    std::uint16_t number = static_cast<std::uint16_t>(static_cast<unsigned char>(due.frame[0]) |
+                                                      static_cast<unsigned char>(due.frame[1]) << 8);
+    drive(due.to, "takes " + std::to_string(number), static_cast<std::int64_t>(due.frame.size() + frameHead), local,
+          [&](Effects& effects) {
+            auto message = decodeMessage(due.frame);
+            if (message) actor.node->take(effects, due.from, message.value());
+          });
   } else if (due.what == What::message) {
     Message held = std::move(*due.message);
-    if (auto* asked = std::get_if<ReportAsk>(&held)) held = reportOf(workerByAddress[due.from], static_cast<std::int64_t>(asked->after), false);
-    if (auto* report = std::get_if<Report>(&held); report && measuring) outcome.eventsTaken += static_cast<std::int64_t>(report->events.size());
-    drive(due.to, std::string("takes ") + std::to_string(held.index()), 0, false, [&](Effects& effects) { actor.node->take(effects, due.from, held); });
+    if (auto* asked = std::get_if<ReportAsk>(&held))
+      held = reportOf(workerByAddress[due.from], static_cast<std::int64_t>(asked->after), false);
+    if (auto* report = std::get_if<Report>(&held); report && measuring)
+      outcome.eventsTaken += static_cast<std::int64_t>(report->events.size());
+    drive(due.to, std::string("takes ") + std::to_string(held.index()), 0, false,
+          [&](Effects& effects) { actor.node->take(effects, due.from, held); });
   } else {
     std::vector<Effects::Save> batch;
     batch.swap(actor.saves);
@@ -553,7 +598,8 @@
 
 std::size_t HollowFleet::countFresh() {
   std::size_t count = 0;
-  for (std::size_t number = 0; number < agentAt.size(); ++number) count += agent(number).fresh(clock) && proxy(number).fresh(clock) && proxy(number).configuration().revision() > 0;
+  for (std::size_t number = 0; number < agentAt.size(); ++number)
+    count += agent(number).fresh(clock) && proxy(number).fresh(clock) && proxy(number).configuration().revision() > 0;
   return count;
 }
 
@@ -566,7 +612,13 @@
   change.manner = static_cast<int>(manner);
   change.changeId = changeId;
   change.toRevision = toRevision;
-  push(Due{clock, 0, What::message, coreAt[(leader() + 1) % coreAt.size()], changeId, {}, std::make_shared<Message>(std::move(change))});
+  push(Due{clock,
+           0,
+           What::message,
+           coreAt[(leader() + 1) % coreAt.size()],
+           changeId,
+           {},
+           std::make_shared<Message>(std::move(change))});
 }
 
 void HollowFleet::watchChanges() {
@@ -592,7 +644,8 @@
   startCores();
   while (countVoters() < static_cast<std::size_t>(size.cores) && clock - startedAt < formMost) runUntil(clock + 200ms);
   outcome.voters = static_cast<std::int64_t>(countVoters());
-  if (outcome.voters != size.cores) return fault(Code::notLeading, "cores", fmt::format("{} of {} cores vote", outcome.voters, size.cores));
+  if (outcome.voters != size.cores)
+    return fault(Code::notLeading, "cores", fmt::format("{} of {} cores vote", outcome.voters, size.cores));
   ask("first", firstSections(size.tenants, size.models), Manner::sections, 1);
   runUntil(clock + 1s);
   ask("models", modelSections(size.models), Manner::items, -1);
@@ -601,15 +654,22 @@
   runUntil(clock + settleSpan);
   while (countFresh() < agentAt.size() && clock - waitedAt < formMost) runUntil(clock + 500ms);
   outcome.freshAgents = static_cast<std::int64_t>(countFresh());
-  if (changes["first"].code != static_cast<int>(Code::changeTaken) || changes["models"].code != static_cast<int>(Code::changeTaken))
-    return fault(Code::blueprintBad, "blueprint", fmt::format("first changes ended with {} and {}", changes["first"].code, changes["models"].code));
-  if (outcome.freshAgents != size.daemons) return fault(Code::staleEdge, "daemons", fmt::format("{} of {} are fresh", outcome.freshAgents, size.daemons));
+  if (changes["first"].code != static_cast<int>(Code::changeTaken) ||
+      changes["models"].code != static_cast<int>(Code::changeTaken))
+    return fault(Code::blueprintBad, "blueprint",
+                 fmt::format("first changes ended with {} and {}", changes["first"].code, changes["models"].code));
+  if (outcome.freshAgents != size.daemons)
+    return fault(Code::staleEdge, "daemons", fmt::format("{} of {} are fresh", outcome.freshAgents, size.daemons));
   changes.clear();
   Moment begin = clock + (size.requestsPerSecond > 0 ? requestWarmth : Span(0)), end = begin + size.measured;
-  auto spanOf = [](double perSecond) { return perSecond > 0 ? std::chrono::duration_cast<Span>(std::chrono::duration<double>(1 / perSecond)) : Span::max(); };
-  Span changeEvery = spanOf(size.changesPerHour / 3600), requestEvery = spanOf(size.requestsPerSecond), markEvery = spanOf(size.markChangesPerHour / 3600);
+  auto spanOf = [](double perSecond) {
+    return perSecond > 0 ? std::chrono::duration_cast<Span>(std::chrono::duration<double>(1 / perSecond)) : Span::max();
+  };
+  Span changeEvery = spanOf(size.changesPerHour / 3600), requestEvery = spanOf(size.requestsPerSecond),
+       markEvery = spanOf(size.markChangesPerHour / 3600);
   auto firstAt = [&](Span every) { return every == Span::max() ? Moment::max() : begin + every / 2; };
-  Moment changeAt = firstAt(changeEvery), requestAt = requestEvery == Span::max() ? Moment::max() : clock, markAt = firstAt(markEvery);
+  Moment changeAt = firstAt(changeEvery), requestAt = requestEvery == Span::max() ? Moment::max() : clock,
+         markAt = firstAt(markEvery);
   int changeCount = 0, markCount = 0;
   while (clock < end) {
     if (clock >= begin && !measuring) {
@@ -620,7 +680,8 @@
     if (!changes.empty()) next = std::min(next, clock + 1ms);
     runUntil(next);
     if (clock >= changeAt) {
-      ask(fmt::format("change-{}", changeCount), tenantChange(changeCount % std::max(1, size.tenants), changeCount), Manner::items, 2 + changeCount);
+      ask(fmt::format("change-{}", changeCount), tenantChange(changeCount % std::max(1, size.tenants), changeCount),
+          Manner::items, 2 + changeCount);
       ++changeCount;
       changeAt += changeEvery;
     }
@@ -640,7 +701,8 @@
   measuring = false;
   auto ms = [](Span span) { return std::chrono::duration<double, std::milli>(span).count(); };
   for (const auto& [changeId, change] : changes) {
-    if (change.code > 0 && change.code != static_cast<int>(Code::changeTaken)) return fault(static_cast<Code>(change.code), changeId);
+    if (change.code > 0 && change.code != static_cast<int>(Code::changeTaken))
+      return fault(static_cast<Code>(change.code), changeId);
     if (change.ackedAt != Moment{}) outcome.ackMs.push_back(ms(change.ackedAt - change.askedAt));
     if (change.agentsAt != Moment{}) outcome.agentsMs.push_back(ms(change.agentsAt - change.askedAt));
     if (change.proxiesAt != Moment{}) outcome.proxiesMs.push_back(ms(change.proxiesAt - change.askedAt));
@@ -652,7 +714,8 @@
       if (!cell->election.holds(clock)) continue;
       ++outcome.cellsHeld;
       ++actors[coreAt[number]]->cost.cells;
-      for (const auto& [name, keeper] : cell->keepers()) outcome.blocksIndexed += static_cast<std::int64_t>(keeper.kept.size());
+      for (const auto& [name, keeper] : cell->keepers())
+        outcome.blocksIndexed += static_cast<std::int64_t>(keeper.kept.size());
     }
   outcome.configurationBytes = static_cast<std::int64_t>(core(0).agreement().configuration().bytes());
   static const Strings nameByNumber = [] {
@@ -670,7 +733,10 @@
     std::map<std::string, Cost> named;
     for (const auto& [kind, row] : cost.byMessage) {
       auto space = kind.find(' ');
-      named[space == std::string::npos ? kind : kind.substr(0, space + 1) + nameByNumber[static_cast<std::size_t>(std::stoi(kind.substr(space + 1)))]] = row;
+      named[space == std::string::npos
+                ? kind
+                : kind.substr(0, space + 1) +
+                      nameByNumber[static_cast<std::size_t>(std::stoi(kind.substr(space + 1)))]] = row;
     }
     cost.byMessage = std::move(named);
     outcome.daemonsByRole[actor->role].push_back(std::move(cost));
@@ -689,7 +755,8 @@
 std::int64_t estimatedBytes(const FleetSize& size) {
   std::int64_t daemons = size.daemons, cores = size.cores, workers = size.workers, tenants = size.tenants;
   std::int64_t viewBytes = 3000 * tenants + 600 * workers + 1000000;
-  return daemons * 2 * viewBytes + cores * (viewBytes * 3 + (40 << 20) + daemons * 2000 + size.zones * 4000) + size.blocks * 90 + daemons * cores * 8000;
+  return daemons * 2 * viewBytes + cores * (viewBytes * 3 + (40 << 20) + daemons * 2000 + size.zones * 4000) +
+         size.blocks * 90 + daemons * cores * 8000;
 }
 
 Result<FleetCost> measureFleet(const FleetSize& size, std::uint64_t seed) { return HollowFleet(size, seed).run(); }
@@ -739,13 +806,16 @@
       report.scope = static_cast<int>(Scope::index);
       report.incarnation = "1";
       report.gaps = report.whole = true;
-      for (std::int64_t block = 0; block < each; ++block) report.kept.push_back(blockOf(static_cast<std::uint64_t>(worker), static_cast<std::uint64_t>(block)));
+      for (std::int64_t block = 0; block < each; ++block)
+        report.kept.push_back(blockOf(static_cast<std::uint64_t>(worker), static_cast<std::uint64_t>(block)));
       std::int64_t start = threadCpuNs();
       drive([&](Effects& effects) { cell->take(effects, report.worker, report); });
       confirmNs += threadCpuNs() - start;
     }
-    figures.push_back({"bytes per block", static_cast<double>(heap - before) / static_cast<double>(each * size.workers)});
-    figures.push_back({"ns per block of a whole list", static_cast<double>(confirmNs) / static_cast<double>(each * size.workers)});
+    figures.push_back(
+        {"bytes per block", static_cast<double>(heap - before) / static_cast<double>(each * size.workers)});
+    figures.push_back(
+        {"ns per block of a whole list", static_cast<double>(confirmNs) / static_cast<double>(each * size.workers)});
     constexpr std::int64_t eventsEach = 12;
     std::int64_t turns = 20000, events = 0, eventNs = 0;
     std::vector<std::int64_t> reach(static_cast<std::size_t>(size.workers), 0);
@@ -760,7 +830,9 @@
         std::int64_t event = ++reach[worker];
         bool stored = event % 2 == 1;
         auto block = static_cast<std::uint64_t>(stored ? each + (event - 1) / 2 : event / 2 - 1);
-        report.events.push_back(KeptEvent{static_cast<Count>(event), static_cast<int>(stored ? KeptKind::stored : KeptKind::removed), {blockOf(worker, block)}});
+        report.events.push_back(KeptEvent{static_cast<Count>(event),
+                                          static_cast<int>(stored ? KeptKind::stored : KeptKind::removed),
+                                          {blockOf(worker, block)}});
       }
       report.sequence = static_cast<Count>(reach[worker]);
       std::int64_t start = threadCpuNs();
@@ -773,8 +845,11 @@
     constexpr std::int64_t lookups = 20000;
     for (std::int64_t turn = 0; turn < lookups; ++turn) {
       auto worker = static_cast<std::size_t>(turn % size.workers);
-      LookupMsg ask{fmt::format("l{}", turn), zoneName(size, 0), machines[worker].name, machines[worker].weights, {}, "10.2.0.1:7001"};
-      for (std::uint64_t part = 0; part < 4; ++part) ask.hashes.push_back(blockOf(worker, mix(static_cast<std::uint64_t>(turn) + part) % static_cast<std::uint64_t>(2 * each)));
+      LookupMsg ask{fmt::format("l{}", turn), zoneName(size, 0), machines[worker].name, machines[worker].weights, {},
+                    "10.2.0.1:7001"};
+      for (std::uint64_t part = 0; part < 4; ++part)
+        ask.hashes.push_back(
+            blockOf(worker, mix(static_cast<std::uint64_t>(turn) + part) % static_cast<std::uint64_t>(2 * each)));
       std::string frame = encodeMessage(ask);
       std::int64_t start = threadCpuNs();
       drive([&](Effects& effects) {
@@ -796,7 +871,9 @@
     figures.push_back({"us per tick", static_cast<double>(tickNs) / static_cast<double>(ticks) / 1000});
   }
   std::string salt = cacheSalt("model-1", "model-1/1", "shared");
-  figures.push_back({"ns per part hashed", timeEach(20000, [&](std::int64_t turn) { (void)hashPart(salt, "part-" + std::to_string(turn)); })});
+  figures.push_back({"ns per part hashed", timeEach(20000, [&](std::int64_t turn) {
+                       (void)hashPart(salt, "part-" + std::to_string(turn));
+                     })});
   return figures;
 }
 
@@ -820,11 +897,23 @@
     HeapScope none(nullptr);
     sends = effects.sends;
   };
-  auto give = [&](const std::string& from, const Message& message) { drive([&](Effects& effects) { edge.take(effects, from, message); }); };
+  auto give = [&](const std::string& from, const Message& message) {
+    drive([&](Effects& effects) { edge.take(effects, from, message); });
+  };
   Configuration made;
-  Entry sections{1, 1, static_cast<int>(EntryKind::change), made.preparePatch(firstSections(size.tenants, size.models), Manner::sections).value(), "first", 1};
+  Entry sections{1,
+                 1,
+                 static_cast<int>(EntryKind::change),
+                 made.preparePatch(firstSections(size.tenants, size.models), Manner::sections).value(),
+                 "first",
+                 1};
   made.apply(sections);
-  Entry models{2, 1, static_cast<int>(EntryKind::change), made.preparePatch(modelSections(size.models), Manner::items).value(), "models", 2};
+  Entry models{2,
+               1,
+               static_cast<int>(EntryKind::change),
+               made.preparePatch(modelSections(size.models), Manner::items).value(),
+               "models",
+               2};
   MarksMsg marks;
   std::map<std::string, CellNews> newsByZone;
   for (int worker = 0; worker < workers; ++worker) {
@@ -871,7 +960,8 @@
       if (auto* lookup = std::get_if<LookupMsg>(&message)) {
         ++lookups;
         ++replies;
-        timed(replyNs, agentAddress, LookupReply{lookup->lookupId, lookup->keeper, std::vector<int>(lookup->hashes.size(), 0)});
+        timed(replyNs, agentAddress,
+              LookupReply{lookup->lookupId, lookup->keeper, std::vector<int>(lookup->hashes.size(), 0)});
         for (const auto& [address, later] : sends)
           if (auto* order = std::get_if<WorkerOrder>(&later)) sent = *order;
       } else if (auto* order = std::get_if<WorkerOrder>(&message)) {
@@ -883,10 +973,13 @@
       ++pieces;
       timed(pieceNs, "worker", WorkerChunk{sent->orderId, std::string(200, 'x'), std::to_string(piece)});
     }
-    timed(endNs, "worker", WorkerEnd{sent->orderId, static_cast<int>(Outcome::done), static_cast<int>(Code::done), 0, 0, 0});
+    timed(endNs, "worker",
+          WorkerEnd{sent->orderId, static_cast<int>(Outcome::done), static_cast<int>(Code::done), 0, 0, 0});
     ++done;
   }
-  auto each = [](std::int64_t sum, std::int64_t count) { return count ? static_cast<double>(sum) / static_cast<double>(count) / 1000 : 0.0; };
+  auto each = [](std::int64_t sum, std::int64_t count) {
+    return count ? static_cast<double>(sum) / static_cast<double>(count) / 1000 : 0.0;
+  };
   figures.push_back({"us to admit and draw", each(drawNs, orders)});
   figures.push_back({"us for all lookup replies", each(replyNs, static_cast<std::int64_t>(orders))});
   figures.push_back({"us per piece", each(pieceNs, pieces)});
@@ -936,7 +1029,9 @@
       start = threadCpuNs();
       auto patch = view->preparePatch(body, Manner::items);
       prepareNs += threadCpuNs() - start;
-      Entry change{static_cast<Count>(turn + 2), 1, static_cast<int>(EntryKind::change), patch.value(), fmt::format("change-{}", turn), static_cast<Count>(turn + 2)};
+      Entry change{static_cast<Count>(turn + 2),        1,
+                   static_cast<int>(EntryKind::change), patch.value(),
+                   fmt::format("change-{}", turn),      static_cast<Count>(turn + 2)};
       entryBytes += static_cast<std::int64_t>(encodeEntry(change).size());
       start = threadCpuNs();
       view->apply(change);
@@ -979,7 +1074,8 @@
   return Spread{values.front(), median, values.back()};
 }
 
-std::string plotSvg(const std::string& title, const std::string& xName, const std::string& yName, const std::vector<std::pair<double, double>>& points) {
+std::string plotSvg(const std::string& title, const std::string& xName, const std::string& yName,
+                    const std::vector<std::pair<double, double>>& points) {
   constexpr double width = 480, height = 300, left = 70, right = 20, top = 30, bottom = 45;
   double mostX = 0, mostY = 0;
   for (const auto& [x, y] : points) {
@@ -990,21 +1086,30 @@
   if (mostY <= 0) mostY = 1;
   auto placeX = [&](double x) { return left + x / mostX * (width - left - right); };
   auto placeY = [&](double y) { return height - bottom - y / mostY * (height - top - bottom); };
-  std::string svg = fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{0}\" height=\"{1}\" font-family=\"sans-serif\" font-size=\"11\">\n<rect width=\"{0}\" height=\"{1}\" fill=\"white\"/>\n", width, height);
+  std::string svg = fmt::format(
+      "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{0}\" height=\"{1}\" font-family=\"sans-serif\" "
+      "font-size=\"11\">\n<rect width=\"{0}\" height=\"{1}\" fill=\"white\"/>\n",
+      width, height);
   svg += fmt::format("<text x=\"{}\" y=\"18\" font-size=\"13\">{}</text>\n", left, title);
-  svg += fmt::format("<path d=\"M{} {} V{} H{}\" fill=\"none\" stroke=\"black\"/>\n", left, top, height - bottom, width - right);
+  svg += fmt::format("<path d=\"M{} {} V{} H{}\" fill=\"none\" stroke=\"black\"/>\n", left, top, height - bottom,
+                     width - right);
   for (int mark = 0; mark <= 4; ++mark) {
     double x = mostX * mark / 4, y = mostY * mark / 4;
-    svg += fmt::format("<text x=\"{:.1f}\" y=\"{}\" text-anchor=\"middle\">{:.4g}</text>\n", placeX(x), height - bottom + 15, x);
+    svg += fmt::format("<text x=\"{:.1f}\" y=\"{}\" text-anchor=\"middle\">{:.4g}</text>\n", placeX(x),
+                       height - bottom + 15, x);
     svg += fmt::format("<text x=\"{}\" y=\"{:.1f}\" text-anchor=\"end\">{:.4g}</text>\n", left - 5, placeY(y) + 4, y);
   }
-  svg += fmt::format("<text x=\"{}\" y=\"{}\" text-anchor=\"middle\">{}</text>\n", (left + width - right) / 2, height - 10, xName);
-  svg += fmt::format("<text x=\"14\" y=\"{0}\" text-anchor=\"middle\" transform=\"rotate(-90 14 {0})\">{1}</text>\n", height / 2, yName);
+  svg += fmt::format("<text x=\"{}\" y=\"{}\" text-anchor=\"middle\">{}</text>\n", (left + width - right) / 2,
+                     height - 10, xName);
+  svg += fmt::format("<text x=\"14\" y=\"{0}\" text-anchor=\"middle\" transform=\"rotate(-90 14 {0})\">{1}</text>\n",
+                     height / 2, yName);
   if (auto line = fitLine(points)) {
     double start = std::clamp(line->base, 0.0, mostY), end = std::clamp(line->base + line->slope * mostX, 0.0, mostY);
-    svg += fmt::format("<path d=\"M{:.1f} {:.1f} L{:.1f} {:.1f}\" stroke=\"steelblue\"/>\n", placeX(0), placeY(start), placeX(mostX), placeY(end));
+    svg += fmt::format("<path d=\"M{:.1f} {:.1f} L{:.1f} {:.1f}\" stroke=\"steelblue\"/>\n", placeX(0), placeY(start),
+                       placeX(mostX), placeY(end));
   }
-  for (const auto& [x, y] : points) svg += fmt::format("<circle cx=\"{:.1f}\" cy=\"{:.1f}\" r=\"3\" fill=\"firebrick\"/>\n", placeX(x), placeY(y));
+  for (const auto& [x, y] : points)
+    svg += fmt::format("<circle cx=\"{:.1f}\" cy=\"{:.1f}\" r=\"3\" fill=\"firebrick\"/>\n", placeX(x), placeY(y));
   return svg + "</svg>\n";
 }
 
--- a/src/sim/scale.hpp
+++ b/src/sim/scale.hpp
@@ -28,9 +28,11 @@
 struct FleetCost {
   std::map<std::string, std::vector<DaemonCost>> daemonsByRole;
   double seconds{0};
-  /// From the operator's ask to the acknowledgement, and to the last agent and the last proxy that have applied it, for each change.
+  /// From the operator's ask to the acknowledgement, and to the last agent and the last proxy that have applied it, for
+  /// each change.
   std::vector<double> ackMs, agentsMs, proxiesMs;
-  std::int64_t voters{0}, freshAgents{0}, cellsHeld{0}, blocksIndexed{0}, eventsTaken{0}, requestsDone{0}, configurationBytes{0};
+  std::int64_t voters{0}, freshAgents{0}, cellsHeld{0}, blocksIndexed{0}, eventsTaken{0}, requestsDone{0},
+      configurationBytes{0};
 };
 
 /// How many bytes of memory a fleet of this size takes, about, in the process that measures it.
@@ -60,7 +62,8 @@
 };
 Spread spreadOf(std::vector<double> values);
 /// A plot of points and the line through them, as SVG.
-std::string plotSvg(const std::string& title, const std::string& xName, const std::string& yName, const std::vector<std::pair<double, double>>& points);
+std::string plotSvg(const std::string& title, const std::string& xName, const std::string& yName,
+                    const std::vector<std::pair<double, double>>& points);
 
 /// Where this thread's allocations are counted at present; null counts nowhere.
 extern thread_local std::int64_t* heapAccount;
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -26,7 +26,8 @@
 
 class Runner {
  public:
-  Runner(const std::string& text, std::optional<std::uint64_t> seed, std::string traced) : traceKind(std::move(traced)) {
+  Runner(const std::string& text, std::optional<std::uint64_t> seed, std::string traced)
+      : traceKind(std::move(traced)) {
     std::istringstream source(text);
     std::string row;
     for (int number = 1; std::getline(source, row); ++number) {
@@ -60,7 +61,8 @@
         const auto& lines = invariantNames();
         if (!defence)
           wrong(line, "no such defence");
-        else if (control && (line.words.size() < 3 || std::find(lines.begin(), lines.end(), line.words[2]) == lines.end()))
+        else if (control &&
+                 (line.words.size() < 3 || std::find(lines.begin(), lines.end(), line.words[2]) == lines.end()))
           wrong(line, "no such line of what must never happen");
         else if (control)
           controls.push_back({*defence, line.words[1], line.words[2]});
@@ -132,29 +134,46 @@
   std::string traceKind;
   Moment start;
 
-  void wrong(const Line& line, const std::string& reason) { troubles.push_back("line " + std::to_string(line.number) + ": " + reason); }
+  void wrong(const Line& line, const std::string& reason) {
+    troubles.push_back("line " + std::to_string(line.number) + ": " + reason);
+  }
 
   void setFleet(const Line& line) {
     for (std::size_t at = 1; at + 1 < line.words.size(); at += 2) {
       const std::string& key = line.words[at];
       double value = std::atof(line.words[at + 1].c_str());
-      if (key == "spares") shape.spares = static_cast<int>(value);
-      else if (key == "edges") shape.edges = static_cast<int>(value);
-      else if (key == "workers") shape.workers = static_cast<int>(value);
-      else if (key == "tenants") shape.tenants = static_cast<int>(value);
-      else if (key == "plan") shape.planRate = value;
-      else if (key == "swap") shape.swapRate = value;
-      else if (key == "reminder") shape.reminderRate = value;
-      else if (key == "app") shape.appRate = value;
-      else if (key == "loadMs") shape.loadMs = static_cast<int>(value);
-      else if (key == "keepMost") shape.keepMost = static_cast<std::size_t>(value);
-      else if (key == "tokenMs") shape.tokenMs = value;
-      else if (key == "slots") shape.slots = static_cast<int>(value);
-      else if (key == "fetching") shape.fetching = value > 0;
+      if (key == "spares")
+        shape.spares = static_cast<int>(value);
+      else if (key == "edges")
+        shape.edges = static_cast<int>(value);
+      else if (key == "workers")
+        shape.workers = static_cast<int>(value);
+      else if (key == "tenants")
+        shape.tenants = static_cast<int>(value);
+      else if (key == "plan")
+        shape.planRate = value;
+      else if (key == "swap")
+        shape.swapRate = value;
+      else if (key == "reminder")
+        shape.reminderRate = value;
+      else if (key == "app")
+        shape.appRate = value;
+      else if (key == "loadMs")
+        shape.loadMs = static_cast<int>(value);
+      else if (key == "keepMost")
+        shape.keepMost = static_cast<std::size_t>(value);
+      else if (key == "tokenMs")
+        shape.tokenMs = value;
+      else if (key == "slots")
+        shape.slots = static_cast<int>(value);
+      else if (key == "fetching")
+        shape.fetching = value > 0;
       else if (key == "localities") {
         shape.localities.clear();
-        for (int number = 1; number <= static_cast<int>(value); ++number) shape.localities.push_back("ghent-" + std::to_string(number));
-      } else wrong(line, "unknown fleet key " + key);
+        for (int number = 1; number <= static_cast<int>(value); ++number)
+          shape.localities.push_back("ghent-" + std::to_string(number));
+      } else
+        wrong(line, "unknown fleet key " + key);
     }
   }
 
@@ -175,7 +194,8 @@
       for (const auto& name : world->localityMembers(word.substr(9))) rows.push_back(name);
       return rows;
     }
-    for (auto [group, prefix] : {std::pair{"cores", "core-"}, {"workers", "worker-"}, {"agents", "agent-"}, {"proxies", "proxy-"}})
+    for (auto [group, prefix] :
+         {std::pair{"cores", "core-"}, {"workers", "worker-"}, {"agents", "agent-"}, {"proxies", "proxy-"}})
       if (word == group) {
         for (const auto& name : world->names())
           if (name.rfind(prefix, 0) == 0) rows.push_back(name);
@@ -189,7 +209,8 @@
 
   static bool beside(const std::string& one, const std::string& other) {
     return one.substr(one.rfind('-') + 1) == other.substr(other.rfind('-') + 1) &&
-           ((one.rfind("agent-", 0) == 0 && other.rfind("proxy-", 0) == 0) || (one.rfind("proxy-", 0) == 0 && other.rfind("agent-", 0) == 0));
+           ((one.rfind("agent-", 0) == 0 && other.rfind("proxy-", 0) == 0) ||
+            (one.rfind("proxy-", 0) == 0 && other.rfind("agent-", 0) == 0));
   }
 
   void step(const Line& line) {
@@ -272,7 +293,9 @@
       world->change(body, false, id, revision, 1 + static_cast<int>(world->randomSource()() % 4));
     } else if (verb == "storm") {
       for (int at = 0; at < static_cast<int>(number(1)); ++at)
-        world->change("{\"routes\":{\"" + (words.size() > 2 ? word(2) : std::string("r")) + std::to_string(at) + "\":{\"model\":\"rooster-llm\",\"policy\":\"p\"}}}", false, {}, -1, 1 + at % 4);
+        world->change("{\"routes\":{\"" + (words.size() > 2 ? word(2) : std::string("r")) + std::to_string(at) +
+                          "\":{\"model\":\"rooster-llm\",\"policy\":\"p\"}}}",
+                      false, {}, -1, 1 + at % 4);
     } else if (verb == "revoke") {
       world->revoke(word(1));
     } else if (verb == "name") {
@@ -308,15 +331,24 @@
         auto* keeper = world->keeper(name);
         if (!keeper) continue;
         auto& faults = keeper->faults;
-        if (word(2) == "lagMs") faults.lagMs = static_cast<int>(number(3));
-        else if (word(2) == "loseEvents") faults.loseEvents = static_cast<int>(number(3));
-        else if (word(2) == "forgetEvents") faults.forgetEvents = static_cast<int>(number(3));
-        else if (word(2) == "stalled") faults.stalled = number(3) > 0;
-        else if (word(2) == "anyWeights") faults.anyWeights = number(3) > 0;
-        else if (word(2) == "loadFails") faults.loadFails = number(3) > 0;
-        else if (word(2) == "silentReports") faults.silentReports = number(3) > 0;
-        else if (word(2) == "linkMs") faults.linkMs = number(3);
-        else wrong(line, "unknown fault " + word(2));
+        if (word(2) == "lagMs")
+          faults.lagMs = static_cast<int>(number(3));
+        else if (word(2) == "loseEvents")
+          faults.loseEvents = static_cast<int>(number(3));
+        else if (word(2) == "forgetEvents")
+          faults.forgetEvents = static_cast<int>(number(3));
+        else if (word(2) == "stalled")
+          faults.stalled = number(3) > 0;
+        else if (word(2) == "anyWeights")
+          faults.anyWeights = number(3) > 0;
+        else if (word(2) == "loadFails")
+          faults.loadFails = number(3) > 0;
+        else if (word(2) == "silentReports")
+          faults.silentReports = number(3) > 0;
+        else if (word(2) == "linkMs")
+          faults.linkMs = number(3);
+        else
+          wrong(line, "unknown fault " + word(2));
       }
     } else if (verb == "forget") {
       for (const auto& name : named(word(1)))
@@ -347,7 +379,9 @@
       return false;
     }
     double bound = std::atof(words[at + 1].c_str());
-    bool good = words[at] == ">=" ? value >= bound : words[at] == "<=" ? value <= bound : words[at] == "=" && value == bound;
+    bool good = words[at] == ">="   ? value >= bound
+                : words[at] == "<=" ? value <= bound
+                                    : words[at] == "=" && value == bound;
     if (!good) failed(line, std::to_string(value));
     return good;
   }
@@ -369,13 +403,15 @@
       for (const auto& name : named("cores"))
         if (auto* node = world->core(name))
           for (const auto& [locality, cell] : node->cellsByLocality())
-            if (world->holderOf("cell/" + locality) == name) unconfirmed += static_cast<double>(cell->unconfirmedCount());
+            if (world->holderOf("cell/" + locality) == name)
+              unconfirmed += static_cast<double>(cell->unconfirmedCount());
       compare(line, unconfirmed, 2);
     } else if (what == "voters" || what == "members") {
       double voters = 0;
       std::string leader = world->holderOf("accord");
       if (!leader.empty())
-        for (const auto& member : world->core(leader)->agreement().members()) voters += what == "members" || member.votes;
+        for (const auto& member : world->core(leader)->agreement().members())
+          voters += what == "members" || member.votes;
       compare(line, voters, 2);
     } else if (what == "index-wrong") {
       compare(line, static_cast<double>(indexWrong()), 2);
@@ -402,7 +438,8 @@
             if (!truth || !keeper.confirmed) continue;
             std::int64_t known = 0;
             for (const auto& hash : keeper.kept) known += truth->keeps(hash);
-            wrongRows += static_cast<std::int64_t>(keeper.kept.size()) - known + static_cast<std::int64_t>(truth->keptCount()) - known;
+            wrongRows += static_cast<std::int64_t>(keeper.kept.size()) - known +
+                         static_cast<std::int64_t>(truth->keptCount()) - known;
           }
         }
     return wrongRows;
@@ -420,7 +457,9 @@
       Moment from = start + secondsOf(std::atof(words[5].c_str())), to = start + secondsOf(std::atof(words[7].c_str()));
       double asked = 0, done = 0;
       for (const auto& [orderId, order] : world->orders()) {
-        if (order.askedAt < from || order.askedAt >= to || order.gone || order.code == static_cast<int>(Code::keyDenied)) continue;
+        if (order.askedAt < from || order.askedAt >= to || order.gone ||
+            order.code == static_cast<int>(Code::keyDenied))
+          continue;
         if (words.size() > 9 && words[8] == "kind" && order.kind != words[9]) continue;
         if (words.size() > 9 && words[8] == "but" && order.key == words[9]) continue;
         ++asked;
@@ -455,7 +494,8 @@
       double slowest = 0;
       for (const auto& ack : world->acks())
         if (ack.acked && ack.code == static_cast<int>(Code::changeTaken))
-          slowest = std::max(slowest, ack.reached ? std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count() : 1e9);
+          slowest = std::max(
+              slowest, ack.reached ? std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count() : 1e9);
       compare(line, slowest, 2);
     } else if (what == "fetched-share") {
       double fetched = 0, all = 0;
@@ -485,12 +525,15 @@
     for (const auto& [word, number] : verdicts) out << " " << word << " " << number << ",";
     double all = std::max(1.0, fetched + local + computed);
     char text[160];
-    std::snprintf(text, sizeof text, " ttft p50 %.0f p99 %.0f ms, blocks local %.0f%% fetched %.0f%% computed %.0f%%, retries %lld", quantile(first, 0.5), quantile(first, 0.99),
-                  100 * local / all, 100 * fetched / all, 100 * computed / all, static_cast<long long>(world->count("retry")));
+    std::snprintf(text, sizeof text,
+                  " ttft p50 %.0f p99 %.0f ms, blocks local %.0f%% fetched %.0f%% computed %.0f%%, retries %lld",
+                  quantile(first, 0.5), quantile(first, 0.99), 100 * local / all, 100 * fetched / all,
+                  100 * computed / all, static_cast<long long>(world->count("retry")));
     out << text;
     double slowest = 0;
     for (const auto& ack : world->acks())
-      if (ack.reached) slowest = std::max(slowest, std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count());
+      if (ack.reached)
+        slowest = std::max(slowest, std::chrono::duration<double, std::milli>(ack.reachedAll - ack.at).count());
     out << ", slowest reach " << slowest << " ms";
     if (world->countBytes) {
       std::uint64_t most = 0;
@@ -511,8 +554,10 @@
         }
         deepest = std::max(deepest, depth);
       }
-      out << "; relay depth " << deepest << "; control bytes " << world->bytesSent << ", most by " << who << " " << most;
-      for (const auto& [kind, row] : world->trafficByKind) out << "\n      " << kind << " " << row.first << " messages " << row.second << " bytes";
+      out << "; relay depth " << deepest << "; control bytes " << world->bytesSent << ", most by " << who << " "
+          << most;
+      for (const auto& [kind, row] : world->trafficByKind)
+        out << "\n      " << kind << " " << row.first << " messages " << row.second << " bytes";
     }
     return out.str();
   }
@@ -520,7 +565,8 @@
 
 }  // namespace
 
-ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed, const std::string& trace, bool withControls) {
+ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed, const std::string& trace,
+                           bool withControls) {
   Runner runner(text, seed, trace);
   auto result = runner.run();
   if (!withControls) return result;
@@ -531,7 +577,9 @@
       bare.takeOut(control.defence);
       caught = bare.brokenLines().count(control.line) > 0;
     }
-    if (!caught) result.troubles.push_back("without " + control.name + " the line " + control.line + " was not broken: the run proves nothing");
+    if (!caught)
+      result.troubles.push_back("without " + control.name + " the line " + control.line +
+                                " was not broken: the run proves nothing");
   }
   result.passed = result.troubles.empty();
   return result;
@@ -540,11 +588,14 @@
 std::string randomScenario(std::uint64_t seed) {
   std::mt19937_64 randomSource(seed * 7919 + 13);
   auto roll = [&](std::uint64_t below) { return randomSource() % below; };
-  auto pick = [&](std::initializer_list<const char*> words) { return std::string(*(words.begin() + roll(words.size()))); };
+  auto pick = [&](std::initializer_list<const char*> words) {
+    return std::string(*(words.begin() + roll(words.size())));
+  };
   std::ostringstream out;
   bool whole = seed % 8 == 0;
   std::uint64_t edges = whole ? 9 : 3, workers = whole ? 18 : 5, tenants = whole ? 8 : 4;
-  out << "fleet edges " << edges << " workers " << workers << " tenants " << tenants << (whole ? " plan 5 swap 14 reminder 26" : " plan 2 swap 5 reminder 8")
+  out << "fleet edges " << edges << " workers " << workers << " tenants " << tenants
+      << (whole ? " plan 5 swap 14 reminder 26" : " plan 2 swap 5 reminder 8")
       << (roll(5) == 0 ? " tokenMs 200 slots 16" : "") << "\nseed " << seed << "\n";
   if (roll(2)) out << "at 4 habits " << roll(40) << " " << roll(25) << " " << roll(25) << "\n";
   auto core = [&] { return "core-" + std::to_string(1 + roll(4)); };
@@ -581,8 +632,13 @@
       case 22:
         at(clock) << "storm " << 50 + roll(300) << " s" << number << "x\n";
         break;
-      case 23: at(clock) << "load " << 2 + roll(8) << "\n"; at(end) << "load 1\n"; break;
-      case 24: at(clock) << "hangups " << 20 + roll(40) << "\n"; break;
+      case 23:
+        at(clock) << "load " << 2 + roll(8) << "\n";
+        at(end) << "load 1\n";
+        break;
+      case 24:
+        at(clock) << "hangups " << 20 + roll(40) << "\n";
+        break;
       case 25:
         at(clock) << "lose cores agents " << 5 + roll(30) << "\n";
         at(clock) << "lose agents cores " << 5 + roll(30) << "\n";
@@ -599,22 +655,53 @@
         at(end) << "start cores\n";
         break;
       }
-      case 2: at(clock) << "freeze " << (roll(2) ? core() : std::string("@accord")) << " " << end - clock << "\n"; break;
-      case 3: at(clock) << "freeze-at-sending " << pick({"@cell/ghent-1", "@cell/ghent-2", "@cell/antwerp-1"}) << " " << end - clock << "\n"; break;
-      case 4: at(clock) << "cut-off " << core() << "\n"; at(end) << "heal\n"; break;
-      case 5: at(clock) << "cut core-1,core-2 core-3,core-4\n"; at(end) << "heal\n"; break;
-      case 6: at(clock) << "cut-one " << core() << " " << core() << "\n"; at(end) << "heal\n"; break;
-      case 7: at(clock) << "cut-off edge-" << edge() << "\n"; at(end) << "heal\n"; break;
-      case 8: at(clock) << "kill edge-" << edge() << "\n"; at(end) << "start agents proxies\n"; break;
+      case 2:
+        at(clock) << "freeze " << (roll(2) ? core() : std::string("@accord")) << " " << end - clock << "\n";
+        break;
+      case 3:
+        at(clock) << "freeze-at-sending " << pick({"@cell/ghent-1", "@cell/ghent-2", "@cell/antwerp-1"}) << " "
+                  << end - clock << "\n";
+        break;
+      case 4:
+        at(clock) << "cut-off " << core() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 5:
+        at(clock) << "cut core-1,core-2 core-3,core-4\n";
+        at(end) << "heal\n";
+        break;
+      case 6:
+        at(clock) << "cut-one " << core() << " " << core() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 7:
+        at(clock) << "cut-off edge-" << edge() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 8:
+        at(clock) << "kill edge-" << edge() << "\n";
+        at(end) << "start agents proxies\n";
+        break;
       case 9: {
         std::string name = edge();
         at(clock) << "freeze " << pick({"agent-", "proxy-", "edge-"}) << name << " " << end - clock << "\n";
         break;
       }
-      case 10: at(clock) << "kill " << worker() << "\n"; at(end) << "start workers\n"; break;
-      case 11: at(clock) << "freeze " << worker() << " " << end - clock << "\n"; break;
-      case 12: at(clock) << "kill store\n"; at(end) << "start store\n"; break;
-      case 13: at(clock) << "name w" << weights << "\n"; weights = weights == 3 ? 1 : weights + 1; break;
+      case 10:
+        at(clock) << "kill " << worker() << "\n";
+        at(end) << "start workers\n";
+        break;
+      case 11:
+        at(clock) << "freeze " << worker() << " " << end - clock << "\n";
+        break;
+      case 12:
+        at(clock) << "kill store\n";
+        at(end) << "start store\n";
+        break;
+      case 13:
+        at(clock) << "name w" << weights << "\n";
+        weights = weights == 3 ? 1 : weights + 1;
+        break;
       case 14: {
         std::uint64_t tenant = 1 + roll(tenants);
         if (!revoked.insert(tenant).second) break;
@@ -622,7 +709,10 @@
         if (roll(3) == 0) at(clock + 10) << "restore tenant-" << tenant << "\n";
         break;
       }
-      case 26: at(clock) << "kill platform\n"; at(end) << "start platform\n"; break;
+      case 26:
+        at(clock) << "kill platform\n";
+        at(end) << "start platform\n";
+        break;
       case 27: {
         std::string name = worker();
         at(clock) << "kill platform\n";
@@ -631,7 +721,10 @@
         at(end + 6) << "unmark " << name << "\n";
         break;
       }
-      case 28: at(clock) << "leap " << (roll(2) ? core() : pick({"agent-", "proxy-"}) + edge()) << " " << 1 + roll(100) << "\n"; break;
+      case 28:
+        at(clock) << "leap " << (roll(2) ? core() : pick({"agent-", "proxy-"}) + edge()) << " " << 1 + roll(100)
+                  << "\n";
+        break;
       case 29: {
         std::string name = core(), id = "lost" + std::to_string(number);
         clock += 8;
@@ -661,10 +754,21 @@
         at(end + 4) << "list " << name << "\n";
         break;
       }
-      case 32: at(clock) << "crash-at " << pick({"start", "middle", "end"}) << " " << 1 + roll(4) << "\n"; at(end) << "start workers\n"; break;
-      case 33: at(clock) << "freeze-at-sending proxy-" << edge() << " " << end - clock << "\n"; break;
-      case 34: at(clock) << "slow-disk cores " << 20 + roll(200) << "\n"; at(end) << "slow-disk cores 2\n"; break;
-      case 35: at(clock) << "cut proxy-" << edge() << " workers\n"; at(end) << "heal\n"; break;
+      case 32:
+        at(clock) << "crash-at " << pick({"start", "middle", "end"}) << " " << 1 + roll(4) << "\n";
+        at(end) << "start workers\n";
+        break;
+      case 33:
+        at(clock) << "freeze-at-sending proxy-" << edge() << " " << end - clock << "\n";
+        break;
+      case 34:
+        at(clock) << "slow-disk cores " << 20 + roll(200) << "\n";
+        at(end) << "slow-disk cores 2\n";
+        break;
+      case 35:
+        at(clock) << "cut proxy-" << edge() << " workers\n";
+        at(end) << "heal\n";
+        break;
       case 36: {
         std::string name = edge();
         at(clock) << "cut-one " << (roll(2) ? "agent-" + name + " cores\n" : "cores agent-" + name + "\n");
@@ -685,16 +789,24 @@
         at(end + 6) << "unmark " << name << "\n";
         break;
       }
-      case 16: at(clock) << "stall " << core() << "\n"; at(end) << "unstall cores\n"; break;
+      case 16:
+        at(clock) << "stall " << core() << "\n";
+        at(end) << "unstall cores\n";
+        break;
       case 17: {
-        at(clock) << "fault " << worker() << " " << pick({"loseEvents 30", "forgetEvents 30", "lagMs 800", "linkMs 30"}) << "\n";
+        at(clock) << "fault " << worker() << " " << pick({"loseEvents 30", "forgetEvents 30", "lagMs 800", "linkMs 30"})
+                  << "\n";
         at(end) << "fault workers loseEvents 0\n";
         at(end) << "fault workers forgetEvents 0\n";
         break;
       }
-      case 18: at(clock) << "cut-off locality:" << pick({"ghent-1", "ghent-2", "antwerp-1", "bruges-1"}) << "\n"; at(end) << "heal\n"; break;
+      case 18:
+        at(clock) << "cut-off locality:" << pick({"ghent-1", "ghent-2", "antwerp-1", "bruges-1"}) << "\n";
+        at(end) << "heal\n";
+        break;
       case 19:
-        for (int row = 0; row < 3; ++row) at(clock) << "change {\"routes\":{\"n" << number << row << "\":{\"model\":\"rooster-llm\"}}}\n";
+        for (int row = 0; row < 3; ++row)
+          at(clock) << "change {\"routes\":{\"n" << number << row << "\":{\"model\":\"rooster-llm\"}}}\n";
         at(clock) << "lose cores cores 10\n";
         at(end) << "heal\n";
         break;
@@ -702,10 +814,14 @@
   }
   double calm = std::max(24.0, clock + 7);
   out << "until " << calm + 32 << "\n";
-  out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm << " unmark workers\nat " << calm << " slow-disk cores 2\nat " << calm << " crash-at start 0\nat " << calm << " crash-at middle 0\nat " << calm << " crash-at end 0\nat " << calm << " unstall cores\n";
+  out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm
+      << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm
+      << " unmark workers\nat " << calm << " slow-disk cores 2\nat " << calm << " crash-at start 0\nat " << calm
+      << " crash-at middle 0\nat " << calm << " crash-at end 0\nat " << calm << " unstall cores\n";
   out << "at " << calm << " hangups 0\n";
   out << "at " << calm + 13 << " change {\"routes\":{\"last\":{\"model\":\"rooster-llm\"}}}\n";
-  out << "at " << calm + 25 << " check holders accord = 1\nat " << calm + 25 << " check voters = 4\nat " << calm + 25 << " check index-wrong <= 400\n";
+  out << "at " << calm + 25 << " check holders accord = 1\nat " << calm + 25 << " check voters = 4\nat " << calm + 25
+      << " check index-wrong <= 400\n";
   out << "expect unended <= 0\nexpect count verdict_done >= 50\n";
   out << "expect served >= 0.97 from " << calm + 12 << " to " << calm + 24 << "\n";
   return out.str();
@@ -732,7 +848,9 @@
     shorter = false;
     for (std::size_t at = 0; at < lines.size(); ++at) {
       if (lines[at].rfind("at ", 0) != 0) continue;
-      if (std::any_of(std::begin(healing), std::end(healing), [&](const char* verb) { return lines[at].find(verb) != std::string::npos; })) continue;
+      if (std::any_of(std::begin(healing), std::end(healing),
+                      [&](const char* verb) { return lines[at].find(verb) != std::string::npos; }))
+        continue;
       auto tried = lines;
       tried.erase(tried.begin() + static_cast<std::ptrdiff_t>(at));
       if (sign(joined(tried)) != wanted) continue;
--- a/src/sim/scenario.hpp
+++ b/src/sim/scenario.hpp
@@ -10,10 +10,10 @@
   std::string figures;
   std::uint64_t seed{0};
 };
-/// Reads and runs a scenario's text. A seed given here goes before the text's own. Each 'control DEFENCE LINE' in it is a
-/// further run with that defence taken out, which must break that line of "what must never happen".
-ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed = std::nullopt, const std::string& trace = {},
-                           bool withControls = true);
+/// Reads and runs a scenario's text. A seed given here goes before the text's own. Each 'control DEFENCE LINE' in it is
+/// a further run with that defence taken out, which must break that line of "what must never happen".
+ScenarioResult runScenario(const std::string& text, std::optional<std::uint64_t> seed = std::nullopt,
+                           const std::string& trace = {}, bool withControls = true);
 /// Writes a scenario of random faults, the same one for the same seed.
 std::string randomScenario(std::uint64_t seed);
 /// Takes lines away from a failing scenario for as long as it keeps failing in the same way.
