--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -10,17 +10,18 @@
 bool starts(const std::string& text, const char* start) { return text.rfind(start, 0) == 0; }
 std::string longText(const std::string& seed, std::size_t bytes) {
   std::string text;
-  for (std::uint64_t at = 0; text.size() < bytes; ++at) text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
+  for (std::uint64_t at = 0; text.size() < bytes; ++at)
+    text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
   text.resize(bytes);
   return text;
 }
 }  // namespace
 
 const std::vector<std::string>& invariantNames() {
-  static const std::vector<std::string> names{"runs-twice",   "not-run-but-ran", "stitched",      "other-weights",
-                                              "other-tenant", "fetch-beyond",    "lookup-late",   "change-ignored",
-                                              "change-back",  "revoked-works",   "leaving-used",  "weights-late",
-                                              "too-many-retries", "acked-lost",  "two-holders"};
+  static const std::vector<std::string> names{"runs-twice",       "not-run-but-ran", "stitched",     "other-weights",
+                                              "other-tenant",     "fetch-beyond",    "lookup-late",  "change-ignored",
+                                              "change-back",      "revoked-works",   "leaving-used", "weights-late",
+                                              "too-many-retries", "acked-lost",      "two-holders"};
   return names;
 }
 
@@ -90,8 +91,10 @@
   list.set(Machine{"store", addressOf("store"), localityOf("store"), "store", false});
   list.set(Machine{"app", addressOf("app"), localityOf("app"), "app", false});
   for (const auto& name : all)
-    if (name != "platform" && !(starts(name, "core-") && numberOf(name) > shape.cores)) later(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
-  for (int number = 1; number <= shape.tenants; ++number) isolated["tenant-" + std::to_string(number)] = number % 2 == 0;
+    if (name != "platform" && !(starts(name, "core-") && numberOf(name) > shape.cores))
+      later(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
+  for (int number = 1; number <= shape.tenants; ++number)
+    isolated["tenant-" + std::to_string(number)] = number % 2 == 0;
   later(500ms, [this] { change(firstConfiguration(), true, "first", -1, 1); });
   watchHolders();
   watchReads();
@@ -107,20 +110,24 @@
 Moment World::localNow(const std::string& name) const { return actors.at(name)->local(clock); }
 
 std::string World::firstConfiguration() const {
-  std::string text = R"({"weights":{"w1":{"model":"rooster-llm"},"w2":{"model":"rooster-llm"},"w3":{"model":"rooster-llm"}},)"
-                     R"("models":{"rooster-llm":{"weights":"w1"}},"policies":{"p":"fetch peer when hits >= 4 and speed >= 100 and busyness < 0.95\nfetch store when hits >= 4 and speed >= 100"},)"
-                     R"("routes":{"plan":{"model":"rooster-llm","policy":"p"},"swap":{"model":"rooster-llm","policy":"p"},"reminder":{"model":"rooster-llm"},"app":{"model":"rooster-llm","kind":"app"}},"tenants":{)";
+  std::string text =
+      R"({"weights":{"w1":{"model":"rooster-llm"},"w2":{"model":"rooster-llm"},"w3":{"model":"rooster-llm"}},)"
+      R"("models":{"rooster-llm":{"weights":"w1"}},"policies":{"p":"fetch peer when hits >= 4 and speed >= 100 and busyness < 0.95\nfetch store when hits >= 4 and speed >= 100"},)"
+      R"("routes":{"plan":{"model":"rooster-llm","policy":"p"},"swap":{"model":"rooster-llm","policy":"p"},"reminder":{"model":"rooster-llm"},"app":{"model":"rooster-llm","kind":"app"}},"tenants":{)";
   std::string keys;
   for (int number = 1; number <= shape.tenants; ++number) {
     std::string tenant = "tenant-" + std::to_string(number);
     bool apart = number % 2 == 0;
     text += (number > 1 ? ",\"" : "\"") + tenant + "\":{\"isolated\":" + (apart ? "true" : "false") + "}";
-    keys += (number > 1 ? ",\"" : "\"") + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant + "-secret\"}";
+    keys += (number > 1 ? ",\"" : "\"") + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant +
+            "-secret\"}";
   }
   return text + "},\"keys\":{" + keys + "}}";
 }
 
-void World::later(Span span, std::function<void()> action) { dues.push(Due{clock + span, ++dueCount, std::move(action)}); }
+void World::later(Span span, std::function<void()> action) {
+  dues.push(Due{clock + span, ++dueCount, std::move(action)});
+}
 
 std::string World::addressOf(const std::string& name) const {
   auto moved = addressMoves.find(name);
@@ -264,7 +271,8 @@
       if (fate == 2 && actor.disk->lastSize > 8) {
         std::size_t kept = random() % actor.disk->lastSize;
         auto& row = actor.disk->rows[actor.disk->lastFile];
-        for (std::size_t at = actor.disk->lastOffset + kept; at < actor.disk->lastOffset + actor.disk->lastSize; ++at) row[at] = '\0';
+        for (std::size_t at = actor.disk->lastOffset + kept; at < actor.disk->lastOffset + actor.disk->lastSize; ++at)
+          row[at] = '\0';
       }
     }
   }
@@ -275,7 +283,8 @@
       later(2ms, [this, orderId, proxy] {
         auto& end = *actors.at(proxy);
         if (end.alive)
-          give(end, "worker", WorkerEnd{orderId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0});
+          give(end, "worker",
+               WorkerEnd{orderId, static_cast<int>(Outcome::broken), static_cast<int>(Code::workerBroke), 0, 0, 0});
       });
       row = streams.erase(row);
     } else if (row->second.proxy == name) {
@@ -408,7 +417,8 @@
   actor.oldestSave = clock;
   std::string name = actor.name;
   std::uint64_t life = actor.life;
-  later(actor.disk->syncSpan + std::chrono::microseconds(random() % 2000), [this, name, life] { finishSync(name, life); });
+  later(actor.disk->syncSpan + std::chrono::microseconds(random() % 2000),
+        [this, name, life] { finishSync(name, life); });
 }
 
 void World::finishSync(const std::string& name, std::uint64_t life) {
@@ -488,7 +498,9 @@
       later(up ? 2ms : 1000ms, [this, proxy, sendId, life] {
         auto& actor = *actors.at(proxy);
         if (actor.alive && actor.life == life)
-          give(actor, "worker", WorkerEnd{sendId, static_cast<int>(Outcome::brokenUnsent), static_cast<int>(Code::workerBroke), 0, 0, 0});
+          give(
+              actor, "worker",
+              WorkerEnd{sendId, static_cast<int>(Outcome::brokenUnsent), static_cast<int>(Code::workerBroke), 0, 0, 0});
       });
       return;
     }
@@ -507,9 +519,13 @@
     if (stream->second.torn) return;
   }
   if (!up) return;
-  if (auto loss = losses.find({from.name, toName}); loss != losses.end() && static_cast<int>(random() % 100) < loss->second) return;
+  if (auto loss = losses.find({from.name, toName});
+      loss != losses.end() && static_cast<int>(random() % 100) < loss->second)
+    return;
   if (auto* gone = std::get_if<WorkerDrop>(&message)) streams.erase(gone->orderId);
-  Span delay = beside ? Span(100us) : std::chrono::microseconds(from.locality == target.locality ? 300 + random() % 400 : 1000 + random() % 2500);
+  Span delay = beside ? Span(100us)
+                      : std::chrono::microseconds(from.locality == target.locality ? 300 + random() % 400
+                                                                                   : 1000 + random() % 2500);
   auto& last = lastArrival[{from.name, toName}];
   Moment at = std::max(clock + delay, last + 1us);
   last = at;
@@ -569,7 +585,9 @@
 
 void World::sendBursts() {
   for (const auto& [tenant, rate] : burstRates)
-    for (double left = rate / 20; left > 0 && (left >= 1 || static_cast<double>(random() % 1000) / 1000 < left); left -= 1) sendOrder("swap", tenant);
+    for (double left = rate / 20; left > 0 && (left >= 1 || static_cast<double>(random() % 1000) / 1000 < left);
+         left -= 1)
+      sendOrder("swap", tenant);
   later(50ms, [this] { sendBursts(); });
 }
 
@@ -581,17 +599,20 @@
   order.model = modelName;
   std::string prefix = "prefix " + kind + std::to_string(random() % 4), own = std::to_string(orderCount + 1);
   if (kind == "plan") order.parts = {longText(prefix, 40 * blockBytes), longText(own, 500)};
-  if (kind == "plan" && !lastPlan.empty() && random() % 4 == 0) order.parts = {lastPlan[0], lastPlan[1], longText(own, 500)};
+  if (kind == "plan" && !lastPlan.empty() && random() % 4 == 0)
+    order.parts = {lastPlan[0], lastPlan[1], longText(own, 500)};
   if (kind == "plan" && order.parts.size() == 2) lastPlan = order.parts;
   if (kind == "swap") order.parts = {longText(prefix, 16 * blockBytes), longText(own, 150)};
   if (kind == "reminder") order.parts = {longText(prefix, 3 * blockBytes), own};
   if (kind == "app") order.parts = {own};
   order.maxTokens = kind == "plan" ? 20 : kind == "swap" ? 10 : 4;
   order.repeatable = kind == "plan" || kind == "app";
-  placeOrder(std::move(order), kind, "proxy-" + std::to_string(1 + random() % static_cast<std::uint64_t>(shape.edges)), {}, 1);
+  placeOrder(std::move(order), kind, "proxy-" + std::to_string(1 + random() % static_cast<std::uint64_t>(shape.edges)),
+             {}, 1);
 }
 
-void World::placeOrder(CallerOrder order, const std::string& kind, const std::string& proxy, const std::string& intent, int attempt) {
+void World::placeOrder(CallerOrder order, const std::string& kind, const std::string& proxy, const std::string& intent,
+                       int attempt) {
   auto& actor = *actors.at(proxy);
   order.orderId = proxy + "/" + std::to_string(++orderCount);
   auto& row = orderRows[order.orderId];
@@ -633,7 +654,9 @@
   std::string proxy = orderId.substr(0, orderId.find('/'));
   if (moves) proxy = "proxy-" + std::to_string(numberOf(proxy) % shape.edges + 1);
   later(obeys ? std::chrono::milliseconds(std::max(retryAfterMs, 1)) : 20ms,
-        [this, order, kind = row.kind, proxy, intent = row.intent, attempt = row.attempt] { placeOrder(order, kind, proxy, intent, attempt + 1); });
+        [this, order, kind = row.kind, proxy, intent = row.intent, attempt = row.attempt] {
+          placeOrder(order, kind, proxy, intent, attempt + 1);
+        });
 }
 
 void World::toCaller(const Message& message) {
@@ -647,9 +670,11 @@
       order.worker = chunk->text.substr(0, chunk->text.find(':'));
     }
     ++order.said;
-    if (chunk->text != order.worker + ":" + std::to_string(order.said) + " ") violate("stitched", chunk->orderId + " got " + chunk->text + "as piece " + std::to_string(order.said));
+    if (chunk->text != order.worker + ":" + std::to_string(order.said) + " ")
+      violate("stitched", chunk->orderId + " got " + chunk->text + "as piece " + std::to_string(order.said));
     auto revoked = revokedAt.find(order.key);
-    if (revoked != revokedAt.end() && clock > revoked->second + 5s) violate("revoked-works", chunk->orderId + " still streams");
+    if (revoked != revokedAt.end() && clock > revoked->second + 5s)
+      violate("revoked-works", chunk->orderId + " still streams");
   } else if (auto* verdict = std::get_if<CallerVerdict>(&message)) {
     auto& order = orderRows[verdict->orderId];
     if (order.gone) return;
@@ -662,13 +687,15 @@
     order.fetched = verdict->fetched;
     order.computed = verdict->computed;
     if (verdict->verdict == "done" && order.said != order.maxTokens)
-      violate("stitched", verdict->orderId + " looks complete with " + std::to_string(order.said) + " of " + std::to_string(order.maxTokens));
+      violate("stitched", verdict->orderId + " looks complete with " + std::to_string(order.said) + " of " +
+                              std::to_string(order.maxTokens));
     if (verdict->verdict == "not run" && order.runs > 0) violate("not-run-but-ran", verdict->orderId + " had run");
     auto asked = asksOpen.find(verdict->orderId);
     if (asked == asksOpen.end()) return;
     CallerOrder again = asked->second;
     asksOpen.erase(asked);
-    if (verdict->verdict == "not run" && verdict->retryAfterMs > 0) comeBack(again, verdict->orderId, verdict->retryAfterMs);
+    if (verdict->verdict == "not run" && verdict->retryAfterMs > 0)
+      comeBack(again, verdict->orderId, verdict->retryAfterMs);
   }
 }
 
@@ -686,7 +713,8 @@
       auto& order = found->second;
       ++order.runs;
       if (order.runs > 1 && !order.repeatable) violate("runs-twice", orderId + " at " + name);
-      if (++runsByIntent[order.intent] > 1 && !order.repeatable) violate("runs-twice", order.intent + " ran again as " + orderId + " at " + name);
+      if (++runsByIntent[order.intent] > 1 && !order.repeatable)
+        violate("runs-twice", order.intent + " ran again as " + orderId + " at " + name);
       if (order.ended && order.verdict == "not run") violate("not-run-but-ran", orderId + " ran later at " + name);
     }
     if (!weightsNamed.empty() && starts(name, "worker-") && clock > weightsNamed.back().second + 25s &&
@@ -695,25 +723,30 @@
   } else if (event.kind == "order sent") {
     auto space = event.subject.find(' ');
     auto leaving = leavingAt.find(event.subject.substr(space + 1));
-    if (leaving != leavingAt.end() && clock > leaving->second + 3s && actors.at("platform")->alive) violate("leaving-used", event.subject);
+    if (leaving != leavingAt.end() && clock > leaving->second + 3s && actors.at("platform")->alive)
+      violate("leaving-used", event.subject);
   } else if (event.kind == "cross weights") {
     violate("other-weights", name + " " + event.subject);
   } else if (event.kind == "cross tenant") {
     auto sign = event.subject.find('>');
-    if (isolated[event.subject.substr(0, sign)] || isolated[event.subject.substr(sign + 1)]) violate("other-tenant", name + " " + event.subject);
+    if (isolated[event.subject.substr(0, sign)] || isolated[event.subject.substr(sign + 1)])
+      violate("other-tenant", name + " " + event.subject);
   } else if (event.kind == "move sent") {
     auto first = event.subject.find(' ');
     moveSizes[event.subject.substr(0, first)] = event.number;
     auto leaving = leavingAt.find(event.subject.substr(event.subject.rfind(' ') + 1));
-    if (leaving != leavingAt.end() && clock > leaving->second + 3s && actors.at("platform")->alive) violate("leaving-used", "move " + event.subject);
+    if (leaving != leavingAt.end() && clock > leaving->second + 3s && actors.at("platform")->alive)
+      violate("leaving-used", "move " + event.subject);
   } else if (event.kind == "pulled") {
     auto size = moveSizes.find(event.subject);
-    if (size == moveSizes.end() || event.number > size->second) violate("fetch-beyond", name + " pulled " + std::to_string(event.number) + " for " + event.subject);
+    if (size == moveSizes.end() || event.number > size->second)
+      violate("fetch-beyond", name + " pulled " + std::to_string(event.number) + " for " + event.subject);
   } else if (event.kind == "lookup asked") {
     lookupsOpen[event.subject] = clock;
   } else if (event.kind == "lookup settled") {
     lookupsOpen.erase(event.subject);
-    if (event.number > 230 && clock >= actors.at(name)->frozenUntil + 300ms) violate("lookup-late", event.subject + " waited " + std::to_string(event.number) + "ms");
+    if (event.number > 230 && clock >= actors.at(name)->frozenUntil + 300ms)
+      violate("lookup-late", event.subject + " waited " + std::to_string(event.number) + "ms");
   } else if (event.kind == "admitted") {
     ++admitted;
     auto* at = edge(name);
@@ -722,7 +755,8 @@
     admittedLately.emplace_back(clock, name);
     auto& order = orderRows[event.subject];
     auto revoked = revokedAt.find(order.key);
-    if (revoked != revokedAt.end() && clock > revoked->second + 5s) violate("revoked-works", event.subject + " was admitted at " + name);
+    if (revoked != revokedAt.end() && clock > revoked->second + 5s)
+      violate("revoked-works", event.subject + " was admitted at " + name);
   } else if (event.kind == "retry") {
     ++retries;
     watchRetries(name);
@@ -734,15 +768,17 @@
     auto& last = commandBy[name];
     auto term = static_cast<std::uint64_t>(event.number);
     if (term < last.first || (term == last.first && holder != last.second && !last.second.empty()))
-      violate("two-holders", name + " took term " + std::to_string(term) + " of " + holder + " after " + std::to_string(last.first) + " of " + last.second);
+      violate("two-holders", name + " took term " + std::to_string(term) + " of " + holder + " after " +
+                                 std::to_string(last.first) + " of " + last.second);
     last = {term, holder};
   }
   if (!trace.empty() && (trace == "*" || event.kind.find(trace) != std::string::npos))
-    std::fprintf(stderr, "%8.3f %s %s %s %lld\n", std::chrono::duration<double>(clock - dayStart).count(), name.c_str(), event.kind.c_str(), event.subject.c_str(),
-                 static_cast<long long>(event.number));
+    std::fprintf(stderr, "%8.3f %s %s %s %lld\n", std::chrono::duration<double>(clock - dayStart).count(), name.c_str(),
+                 event.kind.c_str(), event.subject.c_str(), static_cast<long long>(event.number));
 }
 
-void World::change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer) {
+void World::change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision,
+                   int coreNumber, bool loseAnswer) {
   std::string askId = "ask-" + std::to_string(++askCount);
   std::string id = changeId.empty() ? "change-" + std::to_string(++changeCount) : changeId;
   AckRow row;
@@ -786,7 +822,8 @@
     later(Span(0), std::move(action->second));
     ackActions.erase(action);
   }
-  if (starts(ack.changeId, "revoke ") && !restored.count(ack.changeId.substr(7))) revokedAt[ack.changeId.substr(7)] = clock;
+  if (starts(ack.changeId, "revoke ") && !restored.count(ack.changeId.substr(7)))
+    revokedAt[ack.changeId.substr(7)] = clock;
   if (starts(ack.changeId, "weights ") && ack.index > lastNamedIndex) {
     lastNamedIndex = ack.index;
     std::string weights = ack.changeId.substr(8, ack.changeId.rfind('/') - 8);
@@ -794,7 +831,9 @@
     later(25s, [this, weights, index = ack.index] {
       if (lastNamedIndex != index) return;
       for (const auto& [name, actor] : actors) {
-        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s || clock < actor->startedAt + 10s) continue;
+        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s ||
+            clock < actor->startedAt + 10s)
+          continue;
         auto* worker = keeper(name);
         if (worker->faults.loadFails || worker->faults.silentReports) continue;
         if (worker->weights() != weights) violate("weights-late", name + " holds " + worker->weights());
@@ -807,9 +846,11 @@
 void World::readShown(const std::string& who, std::uint64_t index) {
   for (const auto& ack : ackRows) {
     if (!ack.acked || ack.code != static_cast<int>(Code::changeTaken) || index >= ack.index) continue;
-    if (clock > ack.at + 2s) violate("change-ignored", who + " shows " + std::to_string(index) + ", acked " + std::to_string(ack.index));
+    if (clock > ack.at + 2s)
+      violate("change-ignored", who + " shows " + std::to_string(index) + ", acked " + std::to_string(ack.index));
     if (clock > ack.at + 250ms && shownMost >= ack.index)
-      violate("change-back", who + " shows " + std::to_string(index) + " after " + std::to_string(ack.index) + " was shown");
+      violate("change-back",
+              who + " shows " + std::to_string(index) + " after " + std::to_string(ack.index) + " was shown");
   }
   shownMost = std::max(shownMost, index);
 }
@@ -818,7 +859,8 @@
   for (const auto& [name, actor] : actors) {
     if (!actor->alive || clock < actor->frozenUntil) continue;
     Moment now = actor->local(clock);
-    if (auto* node = core(name); node && node->readsConfirmed(now)) readShown(name, node->agreement().configuration().index());
+    if (auto* node = core(name); node && node->readsConfirmed(now))
+      readShown(name, node->agreement().configuration().index());
     if (auto* node = edge(name); node && node->fresh(now)) readShown(name, node->configuration().index());
   }
   for (auto row = lookupsOpen.begin(); row != lookupsOpen.end();) {
@@ -839,10 +881,13 @@
     auto [row, fresh] = canon.try_emplace(index, Canon{entry, name});
     const auto& known = row->second.entry;
     if (!fresh && (known.term != entry.term || known.body != entry.body || known.changeId != entry.changeId))
-      violate("acked-lost", "entry " + std::to_string(index) + " is another at " + name + " than it was at " + row->second.who);
+      violate("acked-lost",
+              "entry " + std::to_string(index) + " is another at " + name + " than it was at " + row->second.who);
     if (fresh && !entry.changeId.empty()) {
       auto [first, alone] = canonByChange.try_emplace(entry.changeId, index);
-      if (!alone) violate("acked-lost", entry.changeId + " was taken twice, as " + std::to_string(first->second) + " and " + std::to_string(index));
+      if (!alone)
+        violate("acked-lost", entry.changeId + " was taken twice, as " + std::to_string(first->second) + " and " +
+                                  std::to_string(index));
     }
     return;
   }
@@ -859,9 +904,11 @@
         for (const auto& [at, who] : rows) sum += at <= until && until - at <= span && (!alone || who == proxy);
         return sum;
       };
-      double orders = std::max(number(admittedLately, clock), number(admittedLately, clock - span)), again = number(retriedLately, clock);
+      double orders = std::max(number(admittedLately, clock), number(admittedLately, clock - span)),
+             again = number(retriedLately, clock);
       if (orders >= (alone ? 20 : 40) && again > 0.2 * orders + 1)
-        violate("too-many-retries", std::to_string(static_cast<int>(again)) + " retries of " + std::to_string(static_cast<int>(orders)) + " orders within " +
+        violate("too-many-retries", std::to_string(static_cast<int>(again)) + " retries of " +
+                                        std::to_string(static_cast<int>(orders)) + " orders within " +
                                         std::to_string(inMs(span)) + "ms at " + (alone ? proxy : "the fleet"));
     }
 }
@@ -870,13 +917,15 @@
   std::map<std::uint64_t, std::vector<std::pair<std::string, const Configuration*>>> views;
   for (const auto& [name, actor] : actors) {
     if (!actor->alive) continue;
-    if (auto* node = core(name)) views[node->agreement().configuration().index()].emplace_back(name, &node->agreement().configuration());
+    if (auto* node = core(name))
+      views[node->agreement().configuration().index()].emplace_back(name, &node->agreement().configuration());
     if (auto* node = edge(name)) views[node->configuration().index()].emplace_back(name, &node->configuration());
   }
   Configuration model;
   std::uint64_t expected = 0;
   for (const auto& [index, row] : canon) {
-    if (index != ++expected) return violate("acked-lost", "entry " + std::to_string(expected) + " was applied by no core");
+    if (index != ++expected)
+      return violate("acked-lost", "entry " + std::to_string(expected) + " was applied by no core");
     model.apply(row.entry);
     for (const auto& [name, view] : views[index])
       if (view->text() != model.text() || view->revision() != model.revision())
@@ -893,14 +942,16 @@
   std::set<std::string> duties{"accord", "cell/brussels-1"};
   for (const auto& locality : shape.localities) duties.insert("cell/" + locality);
   for (const auto& duty : duties)
-    if (int holders = holdersOf(duty); holders > 1) violate("two-holders", duty + " is held by " + std::to_string(holders));
+    if (int holders = holdersOf(duty); holders > 1)
+      violate("two-holders", duty + " is held by " + std::to_string(holders));
   later(20ms, [this] { watchHolders(); });
 }
 
 void World::watchReach(std::size_t at) {
   auto& ack = ackRows[at];
   for (const auto& [name, actor] : actors)
-    if (starts(name, "proxy-") && actor->alive && clock >= actor->frozenUntil && edge(name)->configuration().index() < ack.index) {
+    if (starts(name, "proxy-") && actor->alive && clock >= actor->frozenUntil &&
+        edge(name)->configuration().index() < ack.index) {
       if (clock < ack.at + 10s) later(5ms, [this, at] { watchReach(at); });
       return;
     }
@@ -909,17 +960,19 @@
 }
 
 void World::nameWeights(const std::string& weights) {
-  change(R"({"models":{"rooster-llm":{"weights":")" + weights + "\"}}}", false, "weights " + weights + "/" + std::to_string(++changeCount), -1,
+  change(R"({"models":{"rooster-llm":{"weights":")" + weights + "\"}}}", false,
+         "weights " + weights + "/" + std::to_string(++changeCount), -1,
          1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
 }
 
 void World::revoke(const std::string& tenant) {
-  change("{\"keys\":{\"" + tenant + "-key\":null}}", false, "revoke " + tenant, -1, 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+  change("{\"keys\":{\"" + tenant + "-key\":null}}", false, "revoke " + tenant, -1,
+         1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
 }
 
 void World::restore(const std::string& tenant) {
-  change("{\"keys\":{\"" + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant + "-secret\"}}}", false, "restore " + tenant, -1,
-         1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+  change("{\"keys\":{\"" + tenant + "-key\":{\"tenant\":\"" + tenant + "\",\"secret\":\"" + tenant + "-secret\"}}}",
+         false, "restore " + tenant, -1, 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
   revokedAt.erase(tenant);
   restored.insert(tenant);
 }
@@ -994,7 +1047,8 @@
     }
   }
   checkConfigurations();
-  if (admitted >= 50 && retries * 5 > admitted) violate("too-many-retries", std::to_string(retries) + " retries of " + std::to_string(admitted) + " orders");
+  if (admitted >= 50 && retries * 5 > admitted)
+    violate("too-many-retries", std::to_string(retries) + " retries of " + std::to_string(admitted) + " orders");
 }
 
 }  // namespace tt
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -65,7 +65,8 @@
   void cut(const std::string& one, const std::string& other, bool bothWays = true);
   void lose(const std::string& one, const std::string& other, int perCent);
   void heal();
-  void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber, bool loseAnswer = false);
+  void change(const std::string& body, bool whole, const std::string& changeId, std::int64_t ifRevision, int coreNumber,
+              bool loseAnswer = false);
   void nameWeights(const std::string& weights);
   /// Does something once, the moment anyone notes an event of this kind.
   void onNote(const std::string& kind, std::function<void()> action) { noteActions[kind] = std::move(action); }
@@ -138,9 +139,7 @@
     Moment at;
     std::uint64_t sequence;
     std::function<void()> action;
-    bool operator<(const Due& other) const {
-      return at != other.at ? at > other.at : sequence > other.sequence;
-    }
+    bool operator<(const Due& other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
   };
   struct Stream {
     std::string proxy, worker;
@@ -208,7 +207,8 @@
   void toCaller(const Message& message);
   void sendLoad(const std::string& kind, double rate);
   void sendOrder(const std::string& kind, std::string tenant = {});
-  void placeOrder(CallerOrder order, const std::string& kind, const std::string& proxy, const std::string& intent, int attempt);
+  void placeOrder(CallerOrder order, const std::string& kind, const std::string& proxy, const std::string& intent,
+                  int attempt);
   void comeBack(const CallerOrder& order, const std::string& orderId, int retryAfterMs);
   void watchReads();
   void readShown(const std::string& who, std::uint64_t index);
--- a/src/sim/standin.cpp
+++ b/src/sim/standin.cpp
@@ -15,7 +15,8 @@
     : given(std::move(keeperSettings)), incarnation(std::move(incarnationMark)), currentWeights(given.weights) {}
 
 RunRecord* KeeperNode::recordOf(const Run& run) {
-  return run.record >= recordBase && run.record - recordBase < records.size() ? &records[run.record - recordBase] : nullptr;
+  return run.record >= recordBase && run.record - recordBase < records.size() ? &records[run.record - recordBase]
+                                                                              : nullptr;
 }
 
 void KeeperNode::tell(Effects& effects, KeptKind kind, const Hashes& hashes) {
@@ -87,7 +88,8 @@
     effects.send(from, WorkerEnd{ask.orderId, static_cast<int>(Outcome::denied), static_cast<int>(code), 0, 0, 0});
   };
   if (drains || loadDue != Moment{}) return deny(Code::workerDraining);
-  if (given.kind == "language" && (ask.app || ask.model != given.model || (ask.weights != currentWeights && !faults.anyWeights)))
+  if (given.kind == "language" &&
+      (ask.app || ask.model != given.model || (ask.weights != currentWeights && !faults.anyWeights)))
     return deny(Code::weightsMismatch);
   if (given.kind == "app" && !ask.app) return deny(Code::weightsMismatch);
   if (static_cast<int>(running.size()) >= given.slots) return deny(Code::workerFull);
@@ -173,7 +175,8 @@
   while (report.sequence > 0 && !events.empty() && report.sequence >= events.front().event.sequence &&
          events[report.sequence - events.front().event.sequence].at > horizon)
     --report.sequence;
-  bool reaches = ask.incarnation == incarnation && (events.empty() ? ask.after == sequence : ask.after + 1 >= events.front().event.sequence);
+  bool reaches = ask.incarnation == incarnation &&
+                 (events.empty() ? ask.after == sequence : ask.after + 1 >= events.front().event.sequence);
   if (ask.whole || !reaches) {
     report.whole = true;
     report.sequence = sequence;
@@ -244,7 +247,8 @@
     } else if (run.phase == Run::Phase::computing) {
       Strings origins(run.ask.hashes.size(), originOf(currentWeights, run.ask.tenant));
       keep(effects, run.ask.hashes, origins);
-      if (!given.storeAddress.empty() && !run.ask.hashes.empty()) effects.send(given.storeAddress, StoreMsg{run.ask.hashes, origins});
+      if (!given.storeAddress.empty() && !run.ask.hashes.empty())
+        effects.send(given.storeAddress, StoreMsg{run.ask.hashes, origins});
       run.phase = Run::Phase::talking;
       run.due = effects.now;
     }
--- a/src/storage/ring.hpp
+++ b/src/storage/ring.hpp
@@ -30,8 +30,8 @@
   std::size_t fileBytes{0};
 };
 
-/// Passes on to other files, but for what a file of faults says at the moment: "slow MS", "stall", "full" or "well". For
-/// tries on real processes; without such a file it only passes on.
+/// Passes on to other files, but for what a file of faults says at the moment: "slow MS", "stall", "full" or "well".
+/// For tries on real processes; without such a file it only passes on.
 class FaultyFiles : public RingFiles {
  public:
   FaultyFiles(RingFiles& innerFiles, std::string faultFile) : inner(innerFiles), file_(std::move(faultFile)) {}
--- a/src/tools/audit.cpp
+++ b/src/tools/audit.cpp
@@ -27,13 +27,15 @@
   for (std::string word; source >> word;) words.push_back(word);
   return words;
 }
-std::int64_t momentOf(const Json& row, const char* name) { return std::strtoll(textOr(row, name).c_str(), nullptr, 10); }
+std::int64_t momentOf(const Json& row, const char* name) {
+  return std::strtoll(textOr(row, name).c_str(), nullptr, 10);
+}
 }  // namespace
 
 const std::vector<std::string>& auditedLines() {
-  static const std::vector<std::string> lines{"runs-twice",   "not-run-but-ran", "stitched",         "other-weights", "other-tenant",
-                                              "fetch-beyond", "revoked-works",   "leaving-used",     "weights-late",  "too-many-retries",
-                                              "two-holders"};
+  static const std::vector<std::string> lines{"runs-twice",   "not-run-but-ran",  "stitched",      "other-weights",
+                                              "other-tenant", "fetch-beyond",     "revoked-works", "leaving-used",
+                                              "weights-late", "too-many-retries", "two-holders"};
   return lines;
 }
 
@@ -63,8 +65,9 @@
       continue;
     }
     const auto& row = read.value();
-    callers.push_back({textOr(row, "intent"), textOr(row, "mark"), textOr(row, "kind"), textOr(row, "key"), textOr(row, "verdict"), textOr(row, "text"),
-                       flagOr(row, "repeatable", false), numberOr(row, "tokens", 0), momentOf(row, "sentAt"), momentOf(row, "lastAt")});
+    callers.push_back({textOr(row, "intent"), textOr(row, "mark"), textOr(row, "kind"), textOr(row, "key"),
+                       textOr(row, "verdict"), textOr(row, "text"), flagOr(row, "repeatable", false),
+                       numberOr(row, "tokens", 0), momentOf(row, "sentAt"), momentOf(row, "lastAt")});
   }
   std::vector<WorkerRow> workers;
   for (const auto& line : records.workers) {
@@ -74,9 +77,11 @@
       continue;
     }
     const auto& row = read.value();
-    workers.push_back({textOr(row, "worker"), textOr(row, "event"), textOr(row, "subject"), momentOf(row, "at"), numberOr(row, "number", 0)});
+    workers.push_back({textOr(row, "worker"), textOr(row, "event"), textOr(row, "subject"), momentOf(row, "at"),
+                       numberOr(row, "number", 0)});
   }
-  std::stable_sort(workers.begin(), workers.end(), [](const WorkerRow& one, const WorkerRow& other) { return one.at < other.at; });
+  std::stable_sort(workers.begin(), workers.end(),
+                   [](const WorkerRow& one, const WorkerRow& other) { return one.at < other.at; });
   std::map<std::string, std::int64_t> revokedAt;
   std::vector<std::pair<std::int64_t, std::string>> named;
   std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> leaving;
@@ -135,7 +140,8 @@
     if (row.event == "command taken" && words.size() >= 3) {
       auto& last = commandBy[row.worker];
       if (row.number < last.first || (row.number == last.first && words[1] != last.second && !last.second.empty()))
-        breach("two-holders", row.worker + " took term " + std::to_string(row.number) + " of " + words[1] + " after " + std::to_string(last.first) + " of " + last.second);
+        breach("two-holders", row.worker + " took term " + std::to_string(row.number) + " of " + words[1] + " after " +
+                                  std::to_string(last.first) + " of " + last.second);
       last = {row.number, words[1]};
     }
   }
@@ -152,12 +158,15 @@
       sum += ran;
       if (sum > 1 && !before) breach("runs-twice", order.intent + " of kind " + order.kind);
     }
-    if (order.verdict == "not run" && ran > 0) breach("not-run-but-ran", order.mark + " ran at " + runs->second.front()->worker);
-    if (order.verdict == "done" && !isWholeAnswer(order.text, order.tokens)) breach("stitched", order.mark + " got " + order.text.substr(0, 80));
+    if (order.verdict == "not run" && ran > 0)
+      breach("not-run-but-ran", order.mark + " ran at " + runs->second.front()->worker);
+    if (order.verdict == "done" && !isWholeAnswer(order.text, order.tokens))
+      breach("stitched", order.mark + " got " + order.text.substr(0, 80));
     if (order.verdict == "done" && ran == 0) breach("stitched", order.mark + " is called done and ran nowhere");
     if (auto revoked = revokedAt.find(order.key); revoked != revokedAt.end()) {
       if (order.sentAt > revoked->second + revokedWithin && ran > 0) breach("revoked-works", order.mark + " was taken");
-      if (order.lastAt > revoked->second + revokedWithin && !order.text.empty()) breach("revoked-works", order.mark + " still streamed");
+      if (order.lastAt > revoked->second + revokedWithin && !order.text.empty())
+        breach("revoked-works", order.mark + " still streamed");
     }
   }
 
@@ -165,14 +174,18 @@
   for (std::int64_t span : {second, 5 * second})
     for (auto at : laterTries) {
       auto within = [&](const std::vector<std::int64_t>& moments, std::int64_t until) {
-        return static_cast<std::int64_t>(std::count_if(moments.begin(), moments.end(), [&](std::int64_t moment) { return moment <= until && moment > until - span; }));
+        return static_cast<std::int64_t>(std::count_if(moments.begin(), moments.end(), [&](std::int64_t moment) {
+          return moment <= until && moment > until - span;
+        }));
       };
-      std::int64_t orders = std::max(within(firstTries, at), within(firstTries, at - span)), again = within(laterTries, at);
+      std::int64_t orders = std::max(within(firstTries, at), within(firstTries, at - span)),
+                   again = within(laterTries, at);
       if (orders < ordersEnough) continue;
       double share = static_cast<double>(again) / static_cast<double>(orders);
       result.worstRetryShare = std::max(result.worstRetryShare, share);
       if (share > retryShareMost)
-        breach("too-many-retries", std::to_string(again) + " of " + std::to_string(orders) + " within " + std::to_string(span / second) + " s");
+        breach("too-many-retries", std::to_string(again) + " of " + std::to_string(orders) + " within " +
+                                       std::to_string(span / second) + " s");
     }
   return result;
 }
--- a/src/tools/main_agent.cpp
+++ b/src/tools/main_agent.cpp
@@ -22,10 +22,13 @@
   asio::io_context context;
   Agent agent(settings);
   Host host(agent, context, 20ms);
-  Hub hub(context, settings.address, [&](const std::string& from, Message message) { host.take(from, message); }, listenAddress);
+  Hub hub(
+      context, settings.address, [&](const std::string& from, Message message) { host.take(from, message); },
+      listenAddress);
   host.carry = [&](const std::string& to, Message&& message) { hub.send(to, message); };
   agent.journal.appended.connect([](const Event& event) {
-    if (event.kind == "follows" || event.kind == "parent dropped" || event.kind == "capture taken" || event.kind == "fresh" || event.kind == "stale")
+    if (event.kind == "follows" || event.kind == "parent dropped" || event.kind == "capture taken" ||
+        event.kind == "fresh" || event.kind == "stale")
       logInfo(event.kind + ": " + event.subject + ".");
   });
   std::unique_ptr<WebServer> server;
@@ -35,7 +38,8 @@
         return answer->finish(404, faultBody(fault(Code::unknownPath, ask.path)));
       std::string text;
       host.with([&](Effects& effects) {
-        text = ask.path == "/v1/blueprint" ? "{\"revision\":" + std::to_string(agent.configuration().revision()) + "}" : agent.condition(effects.now);
+        text = ask.path == "/v1/blueprint" ? "{\"revision\":" + std::to_string(agent.configuration().revision()) + "}"
+                                           : agent.condition(effects.now);
       });
       answer->finish(200, text);
     });
--- a/src/tools/main_audit.cpp
+++ b/src/tools/main_audit.cpp
@@ -24,7 +24,8 @@
 int main(int count, char** words) {
   std::vector<std::string> callers, workers, events;
   std::string configuration, note, name;
-  Settings reader("trouttally-audit", "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
+  Settings reader("trouttally-audit",
+                  "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
   reader.texts("callers", &callers, "the load generators' records")
       .texts("workers", &workers, "the stand-in back ends' records")
       .texts("events", &events, "what operators and the platform did, and when")
@@ -43,12 +44,14 @@
     return 0;
   }
   AuditRecords records;
-  for (auto [files, lines] : {std::pair{&callers, &records.callers}, {&workers, &records.workers}, {&events, &records.events}}) {
+  for (auto [files, lines] :
+       {std::pair{&callers, &records.callers}, {&workers, &records.workers}, {&events, &records.events}}) {
     auto read = readLines(*files);
     if (!read) return failStart(read.error());
     *lines = read.value();
   }
-  if (records.callers.empty() || records.workers.empty()) return failStart(fault(Code::badProps, "callers", "an audit needs records of callers and of back ends"));
+  if (records.callers.empty() || records.workers.empty())
+    return failStart(fault(Code::badProps, "callers", "an audit needs records of callers and of back ends"));
   if (!configuration.empty()) {
     std::ifstream source(configuration);
     std::stringstream bytes;
@@ -61,8 +64,9 @@
         if (flagOr(row, "isolated", false)) records.isolated.insert(tenant);
   }
   auto result = auditRecords(records);
-  std::cout << "audit: " << result.orders << " orders, " << result.runs << " runs, " << result.retries << " repeat tries (worst span "
-            << static_cast<int>(1000 * result.worstRetryShare) / 10.0 << " %), " << result.unreadable << " unreadable lines\n";
+  std::cout << "audit: " << result.orders << " orders, " << result.runs << " runs, " << result.retries
+            << " repeat tries (worst span " << static_cast<int>(1000 * result.worstRetryShare) / 10.0 << " %), "
+            << result.unreadable << " unreadable lines\n";
   for (const auto& line : auditedLines()) {
     const auto& rows = result.breaches[line];
     std::cout << "audit: " << rows.size() << " " << line << "\n";
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -34,7 +34,8 @@
   reader.text("name", &given.settings.name, "this machine's name", true)
       .address("address", &given.settings.address, "where other processes reach this one")
       .address("listen", &given.listenAddress, "where it listens, if not at its address", false)
-      .text("diskFaults", &given.diskFaults, "for tries only: a file whose word the ring obeys: slow MS, stall, full, well")
+      .text("diskFaults", &given.diskFaults,
+            "for tries only: a file whose word the ring obeys: slow MS, stall, full, well")
       .text("locality", &given.settings.locality, "this machine's locality", true)
       .addresses("seeds", &given.settings.seeds, "the other first cores")
       .texts("localities", &given.settings.localities, "all localities that cells stand for")
@@ -47,10 +48,12 @@
       .number("threads", &given.threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
-  if (given.operatorKeyHash.size() != 64) return failStart(fault(Code::badProps, "operatorKeyHash", "must be 64 hexadecimal digits"));
+  if (given.operatorKeyHash.size() != 64)
+    return failStart(fault(Code::badProps, "operatorKeyHash", "must be 64 hexadecimal digits"));
   startLog("core", given.settings.name, chatty);
 
-  auto files = FolderFiles::open(given.dataFolder, static_cast<int>(given.ringFiles), static_cast<std::size_t>(given.ringFileKiB) * 1024);
+  auto files = FolderFiles::open(given.dataFolder, static_cast<int>(given.ringFiles),
+                                 static_cast<std::size_t>(given.ringFileKiB) * 1024);
   if (!files) return failStart(files.error());
   FaultyFiles ringFiles(*files.value(), given.diskFaults);
   auto ring = Ring::open(ringFiles);
@@ -70,7 +73,9 @@
   WebCalls calls;
   OpenAnswers answers;
   Host host(core, context, 20ms);
-  Hub hub(context, given.settings.address, [&](const std::string& from, Message message) { host.take(from, message); }, given.listenAddress);
+  Hub hub(
+      context, given.settings.address, [&](const std::string& from, Message message) { host.take(from, message); },
+      given.listenAddress);
 
   auto call = [&](const std::string& to, WebCall made, std::function<void(const std::string&)> onBody) {
     made.wholeWait = 2s;
@@ -96,7 +101,8 @@
       });
     } else if (auto* ask = std::get_if<ReportAsk>(&message)) {
       WebCall made;
-      made.url = "http://" + to + "/v1/reports?after=" + std::to_string(ask->after) + "&incarnation=" + ask->incarnation + (ask->whole ? "&whole=1" : "");
+      made.url = "http://" + to + "/v1/reports?after=" + std::to_string(ask->after) +
+                 "&incarnation=" + ask->incarnation + (ask->whole ? "&whole=1" : "");
       call(to, made, [&, to](const std::string& body) {
         if (auto report = readReport(body))
           host.take(to, report.value());
@@ -113,8 +119,11 @@
       });
     } else if (auto* reply = std::get_if<OperatorResponse>(&message)) {
       if (auto answer = answers.remove(to))
-        answer->finish(codeStatus(static_cast<Code>(reply->code)), operatorBody(*reply),
-                       codeStatus(static_cast<Code>(reply->code)) == 429 || codeStatus(static_cast<Code>(reply->code)) == 503 ? 1000 : 0);
+        answer->finish(
+            codeStatus(static_cast<Code>(reply->code)), operatorBody(*reply),
+            codeStatus(static_cast<Code>(reply->code)) == 429 || codeStatus(static_cast<Code>(reply->code)) == 503
+                ? 1000
+                : 0);
     } else if (to == given.settings.address) {
       asio::post(context, [&, message = std::move(message)] { host.take(given.settings.address, message); });
     } else {
@@ -122,9 +131,11 @@
     }
   };
   core.journal.appended.connect([](const Event& event) {
-    if (event.kind == "duty won" || event.kind == "change in force" || event.kind == "duty lost" || event.kind == "formed" || event.kind == "core joins" || event.kind == "core votes" ||
-        event.kind == "core replaced" || event.kind == "disk stalled" || event.kind == "disk well" || event.kind == "keeper unconfirmed" ||
-        event.kind == "weights in use" || event.kind == "weights failed" || event.kind == "capture" || event.kind == "caught up by capture")
+    if (event.kind == "duty won" || event.kind == "change in force" || event.kind == "duty lost" ||
+        event.kind == "formed" || event.kind == "core joins" || event.kind == "core votes" ||
+        event.kind == "core replaced" || event.kind == "disk stalled" || event.kind == "disk well" ||
+        event.kind == "keeper unconfirmed" || event.kind == "weights in use" || event.kind == "weights failed" ||
+        event.kind == "capture" || event.kind == "caught up by capture")
       logInfo(event.kind + ": " + event.subject + " (" + std::to_string(event.number) + ").");
   });
 
@@ -183,7 +194,8 @@
   if (auto done = hub.listen(); !done) return failStart(done.error());
   if (auto done = server.open(); !done) return failStart(done.error());
   host.start();
-  logInfo("Serving as " + core.id() + " at " + given.settings.address + ", operators at " + given.operatorAddress + ".");
+  logInfo("Serving as " + core.id() + " at " + given.settings.address + ", operators at " + given.operatorAddress +
+          ".");
   runPool(context, static_cast<std::size_t>(given.threads), [&] {
     host.with([&](Effects& effects) { core.resign(effects); });
     std::this_thread::sleep_for(100ms);
--- a/src/tools/main_ctl.cpp
+++ b/src/tools/main_ctl.cpp
@@ -53,7 +53,8 @@
   return lines;
 }
 constexpr const char* exitCodes =
-    "Exit codes: 0 done; 1 denied, no core answered, or (diff, lag) there is something to tell; 2 wrong use; 3 only some cores answered";
+    "Exit codes: 0 done; 1 denied, no core answered, or (diff, lag) there is something to tell; 2 wrong use; 3 only "
+    "some cores answered";
 }  // namespace
 
 int main(int count, char** words) {
@@ -62,16 +63,21 @@
   app.require_subcommand(1);
   app.footer(exitCodes);
   std::string coreList, key, file, changeId, sinceRevision, revision, member;
-  auto* cores = app.add_option("--cores", coreList, "operator addresses of cores, tried in turn, commas between")->envname("TROUTTALLY_CORES");
+  auto* cores = app.add_option("--cores", coreList, "operator addresses of cores, tried in turn, commas between")
+                    ->envname("TROUTTALLY_CORES");
   cores->required();
   app.add_option("--key", key, "the operator key")->envname("TROUTTALLY_OPERATOR_KEY")->required();
   auto* put = app.add_subcommand("put", "Make the blueprint be what a file says");
   auto* patch = app.add_subcommand("patch", "Change a part of the blueprint (JSON merge patch)");
-  auto* manifest = app.add_subcommand("manifest", "Patch the routes with HTTPRoute manifests in the manner of the Gateway API (JSON)");
+  auto* manifest = app.add_subcommand(
+      "manifest", "Patch the routes with HTTPRoute manifests in the manner of the Gateway API (JSON)");
   for (auto* verb : {put, patch, manifest}) {
     verb->add_option("file", file, "the file, or - for standard input")->required();
-    verb->add_option("--change-id", changeId, "a name under which the change may be sent again without being taken twice");
-    verb->add_option("--since-revision", sinceRevision, "the revision in force when this change id was first sent: a resend that would no longer be known is denied");
+    verb->add_option("--change-id", changeId,
+                     "a name under which the change may be sent again without being taken twice");
+    verb->add_option(
+        "--since-revision", sinceRevision,
+        "the revision in force when this change id was first sent: a resend that would no longer be known is denied");
     verb->add_option("--if-revision", revision, "take it only if this revision is in force");
   }
   auto* get = app.add_subcommand("get", "Show the blueprint in force");
@@ -81,7 +87,8 @@
   diff->add_option("file", file, "the file, or - for standard input")->required();
   auto* lag = app.add_subcommand("lag", "Show which daemons have not got the newest agreed change, or cannot tell");
   double waitSeconds = 0;
-  lag->add_option("--wait", waitSeconds, "ask again for this many seconds until nobody lags")->check(CLI::Range(0.0, 3600.0));
+  lag->add_option("--wait", waitSeconds, "ask again for this many seconds until nobody lags")
+      ->check(CLI::Range(0.0, 3600.0));
   auto* counters = app.add_subcommand("counters", "Show a core's counters");
   try {
     app.parse(count, words);
@@ -92,7 +99,8 @@
   std::vector<std::string> addresses;
   std::stringstream list(coreList);
   for (std::string item; std::getline(list, item, ',');) {
-    if (auto read = readAddress(item); !read) return failStart(fault(Code::badProps, "cores", item + ": " + read.error().text));
+    if (auto read = readAddress(item); !read)
+      return failStart(fault(Code::badProps, "cores", item + ": " + read.error().text));
     addresses.push_back(item);
   }
   WebCalls calls;
@@ -144,7 +152,8 @@
         std::int64_t commit = numberOr(read.value(), "commit", 0);
         newest = std::max(newest, commit);
         commits.emplace_back(textOr(read.value(), "core"), commit);
-        if (!flagOr(read.value(), "confirmed", false)) lines.push_back("core     " + textOr(read.value(), "core") + " cannot tell whether it is up to date");
+        if (!flagOr(read.value(), "confirmed", false))
+          lines.push_back("core     " + textOr(read.value(), "core") + " cannot tell whether it is up to date");
         const auto& whole = read.value().get<JsonObject>();
         if (auto rows = whole.find("agents"); rows != whole.end() && rows->second.is<JsonObject>())
           for (const auto& [name, row] : rows->second.get<JsonObject>()) {
@@ -154,13 +163,16 @@
           }
       }
       for (const auto& [core, commit] : commits)
-        if (commit < newest) lines.push_back("core     " + core + " has " + std::to_string(commit) + " of " + std::to_string(newest));
+        if (commit < newest)
+          lines.push_back("core     " + core + " has " + std::to_string(commit) + " of " + std::to_string(newest));
       for (const auto& [name, agent] : agents)
         if (agent.first < newest || !agent.second)
-          lines.push_back("agent    " + name + " has " + std::to_string(agent.first) + " of " + std::to_string(newest) + (agent.second ? "" : " STALE"));
+          lines.push_back("agent    " + name + " has " + std::to_string(agent.first) + " of " + std::to_string(newest) +
+                          (agent.second ? "" : " STALE"));
       if (lines.empty() || Clock::now() >= until) {
         for (const auto& line : lines) std::cout << line << "\n";
-        if (lines.empty()) std::cout << "all " << commits.size() << " cores and " << agents.size() << " agents have " << newest << "\n";
+        if (lines.empty())
+          std::cout << "all " << commits.size() << " cores and " << agents.size() << " agents have " << newest << "\n";
         return lines.empty() ? 0 : answered == 0 ? 1 : answered < addresses.size() ? 3 : 1;
       }
       std::this_thread::sleep_for(200ms);
@@ -182,24 +194,29 @@
       any = true;
       ++answeredCount;
       const auto& whole = read.value();
-      std::cout << "core     " << textOr(whole, "core") << " " << textOr(whole, "locality") << " revision " << numberOr(whole, "revision", 0)
-                << " commit " << numberOr(whole, "commit", 0) << " pending " << numberOr(whole, "pendingChanges", 0)
-                << (flagOr(whole, "diskStalled", false) ? " DISK STALLED" : "") << "\n";
+      std::cout << "core     " << textOr(whole, "core") << " " << textOr(whole, "locality") << " revision "
+                << numberOr(whole, "revision", 0) << " commit " << numberOr(whole, "commit", 0) << " pending "
+                << numberOr(whole, "pendingChanges", 0) << (flagOr(whole, "diskStalled", false) ? " DISK STALLED" : "")
+                << "\n";
       const auto& rows = whole.get<JsonObject>();
       for (const auto& [duty, row] : rows.at("duties").get<JsonObject>())
-        if (flagOr(row, "here", false)) duties[duty] = textOr(whole, "core") + " term " + std::to_string(numberOr(row, "term", 0));
+        if (flagOr(row, "here", false))
+          duties[duty] = textOr(whole, "core") + " term " + std::to_string(numberOr(row, "term", 0));
       for (const auto& [name, row] : rows.at("workers").get<JsonObject>())
-        std::cout << "worker   " << name << " " << textOr(row, "kind") << " " << textOr(row, "locality") << " weights " << textOr(row, "weights")
-                  << " running " << numberOr(row, "running", 0) << " kept " << numberOr(row, "kept", 0) << " report " << numberOr(row, "reportAgeMs", 0)
-                  << "ms " << (flagOr(row, "indexConfirmed", false) ? "confirmed" : "unconfirmed") << " " << textOr(row, "rollout")
-                  << (flagOr(row, "leaving", false) ? " leaving" : "") << "\n";
+        std::cout << "worker   " << name << " " << textOr(row, "kind") << " " << textOr(row, "locality") << " weights "
+                  << textOr(row, "weights") << " running " << numberOr(row, "running", 0) << " kept "
+                  << numberOr(row, "kept", 0) << " report " << numberOr(row, "reportAgeMs", 0) << "ms "
+                  << (flagOr(row, "indexConfirmed", false) ? "confirmed" : "unconfirmed") << " "
+                  << textOr(row, "rollout") << (flagOr(row, "leaving", false) ? " leaving" : "") << "\n";
       if (address == addresses.front())
         for (const auto& [name, row] : rows.at("agents").get<JsonObject>())
-          std::cout << "agent    " << name << " applied " << numberOr(row, "applied", 0) << " " << (flagOr(row, "fresh", false) ? "fresh" : "STALE")
-                    << " heard " << numberOr(row, "heardMs", 0) << "ms ago\n";
+          std::cout << "agent    " << name << " applied " << numberOr(row, "applied", 0) << " "
+                    << (flagOr(row, "fresh", false) ? "fresh" : "STALE") << " heard " << numberOr(row, "heardMs", 0)
+                    << "ms ago\n";
     }
     for (const auto& [duty, holder] : duties) std::cout << "duty     " << duty << " " << holder << "\n";
-    if (answeredCount < addresses.size()) std::cout << "partial  " << answeredCount << " of " << addresses.size() << " cores answered\n";
+    if (answeredCount < addresses.size())
+      std::cout << "partial  " << answeredCount << " of " << addresses.size() << " cores answered\n";
     return !any ? 1 : answeredCount < addresses.size() ? 3 : 0;
   }
   WebResult result;
@@ -209,7 +226,8 @@
     if (result.reached && result.status != 503 && result.status != 504) break;
   }
   if (!result.reached) {
-    std::cerr << "error " << static_cast<int>(Code::httpFault) << " httpFault: no core answered: " << result.trouble << "\n";
+    std::cerr << "error " << static_cast<int>(Code::httpFault) << " httpFault: no core answered: " << result.trouble
+              << "\n";
     return 1;
   }
   if (diff->parsed() && result.status == 200) {
@@ -217,9 +235,12 @@
     if (!wanted) return failStart(wanted.error());
     auto after = readJson(wanted.value());
     auto before = readJson(result.body);
-    if (!after || !after.value().is<JsonObject>()) return failStart(fault(Code::badJson, file, after ? "must be an object" : after.error().text));
-    if (!before || !before.value().is<JsonObject>() || !before.value().get<JsonObject>().count("blueprint")) return failStart(fault(Code::badJson, "answer"));
-    auto lines = differences(before.value().get<JsonObject>().at("blueprint").get<JsonObject>(), after.value().get<JsonObject>());
+    if (!after || !after.value().is<JsonObject>())
+      return failStart(fault(Code::badJson, file, after ? "must be an object" : after.error().text));
+    if (!before || !before.value().is<JsonObject>() || !before.value().get<JsonObject>().count("blueprint"))
+      return failStart(fault(Code::badJson, "answer"));
+    auto lines = differences(before.value().get<JsonObject>().at("blueprint").get<JsonObject>(),
+                             after.value().get<JsonObject>());
     for (const auto& line : lines) std::cout << line << "\n";
     return lines.empty() ? 0 : 1;
   }
--- a/src/tools/main_keeper.cpp
+++ b/src/tools/main_keeper.cpp
@@ -40,8 +40,10 @@
 #ifdef TT_STORE
   settings.kind = "store";
 #else
-  if (settings.kind != "language" && settings.kind != "app") return failStart(fault(Code::badProps, "kind", "must be language or app"));
-  if (settings.kind == "language" && settings.model.empty()) return failStart(fault(Code::badProps, "model", "must be given"));
+  if (settings.kind != "language" && settings.kind != "app")
+    return failStart(fault(Code::badProps, "kind", "must be language or app"));
+  if (settings.kind == "language" && settings.model.empty())
+    return failStart(fault(Code::badProps, "model", "must be given"));
 #endif
   settings.slots = static_cast<int>(slots);
   settings.keepMost = static_cast<std::size_t>(keepMost);
@@ -57,7 +59,8 @@
     if (!record) return failStart(fault(Code::badProps, "recordFile", "cannot be written"));
     record << "\n" << std::flush;
     keeper.journal.appended.connect([&](const Event& event) {
-      static const std::set<std::string> kinds{"ran for", "move ran", "pulled", "worker denied", "cross weights", "cross tenant", "command taken", "weights loaded"};
+      static const std::set<std::string> kinds{"ran for",       "move ran",     "pulled",        "worker denied",
+                                               "cross weights", "cross tenant", "command taken", "weights loaded"};
       if (!kinds.count(event.kind)) return;
       JsonObject row;
       row["at"] = Json(std::to_string(inNs(event.at)));
@@ -89,7 +92,8 @@
     } else if (auto* report = std::get_if<Report>(&message)) {
       if (auto answer = answers.remove(to)) answer->finish(200, writeReport(*report));
     } else if (auto* control = std::get_if<ControlReply>(&message)) {
-      if (auto answer = answers.remove(to)) answer->finish(codeStatus(static_cast<Code>(control->code)), writeControlReply(*control));
+      if (auto answer = answers.remove(to))
+        answer->finish(codeStatus(static_cast<Code>(control->code)), writeControlReply(*control));
     } else if (auto* pulled = std::get_if<PullReply>(&message)) {
       if (auto answer = answers.remove(to)) answer->finish(200, writeBlocks(pulled->hashes, pulled->origins));
     } else if (auto* pull = std::get_if<PullAsk>(&message)) {
@@ -100,7 +104,8 @@
       call.wholeWait = 2s;
       calls.start(std::move(call), [&, pullId = pull->pullId](const WebResult& result) {
         if (!result.reached || result.status != 200) return;
-        if (auto blocks = readBlocks(result.body)) host.take("source", PullReply{pullId, blocks.value().hashes, blocks.value().origins});
+        if (auto blocks = readBlocks(result.body))
+          host.take("source", PullReply{pullId, blocks.value().hashes, blocks.value().origins});
       });
     } else if (auto* stored = std::get_if<StoreMsg>(&message)) {
       WebCall call;
@@ -173,7 +178,8 @@
       return answer->finish(200, Json(body).serialize());
     }
     if (way == "POST /v1/faults") {
-      auto read = readObject(ask.body, {"lagMs", "loseEvents", "forgetEvents", "stalled", "loadFails", "silentReports", "linkMs", "forget", "crash"});
+      auto read = readObject(ask.body, {"lagMs", "loseEvents", "forgetEvents", "stalled", "loadFails", "silentReports",
+                                        "linkMs", "forget", "crash"});
       if (!read) return deny(read.error());
       Json body(read.value());
       if (flagOr(body, "crash", false)) std::_Exit(9);
@@ -184,7 +190,8 @@
         keeper.faults.stalled = flagOr(body, "stalled", keeper.faults.stalled);
         keeper.faults.loadFails = flagOr(body, "loadFails", keeper.faults.loadFails);
         keeper.faults.silentReports = flagOr(body, "silentReports", keeper.faults.silentReports);
-        keeper.faults.linkMs = static_cast<double>(numberOr(body, "linkMs", static_cast<std::int64_t>(keeper.faults.linkMs)));
+        keeper.faults.linkMs =
+            static_cast<double>(numberOr(body, "linkMs", static_cast<std::int64_t>(keeper.faults.linkMs)));
         if (flagOr(body, "forget", false)) keeper.forget(effects, true);
       });
       return answer->finish(200, "{}");
--- a/src/tools/main_link.cpp
+++ b/src/tools/main_link.cpp
@@ -34,17 +34,23 @@
 class Passage : public std::enable_shared_from_this<Passage> {
  public:
   Passage(Links& owner, tcp::socket accepted, std::string shown, std::string real)
-      : links(owner), near(std::move(accepted)), far(owner.io), pause(owner.io), shownAddress(std::move(shown)), realAddress(std::move(real)) {}
+      : links(owner),
+        near(std::move(accepted)),
+        far(owner.io),
+        pause(owner.io),
+        shownAddress(std::move(shown)),
+        realAddress(std::move(real)) {}
   void start() {
     asio::async_read(near, asio::buffer(head), [self = shared_from_this()](asio::error_code error, std::size_t) {
       std::size_t size = 0;
       for (int at = 3; at >= 0; --at) size = size << 8 | self->head[at];
       if (error || size > 64) return self->close();
       self->hello.resize(size);
-      asio::async_read(self->near, asio::buffer(&self->hello[0], size), [self](asio::error_code helloError, std::size_t) {
-        if (helloError) return self->close();
-        self->connect();
-      });
+      asio::async_read(self->near, asio::buffer(&self->hello[0], size),
+                       [self](asio::error_code helloError, std::size_t) {
+                         if (helloError) return self->close();
+                         self->connect();
+                       });
     });
   }
   void look() {
@@ -74,16 +80,19 @@
     if (links.ruleFor(hello, shownAddress).mode == "cut") return close();
     auto address = readAddress(realAddress);
     asio::error_code error;
-    far.async_connect(tcp::endpoint(asio::ip::make_address(address.value().ip, error), address.value().port), [self = shared_from_this()](asio::error_code connectError) {
-      if (connectError) return self->close();
-      asio::error_code ignored;
-      self->far.set_option(tcp::no_delay(true), ignored);
-      std::string first(reinterpret_cast<char*>(self->head), 4);
-      std::copy_n((first + self->hello).data(), first.size() + self->hello.size(), self->bytes.data());
-      self->held = first.size() + self->hello.size();
-      self->far.async_read_some(asio::buffer(&self->watched, 1), [self](asio::error_code, std::size_t) { self->close(); });
-      self->passOn();
-    });
+    far.async_connect(tcp::endpoint(asio::ip::make_address(address.value().ip, error), address.value().port),
+                      [self = shared_from_this()](asio::error_code connectError) {
+                        if (connectError) return self->close();
+                        asio::error_code ignored;
+                        self->far.set_option(tcp::no_delay(true), ignored);
+                        std::string first(reinterpret_cast<char*>(self->head), 4);
+                        std::copy_n((first + self->hello).data(), first.size() + self->hello.size(),
+                                    self->bytes.data());
+                        self->held = first.size() + self->hello.size();
+                        self->far.async_read_some(asio::buffer(&self->watched, 1),
+                                                  [self](asio::error_code, std::size_t) { self->close(); });
+                        self->passOn();
+                      });
   }
   void passOn() {
     Rule rule = links.ruleFor(hello, shownAddress);
@@ -100,10 +109,11 @@
     write();
   }
   void write() {
-    asio::async_write(far, asio::buffer(bytes.data(), held), [self = shared_from_this()](asio::error_code error, std::size_t) {
-      if (error) return self->close();
-      self->read();
-    });
+    asio::async_write(far, asio::buffer(bytes.data(), held),
+                      [self = shared_from_this()](asio::error_code error, std::size_t) {
+                        if (error) return self->close();
+                        self->read();
+                      });
   }
   void read() {
     near.async_read_some(asio::buffer(bytes), [self = shared_from_this()](asio::error_code error, std::size_t count) {
@@ -186,10 +196,12 @@
 int main(int count, char** words) {
   std::string name = "link", webAddress;
   std::vector<std::string> pairs;
-  Settings reader("trouttally-link", "A stand-in network between the fleet's own processes, whose links can be cut, held or slowed");
+  Settings reader("trouttally-link",
+                  "A stand-in network between the fleet's own processes, whose links can be cut, held or slowed");
   reader.text("name", &name, "this process's name")
       .texts("pairs", &pairs, "SHOWN=REAL: the address that others know a process by, and the one it listens at")
-      .address("webAddress", &webAddress, "where rules are set: POST /v1/rules {from, to, mode, delayMs}, DELETE /v1/rules");
+      .address("webAddress", &webAddress,
+               "where rules are set: POST /v1/rules {from, to, mode, delayMs}, DELETE /v1/rules");
   if (auto code = reader.read(count, words)) return *code;
   startLog("link", name, false);
   asio::io_context context;
@@ -209,7 +221,8 @@
     auto read = readObject(ask.body, {"from", "to", "mode", "delayMs"});
     if (!read) return deny(read.error());
     Json body(read.value());
-    Rule rule{textOr(body, "from", "*"), textOr(body, "to", "*"), textOr(body, "mode"), std::chrono::milliseconds(numberOr(body, "delayMs", 0))};
+    Rule rule{textOr(body, "from", "*"), textOr(body, "to", "*"), textOr(body, "mode"),
+              std::chrono::milliseconds(numberOr(body, "delayMs", 0))};
     if (rule.mode != "open" && rule.mode != "cut" && rule.mode != "hold" && rule.mode != "slow")
       return deny(fault(Code::badField, "mode", "must be open, cut, hold or slow"));
     links.set(std::move(rule));
--- a/src/tools/main_loadgen.cpp
+++ b/src/tools/main_loadgen.cpp
@@ -49,8 +49,11 @@
     kind.name = textOr(row, "name");
     kind.route = textOr(row, "route");
     kind.model = textOr(row, "model");
-    if (kind.name.empty() || kind.route.empty() || kind.model.empty()) return fault(Code::missingField, "kinds", "name, route and model");
-    if (auto rate = row.get<JsonObject>().find("rate"); rate != row.get<JsonObject>().end() && rate->second.is<double>()) kind.rate = rate->second.get<double>();
+    if (kind.name.empty() || kind.route.empty() || kind.model.empty())
+      return fault(Code::missingField, "kinds", "name, route and model");
+    if (auto rate = row.get<JsonObject>().find("rate");
+        rate != row.get<JsonObject>().end() && rate->second.is<double>())
+      kind.rate = rate->second.get<double>();
     kind.sharedBytes = static_cast<std::size_t>(numberOr(row, "sharedBytes", 0));
     kind.ownBytes = static_cast<std::size_t>(numberOr(row, "ownBytes", 200));
     kind.prefixes = static_cast<int>(std::max<std::int64_t>(1, numberOr(row, "prefixes", 1)));
@@ -66,7 +69,8 @@
 
 std::string words(const std::string& seed, std::size_t bytes) {
   std::string text;
-  for (std::uint64_t at = 0; text.size() < bytes; ++at) text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
+  for (std::uint64_t at = 0; text.size() < bytes; ++at)
+    text += std::to_string(rendezvous(seed, std::to_string(at))) + " ";
   text.resize(bytes);
   return text;
 }
@@ -83,8 +87,15 @@
   std::string kindsFile, jsonFile, recordFile;
   std::vector<std::string> proxies;
   double seconds = 20, seed = 1, scale = 1, everySecond = 0, obey = 0, ignore = 0, move = 0, hangUps = 0;
-  Settings reader("trouttally-loadgen", "Sends a deployment's kinds of order at their intended times and measures what comes back");
-  reader.addresses("proxies", &proxies, "callers' addresses of the proxies").text("kinds", &kindsFile, "JSON file with the kinds of order", true).number("seconds", &seconds, 0.1, 36000, "how long to send").number("scale", &scale, 0.001, 1000, "times the file's rates").number("seed", &seed, 0, 1e15, "seed for the order of things").number("everySecond", &everySecond, 0, 1, "1 prints a line each second").text("json", &jsonFile, "also write the figures to this file")
+  Settings reader("trouttally-loadgen",
+                  "Sends a deployment's kinds of order at their intended times and measures what comes back");
+  reader.addresses("proxies", &proxies, "callers' addresses of the proxies")
+      .text("kinds", &kindsFile, "JSON file with the kinds of order", true)
+      .number("seconds", &seconds, 0.1, 36000, "how long to send")
+      .number("scale", &scale, 0.001, 1000, "times the file's rates")
+      .number("seed", &seed, 0, 1e15, "seed for the order of things")
+      .number("everySecond", &everySecond, 0, 1, "1 prints a line each second")
+      .text("json", &jsonFile, "also write the figures to this file")
       .text("recordFile", &recordFile, "a file that each order's story is added to, for trouttally-audit")
       .number("obey", &obey, 0, 100, "per cent of callers told 'not run' that come back when they are told to")
       .number("ignore", &ignore, 0, 100, "per cent that come back at once")
@@ -106,7 +117,8 @@
   std::vector<std::vector<std::string>> shared(kinds.size());
   for (std::size_t at = 0; at < kinds.size(); ++at) {
     const auto& kind = kinds[at];
-    for (int number = 0; number < kind.prefixes; ++number) shared[at].push_back(words(kind.name + std::to_string(number), kind.sharedBytes));
+    for (int number = 0; number < kind.prefixes; ++number)
+      shared[at].push_back(words(kind.name + std::to_string(number), kind.sharedBytes));
     std::exponential_distribution<double> gap(kind.rate * scale);
     for (double when = gap(randomSource); when < seconds; when += gap(randomSource)) {
       Shot shot;
@@ -131,7 +143,8 @@
   std::multimap<Moment, Shot> due;
   std::multimap<Moment, std::uint64_t> drops;
   std::map<std::uint64_t, std::function<void()>> dropped;
-  std::string runMark = "mark-" + std::to_string(static_cast<std::uint64_t>(seed)) + "-" + std::to_string(inNs(start) / 1000000 % 100000000) + "-";
+  std::string runMark = "mark-" + std::to_string(static_cast<std::uint64_t>(seed)) + "-" +
+                        std::to_string(inNs(start) / 1000000 % 100000000) + "-";
   std::size_t shotNumber = 0;
   for (auto& shot : shots) {
     shot.intent = runMark + std::to_string(++shotNumber);
@@ -162,12 +175,15 @@
   };
   auto comeBack = [&](const Shot& shot, const Seen& seen) {
     bool knows = seen.verdict == "not run" || seen.verdict == "no connection";
-    if (seen.verdict == "done" || shot.attempt >= 5 || !(knows || kinds[shot.kind].repeatable) || (seen.verdict == "not run" && seen.retryAfterMs <= 0)) return;
+    if (seen.verdict == "done" || shot.attempt >= 5 || !(knows || kinds[shot.kind].repeatable) ||
+        (seen.verdict == "not run" && seen.retryAfterMs <= 0))
+      return;
     double share = static_cast<double>(randomSource() % 10000) / 100;
     if (share >= obey + ignore + move) return;
     Shot again = shot;
     ++again.attempt;
-    again.due = Clock::now() + (share < obey ? Span(std::chrono::milliseconds(std::max(seen.retryAfterMs, 200))) : Span(20ms));
+    again.due =
+        Clock::now() + (share < obey ? Span(std::chrono::milliseconds(std::max(seen.retryAfterMs, 200))) : Span(20ms));
     if (share >= obey + ignore)
       for (std::size_t at = 0; at < proxies.size(); ++at)
         if (proxies[at] == shot.proxy) {
@@ -187,7 +203,8 @@
     body["repeatable"] = Json(kind.repeatable);
     JsonArray parts;
     if (kind.sharedBytes) parts.push_back(Json(shared[shot.kind][shot.prefix]));
-    parts.push_back(Json(shot.intent + "-" + std::to_string(shot.attempt) + " " + words("own" + std::to_string(shot.own), kind.ownBytes)));
+    parts.push_back(Json(shot.intent + "-" + std::to_string(shot.attempt) + " " +
+                         words("own" + std::to_string(shot.own), kind.ownBytes)));
     body["parts"] = Json(parts);
     WebCall call;
     call.method = "POST";
@@ -203,7 +220,8 @@
       auto& tally = tallies[shot.kind];
       seen->verdict = textOr(verdict, "verdict");
       seen->retryAfterMs = static_cast<int>(numberOr(verdict, "retryAfterMs", 0));
-      ++tally.verdicts[seen->verdict + " " + std::to_string(numberOr(verdict, "code", 0)) + " " + textOr(verdict, "name")];
+      ++tally.verdicts[seen->verdict + " " + std::to_string(numberOr(verdict, "code", 0)) + " " +
+                       textOr(verdict, "name")];
       tally.tries += std::max<std::int64_t>(0, numberOr(verdict, "tries", 0) - 1);
       int second = static_cast<int>(inMs(shot.due - start) / 1000);
       if (seen->verdict == "done") {
@@ -213,7 +231,8 @@
         const auto& fields = verdict.get<JsonObject>();
         if (auto blocks = fields.find("blocks"); blocks != fields.end()) {
           auto& shares = blocksAt[second];
-          std::int64_t local = numberOr(blocks->second, "local", 0), fetched = numberOr(blocks->second, "fetched", 0), computed = numberOr(blocks->second, "computed", 0);
+          std::int64_t local = numberOr(blocks->second, "local", 0), fetched = numberOr(blocks->second, "fetched", 0),
+                       computed = numberOr(blocks->second, "computed", 0);
           tally.local += local;
           tally.fetched += fetched;
           tally.computed += computed;
@@ -310,10 +329,13 @@
     std::string name = at < kinds.size() ? kinds[at].name : "all";
     double blocks = std::max(1.0, static_cast<double>(tally.local + tally.fetched + tally.computed));
     double sent = std::max(1.0, static_cast<double>(tally.sent));
-    std::cout << std::left << std::setw(10) << name << std::right << std::setw(6) << tally.sent << std::setw(9) << static_cast<double>(tally.sent) / seconds << std::setw(7) << tally.done
-              << std::setw(10) << quantile(tally.firstMs, 0.5) << std::setw(10) << quantile(tally.firstMs, 0.99) << std::setw(11) << quantile(tally.wholeMs, 0.5) << std::setw(8)
-              << 100.0 * static_cast<double>(tally.local) / blocks << std::setw(10) << 100.0 * static_cast<double>(tally.fetched) / blocks << std::setw(11)
-              << 100.0 * static_cast<double>(tally.computed) / blocks << std::setw(8) << 100.0 * static_cast<double>(tally.tries) / sent << "\n";
+    std::cout << std::left << std::setw(10) << name << std::right << std::setw(6) << tally.sent << std::setw(9)
+              << static_cast<double>(tally.sent) / seconds << std::setw(7) << tally.done << std::setw(10)
+              << quantile(tally.firstMs, 0.5) << std::setw(10) << quantile(tally.firstMs, 0.99) << std::setw(11)
+              << quantile(tally.wholeMs, 0.5) << std::setw(8) << 100.0 * static_cast<double>(tally.local) / blocks
+              << std::setw(10) << 100.0 * static_cast<double>(tally.fetched) / blocks << std::setw(11)
+              << 100.0 * static_cast<double>(tally.computed) / blocks << std::setw(8)
+              << 100.0 * static_cast<double>(tally.tries) / sent << "\n";
     JsonObject row;
     row["sent"] = jsonNumber(static_cast<double>(tally.sent));
     row["done"] = jsonNumber(static_cast<double>(tally.done));
@@ -341,15 +363,19 @@
     all.wholeMs.insert(all.wholeMs.end(), tally.wholeMs.begin(), tally.wholeMs.end());
     for (const auto& [word, number] : tally.verdicts) all.verdicts[word] += number;
   }
-  for (const auto& [word, number] : all.verdicts) std::cout << "verdict   " << std::setw(7) << number << "  " << word << "\n";
+  for (const auto& [word, number] : all.verdicts)
+    std::cout << "verdict   " << std::setw(7) << number << "  " << word << "\n";
   if (cameBack > 0) std::cout << "came back: " << cameBack << "\n";
   if (open > 0) std::cout << "open at the end: " << open << "\n";
   if (everySecond > 0) {
     std::cout << "second   done  not done  ttft p50  ttft p99  fetched%\n";
     for (int second = 0; second < static_cast<int>(seconds); ++second)
-      std::cout << std::setw(6) << second << std::setw(7) << seconds_[second].first << std::setw(10) << failedAt[second] << std::setw(10) << quantile(seconds_[second].second, 0.5) << std::setw(10)
+      std::cout << std::setw(6) << second << std::setw(7) << seconds_[second].first << std::setw(10) << failedAt[second]
+                << std::setw(10) << quantile(seconds_[second].second, 0.5) << std::setw(10)
                 << quantile(seconds_[second].second, 0.99) << std::setw(10)
-                << 100.0 * static_cast<double>(blocksAt[second].first) / static_cast<double>(std::max<std::int64_t>(1, blocksAt[second].second)) << "\n";
+                << 100.0 * static_cast<double>(blocksAt[second].first) /
+                       static_cast<double>(std::max<std::int64_t>(1, blocksAt[second].second))
+                << "\n";
   }
   if (!jsonFile.empty()) std::ofstream(jsonFile) << Json(whole).serialize(true);
   return 0;
--- a/src/tools/main_proxy.cpp
+++ b/src/tools/main_proxy.cpp
@@ -69,23 +69,25 @@
       call.wholeWait = 120s;
       std::string sendId = order->orderId;
       auto ended = std::make_shared<bool>(false);
-      auto startCall = [&, call = std::move(call), sendId, ended]() mutable { return calls.start(
-          std::move(call),
-          [&, sendId, ended](const WebResult& result) {
-            workerCalls.remove(sendId);
-            if (*ended) return;
-            host.take("worker", endOfCall(sendId, result));
-          },
-          [&, sendId, ended](const std::string& line) {
-            if (*ended) return;
-            auto read = readWorkerLine(sendId, line);
-            if (auto* chunk = std::get_if<WorkerChunk>(&read)) {
-              host.take("worker", *chunk);
-            } else if (auto* end = std::get_if<WorkerEnd>(&read)) {
-              *ended = true;
-              host.take("worker", *end);
-            }
-          }); };
+      auto startCall = [&, call = std::move(call), sendId, ended]() mutable {
+        return calls.start(
+            std::move(call),
+            [&, sendId, ended](const WebResult& result) {
+              workerCalls.remove(sendId);
+              if (*ended) return;
+              host.take("worker", endOfCall(sendId, result));
+            },
+            [&, sendId, ended](const std::string& line) {
+              if (*ended) return;
+              auto read = readWorkerLine(sendId, line);
+              if (auto* chunk = std::get_if<WorkerChunk>(&read)) {
+                host.take("worker", *chunk);
+              } else if (auto* end = std::get_if<WorkerEnd>(&read)) {
+                *ended = true;
+                host.take("worker", *end);
+              }
+            });
+      };
       workerCalls.start(sendId, startCall);
     } else if (auto* gone = std::get_if<WorkerDrop>(&message)) {
       if (auto callId = workerCalls.remove(gone->orderId)) calls.drop(*callId);
@@ -129,7 +131,8 @@
       auto order = readCallerOrder(ask.body);
       if (!order) return deny(order.error());
       order.value().key = ask.bearer;
-      order.value().orderId = settings.name + "/" + std::to_string(inNs(Clock::now())) + "/" + answers.freshName().substr(5);
+      order.value().orderId =
+          settings.name + "/" + std::to_string(inNs(Clock::now())) + "/" + answers.freshName().substr(5);
       answers.addAs(order.value().orderId, answer);
       return host.take("caller", order.value());
     }
@@ -146,7 +149,8 @@
       return answer->finish(200, text);
     }
     if (ask.method == "GET" && ask.path == "/v1/blueprint") {
-      if (operatorKeyHash.empty() || sha256Hex(ask.bearer) != operatorKeyHash) return deny(fault(Code::operatorDenied, "authorization"));
+      if (operatorKeyHash.empty() || sha256Hex(ask.bearer) != operatorKeyHash)
+        return deny(fault(Code::operatorDenied, "authorization"));
       std::string text;
       host.with([&](Effects& effects) {
         const auto& view = edge.configuration();
--- a/src/tools/main_scale.cpp
+++ b/src/tools/main_scale.cpp
@@ -11,8 +11,8 @@
 
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <fmt/format.h>
+#include <CLI/CLI.hpp>
 
 #include "host.hpp"
 #include "scale.hpp"
@@ -62,7 +62,6 @@
   double seconds{3}, linkMs{1};
 };
 
-
 std::vector<Figure> measureLinks(int frames, std::size_t bytes) {
   std::vector<Figure> figures;
   asio::io_context sending, receiving;
@@ -87,7 +86,8 @@
     int sent = 0;
     Moment by = Clock::now() + 60s;
     while (taken < frames && Clock::now() < by) {
-      for (int turn = 0; turn < 20 && sent < frames && sent - taken < openMost; ++turn, ++sent) source.send(address, message);
+      for (int turn = 0; turn < 20 && sent < frames && sent - taken < openMost; ++turn, ++sent)
+        source.send(address, message);
       sending.run_for(1ms);
       sending.restart();
     }
@@ -133,7 +133,8 @@
   bool fits(std::int64_t bytes, const std::string& about) {
     auto half = static_cast<std::int64_t>(::sysconf(_SC_PHYS_PAGES)) * ::sysconf(_SC_PAGESIZE) / 2;
     if (bytes <= half) return true;
-    std::cerr << fmt::format("Not started: {} would take about {} MB, and half of this machine's memory is {} MB.\n", about, bytes >> 20, half >> 20);
+    std::cerr << fmt::format("Not started: {} would take about {} MB, and half of this machine's memory is {} MB.\n",
+                             about, bytes >> 20, half >> 20);
     return false;
   }
 
@@ -173,16 +174,28 @@
                         job.size.changesPerHour = changes;
                         job.size.requestsPerSecond = requests;
                         job.size.markChangesPerHour = marks;
-                        job.size.measured = std::chrono::duration_cast<Span>(std::chrono::duration<double>(asked.seconds));
-                        job.size.link = std::chrono::duration_cast<Span>(std::chrono::duration<double, std::milli>(asked.linkMs));
+                        job.size.measured =
+                            std::chrono::duration_cast<Span>(std::chrono::duration<double>(asked.seconds));
+                        job.size.link =
+                            std::chrono::duration_cast<Span>(std::chrono::duration<double, std::milli>(asked.linkMs));
                         job.repeat = repeat;
-                        job.x = xName == "daemons" ? daemons : xName == "cores" ? cores : xName == "workers" ? workers : xName == "tenants" ? tenants : xName == "blocks" ? blocks : xName == "events per second" ? events : xName == "requests per second" ? requests : xName == "changes per hour" ? changes : xName == "list changes per hour" ? marks : daemons;
+                        job.x = xName == "daemons"                 ? daemons
+                                : xName == "cores"                 ? cores
+                                : xName == "workers"               ? workers
+                                : xName == "tenants"               ? tenants
+                                : xName == "blocks"                ? blocks
+                                : xName == "events per second"     ? events
+                                : xName == "requests per second"   ? requests
+                                : xName == "changes per hour"      ? changes
+                                : xName == "list changes per hour" ? marks
+                                                                   : daemons;
                         jobs.push_back(job);
                       }
     std::int64_t most = 0;
     for (const auto& job : jobs) most = std::max(most, estimatedBytes(job.size));
     if (!fits(most * asked.threads, fmt::format("{} fleet(s) at a time, the largest", asked.threads))) return false;
-    std::sort(jobs.begin(), jobs.end(), [](const Job& one, const Job& other) { return estimatedBytes(one.size) > estimatedBytes(other.size); });
+    std::sort(jobs.begin(), jobs.end(),
+              [](const Job& one, const Job& other) { return estimatedBytes(one.size) > estimatedBytes(other.size); });
     std::atomic<std::size_t> next{0};
     std::vector<std::thread> pool;
     for (int number = 0; number < asked.threads; ++number)
@@ -198,15 +211,19 @@
     auto result = measureFleet(job.size, static_cast<std::uint64_t>(asked.seed + job.repeat));
     double took = std::chrono::duration<double>(Clock::now() - start).count();
     std::lock_guard<std::mutex> guard(lock);
-    std::string about = fmt::format("daemons={} cores={} workers={} zones={} tenants={} blocks={} events={} changes={} requests={} marks={}", job.size.daemons, job.size.cores, job.size.workers, job.size.zones,
-                                    job.size.tenants, job.size.blocks, job.size.eventsPerSecond, job.size.changesPerHour, job.size.requestsPerSecond, job.size.markChangesPerHour);
+    std::string about = fmt::format(
+        "daemons={} cores={} workers={} zones={} tenants={} blocks={} events={} changes={} requests={} marks={}",
+        job.size.daemons, job.size.cores, job.size.workers, job.size.zones, job.size.tenants, job.size.blocks,
+        job.size.eventsPerSecond, job.size.changesPerHour, job.size.requestsPerSecond, job.size.markChangesPerHour);
     if (!result) {
       failed = true;
       std::cerr << fmt::format("{}: {} ({})\n", about, result.error().text, result.error().subject);
       return;
     }
     const auto& cost = result.value();
-    auto add = [&](const std::string& subject, const std::string& name, double value) { samples.push_back(Sample{asked.trial, about, job.x, job.repeat, subject, name, value}); };
+    auto add = [&](const std::string& subject, const std::string& name, double value) {
+      samples.push_back(Sample{asked.trial, about, job.x, job.repeat, subject, name, value});
+    };
     for (const auto& [role, daemons] : cost.daemonsByRole) {
       std::map<std::string, std::vector<double>> rows;
       std::map<std::string, Cost> byMessage;
@@ -238,7 +255,8 @@
       for (const auto& [kind, row] : byMessage) {
         if (row.cpuNs) add(role, kind + ": cpu ms per s", static_cast<double>(row.cpuNs) / 1e6 / cost.seconds / count);
         if (row.bytesIn) add(role, kind + ": bytes in per s", static_cast<double>(row.bytesIn) / cost.seconds / count);
-        if (row.bytesOut) add(role, kind + ": bytes out per s", static_cast<double>(row.bytesOut) / cost.seconds / count);
+        if (row.bytesOut)
+          add(role, kind + ": bytes out per s", static_cast<double>(row.bytesOut) / cost.seconds / count);
         add(role, kind + ": count per s", static_cast<double>(row.count) / cost.seconds / count);
       }
     }
@@ -261,7 +279,10 @@
   }
 
   bool runFigures() {
-    xName = asked.trial == "index" ? "blocks" : asked.trial == "draw" ? "workers" : asked.trial == "blueprint" ? "tenants" : "body bytes";
+    xName = asked.trial == "index"       ? "blocks"
+            : asked.trial == "draw"      ? "workers"
+            : asked.trial == "blueprint" ? "tenants"
+                                         : "body bytes";
     std::vector<double> sizes;
     if (asked.trial == "index")
       sizes = asked.blocks;
@@ -272,7 +293,9 @@
     else
       sizes = {100, 1000, 10000, 100000};
     for (double size : sizes) {
-      if (asked.trial == "index" && !fits(static_cast<std::int64_t>(size) * 90, fmt::format("an index of {} blocks", size))) return false;
+      if (asked.trial == "index" &&
+          !fits(static_cast<std::int64_t>(size) * 90, fmt::format("an index of {} blocks", size)))
+        return false;
       for (int repeat = 0; repeat < asked.repeats; ++repeat) {
         auto seed = static_cast<std::uint64_t>(asked.seed + repeat);
         auto figures = asked.trial == "index"       ? measureIndex(static_cast<std::int64_t>(size), seed)
@@ -280,7 +303,9 @@
                        : asked.trial == "blueprint" ? measureConfiguration(static_cast<int>(size), seed)
                                                     : measureLinks(asked.frames, static_cast<std::size_t>(size));
         if (figures.empty()) failed = true;
-        for (const auto& figure : figures) samples.push_back(Sample{asked.trial, fmt::format("{}={}", xName, size), size, repeat, asked.trial, figure.name, figure.value});
+        for (const auto& figure : figures)
+          samples.push_back(Sample{asked.trial, fmt::format("{}={}", xName, size), size, repeat, asked.trial,
+                                   figure.name, figure.value});
       }
     }
     return true;
@@ -292,7 +317,8 @@
     csv << "trial,about,x,repeat,subject,name,value\n";
     std::map<std::pair<std::string, std::string>, std::vector<Sample>> series;
     for (const auto& sample : samples) {
-      csv << fmt::format("{},{},{:g},{},{},\"{}\",{:.6g}\n", sample.trial, sample.about, sample.x, sample.repeat, sample.subject, sample.name, sample.value);
+      csv << fmt::format("{},{},{:g},{},{},\"{}\",{:.6g}\n", sample.trial, sample.about, sample.x, sample.repeat,
+                         sample.subject, sample.name, sample.value);
       series[{sample.subject, sample.name}].push_back(sample);
     }
     JsonArray rows;
@@ -337,11 +363,14 @@
         fit["slopeMax"] = jsonNumber(slope.max);
         fit["baseMedian"] = jsonNumber(base.median);
         row["fit"] = Json(fit);
-        table << fmt::format(" || slope {:.4g} ({:.4g}-{:.4g}) base {:.4g}", slope.median, slope.min, slope.max, base.median);
+        table << fmt::format(" || slope {:.4g} ({:.4g}-{:.4g}) base {:.4g}", slope.median, slope.min, slope.max,
+                             base.median);
         if (key.second.find(':') == std::string::npos) {
           std::string file = label + "-" + key.first + "-" + key.second;
-          std::replace_if(file.begin(), file.end(), [](char letter) { return letter == ' ' || letter == ','; }, '-');
-          std::ofstream(asked.out + "/" + file + ".svg") << plotSvg(key.first + ": " + key.second, xName, key.second, points);
+          std::replace_if(
+              file.begin(), file.end(), [](char letter) { return letter == ' ' || letter == ','; }, '-');
+          std::ofstream(asked.out + "/" + file + ".svg")
+              << plotSvg(key.first + ": " + key.second, xName, key.second, points);
         }
       }
       table << "\n";
@@ -355,19 +384,37 @@
 }  // namespace
 
 int main(int count, char** words) {
-  CLI::App app("Measures what each role costs against the size of the fleet, with the real logic before hollow workers", "trouttally-scale");
+  CLI::App app("Measures what each role costs against the size of the fleet, with the real logic before hollow workers",
+               "trouttally-scale");
   app.set_version_flag("--version", std::string("trouttally-scale ") + TROUTTALLY_VERSION);
   Asked asked;
-  app.add_option("--trial", asked.trial, "fleet, index, draw, blueprint or links")->check(CLI::IsMember({"fleet", "index", "draw", "blueprint", "links"}));
-  app.add_option("--daemons", asked.daemons, "proxies, each with its agent")->delimiter(',')->check(CLI::Range(1, 4000));
+  app.add_option("--trial", asked.trial, "fleet, index, draw, blueprint or links")
+      ->check(CLI::IsMember({"fleet", "index", "draw", "blueprint", "links"}));
+  app.add_option("--daemons", asked.daemons, "proxies, each with its agent")
+      ->delimiter(',')
+      ->check(CLI::Range(1, 4000));
   app.add_option("--cores", asked.cores, "cores, all of which vote")->delimiter(',')->check(CLI::Range(1, 64));
-  app.add_option("--workers", asked.workers, "workers on the platform's list")->delimiter(',')->check(CLI::Range(1, 50000));
-  app.add_option("--tenants", asked.tenants, "tenants in the blueprint, each with a route")->delimiter(',')->check(CLI::Range(1, 20000));
-  app.add_option("--blocks", asked.blocks, "kept blocks in the whole index")->delimiter(',')->check(CLI::Range(0.0, 1e9));
-  app.add_option("--eventsPerSecond", asked.events, "events on kept blocks in the whole fleet")->delimiter(',')->check(CLI::Range(0.0, 1e7));
-  app.add_option("--changesPerHour", asked.changes, "changes of the blueprint")->delimiter(',')->check(CLI::Range(0.0, 1e6));
-  app.add_option("--requestsPerSecond", asked.requests, "requests to all proxies")->delimiter(',')->check(CLI::Range(0.0, 1e5));
-  app.add_option("--markChangesPerHour", asked.marks, "changes of the platform's list")->delimiter(',')->check(CLI::Range(0.0, 1e6));
+  app.add_option("--workers", asked.workers, "workers on the platform's list")
+      ->delimiter(',')
+      ->check(CLI::Range(1, 50000));
+  app.add_option("--tenants", asked.tenants, "tenants in the blueprint, each with a route")
+      ->delimiter(',')
+      ->check(CLI::Range(1, 20000));
+  app.add_option("--blocks", asked.blocks, "kept blocks in the whole index")
+      ->delimiter(',')
+      ->check(CLI::Range(0.0, 1e9));
+  app.add_option("--eventsPerSecond", asked.events, "events on kept blocks in the whole fleet")
+      ->delimiter(',')
+      ->check(CLI::Range(0.0, 1e7));
+  app.add_option("--changesPerHour", asked.changes, "changes of the blueprint")
+      ->delimiter(',')
+      ->check(CLI::Range(0.0, 1e6));
+  app.add_option("--requestsPerSecond", asked.requests, "requests to all proxies")
+      ->delimiter(',')
+      ->check(CLI::Range(0.0, 1e5));
+  app.add_option("--markChangesPerHour", asked.marks, "changes of the platform's list")
+      ->delimiter(',')
+      ->check(CLI::Range(0.0, 1e6));
   app.add_option("--zones", asked.zones, "zones, each with a cell")->check(CLI::Range(1, 250));
   app.add_option("--regions", asked.regions, "regions")->check(CLI::Range(1, 50));
   app.add_option("--seconds", asked.seconds, "simulated seconds that are measured")->check(CLI::Range(0.1, 600.0));
--- a/src/tools/main_sim.cpp
+++ b/src/tools/main_sim.cpp
@@ -12,7 +12,8 @@
 using namespace tt;
 
 int main(int count, char** words) {
-  CLI::App app("Runs scenarios of a whole fleet on simulated time and checks all that must never happen", "trouttally-sim");
+  CLI::App app("Runs scenarios of a whole fleet on simulated time and checks all that must never happen",
+               "trouttally-sim");
   app.set_version_flag("--version", std::string("trouttally-sim ") + TROUTTALLY_VERSION);
   std::vector<std::string> files;
   std::uint64_t seed = 0, firstSeed = 1, seeds = 0, repeats = 1;
@@ -66,7 +67,8 @@
     }
   }
   for (std::uint64_t number = 0; number < seeds; ++number)
-    jobs.push_back({"random-" + std::to_string(firstSeed + number), randomScenario(firstSeed + number), firstSeed + number, true});
+    jobs.push_back(
+        {"random-" + std::to_string(firstSeed + number), randomScenario(firstSeed + number), firstSeed + number, true});
   std::atomic<std::size_t> next{0};
   std::mutex lock;
   std::size_t passed = 0, failed = 0;
@@ -78,12 +80,14 @@
       if (!result.passed && job.random && !keepFolder.empty()) reduced = reduceScenario(job.text, result.seed);
       std::lock_guard<std::mutex> guard(lock);
       (result.passed ? passed : failed) += 1;
-      if (!result.passed || !job.random || figures) std::cout << (result.passed ? "pass " : "FAIL ") << job.name << " seed " << result.seed << "\n";
+      if (!result.passed || !job.random || figures)
+        std::cout << (result.passed ? "pass " : "FAIL ") << job.name << " seed " << result.seed << "\n";
       if (figures) std::cout << "     " << result.figures << "\n";
       std::size_t shown = 0;
       for (const auto& trouble : result.troubles)
         if (++shown <= 6) std::cout << "     " << trouble << "\n";
-      if (!reduced.empty()) std::ofstream(keepFolder + "/" + job.name + ".scenario") << "# Found by a random run, reduced.\n" << reduced;
+      if (!reduced.empty())
+        std::ofstream(keepFolder + "/" + job.name + ".scenario") << "# Found by a random run, reduced.\n" << reduced;
     }
   };
   std::vector<std::thread> pool;
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -65,20 +65,21 @@
     });
   }
   void read(const Held& held) {
-    held->socket.async_read_some(asio::buffer(held->piece), [this, held](const asio::error_code& error, std::size_t bytes) {
-      if (error) {
-        held->ended = true;
-        return;
-      }
-      held->got.append(held->piece.data(), bytes);
-      held->unread.append(held->piece.data(), bytes);
-      if (onPiece) onPiece(held);
-      while (auto request = whole(*held)) {
-        ++held->requests;
-        script(held, *request);
-      }
-      if (held->socket.is_open()) read(held);
-    });
+    held->socket.async_read_some(asio::buffer(held->piece),
+                                 [this, held](const asio::error_code& error, std::size_t bytes) {
+                                   if (error) {
+                                     held->ended = true;
+                                     return;
+                                   }
+                                   held->got.append(held->piece.data(), bytes);
+                                   held->unread.append(held->piece.data(), bytes);
+                                   if (onPiece) onPiece(held);
+                                   while (auto request = whole(*held)) {
+                                     ++held->requests;
+                                     script(held, *request);
+                                   }
+                                   if (held->socket.is_open()) read(held);
+                                 });
   }
   static std::optional<std::string> whole(Connection& connection) {
     auto end = connection.unread.find("\r\n\r\n");
@@ -203,9 +204,8 @@
   });
   std::vector<std::shared_ptr<Seen>> firsts;
   for (int count = 0; count < 8; ++count) firsts.push_back(bench.start(bench.call(server, "/first")));
-  cr_assert(bench.until([&] {
-    return std::all_of(firsts.begin(), firsts.end(), [](const auto& each) { return each->ends == 1; });
-  }));
+  cr_assert(bench.until(
+      [&] { return std::all_of(firsts.begin(), firsts.end(), [](const auto& each) { return each->ends == 1; }); }));
   cr_assert_eq(bench.calls.connectionsOpened(), 8u);
   auto call = bench.call(server, "/second", "POST", "some body");
   call.once = true;
@@ -336,11 +336,16 @@
     held->say(okay(""));
   });
   auto call = bench.call(server, "/a/../b/./%7Ec//d?q=%20&r=[x]|{y}", "POST", "{\"a\": 1}");
-  call.headers = {{"x-Lower", "1"}, {"X-UPPER", "two  words "}, {"Accept", "text/event-stream"}, {"x-empty", ""}, {"x-Lower", "again"}};
+  call.headers = {{"x-Lower", "1"},
+                  {"X-UPPER", "two  words "},
+                  {"Accept", "text/event-stream"},
+                  {"x-empty", ""},
+                  {"x-Lower", "again"}};
   bench.finish(call);
-  cr_assert_eq(got, "POST /a/../b/./%7Ec//d?q=%20&r=[x]|{y} HTTP/1.1\r\nHost: " + server.address() +
-                    "\r\nx-Lower: 1\r\nX-UPPER: two  words \r\nAccept: text/event-stream\r\nx-empty:\r\nx-Lower: again\r\n"
-                    "Content-Length: 8\r\n\r\n{\"a\": 1}");
+  cr_assert_eq(
+      got, "POST /a/../b/./%7Ec//d?q=%20&r=[x]|{y} HTTP/1.1\r\nHost: " + server.address() +
+               "\r\nx-Lower: 1\r\nX-UPPER: two  words \r\nAccept: text/event-stream\r\nx-empty:\r\nx-Lower: again\r\n"
+               "Content-Length: 8\r\n\r\n{\"a\": 1}");
 
   bench.finish(bench.call(server, "/plain"));
   cr_assert_eq(got, "GET /plain HTTP/1.1\r\nHost: " + server.address() + "\r\n\r\n");
@@ -348,7 +353,10 @@
   cr_assert_eq(got, "PUT /plain HTTP/1.1\r\nHost: " + server.address() + "\r\nContent-Length: 0\r\n\r\n");
 
   call = bench.call(server, "/hosted", "POST", std::string(2u << 20, 'x'));
-  call.headers = {{"Host", "models.example"}, {"Content-Length", "3"}, {"Transfer-Encoding", "chunked"}, {"Expect", "100-continue"}};
+  call.headers = {{"Host", "models.example"},
+                  {"Content-Length", "3"},
+                  {"Transfer-Encoding", "chunked"},
+                  {"Expect", "100-continue"}};
   bench.finish(call);
   cr_assert_eq(headOf(got), "POST /hosted HTTP/1.1\r\nHost: models.example\r\nContent-Length: 2097152\r\n\r\n");
   cr_assert_eq(got.size(), headOf(got).size() + (2u << 20));
@@ -359,15 +367,16 @@
   RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
     if (request.find("HEAD") == 0) return held->say("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
     held->say(
-        "HTTP/1.1 103 Early Hints\r\nLink: early\r\n\r\nHTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nx-odd-Case: One\r\n"
+        "HTTP/1.1 103 Early Hints\r\nLink: early\r\n\r\nHTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nx-odd-Case: "
+        "One\r\n"
         "X-Twice: a\r\nX-Twice: b\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\n\x1f\x8b!!");
   });
   auto seen = bench.finish(bench.call(server));
   cr_assert(seen->end.how == HttpHow::whole);
   cr_assert_eq(seen->heads, 1);
   cr_assert_eq(seen->head.status, 302);
-  HttpHeaders expected{{"Location", "/elsewhere"}, {"x-odd-Case", "One"}, {"X-Twice", "a"},
-                       {"X-Twice", "b"}, {"Content-Encoding", "gzip"}, {"Content-Length", "4"}};
+  HttpHeaders expected{{"Location", "/elsewhere"}, {"x-odd-Case", "One"},        {"X-Twice", "a"},
+                       {"X-Twice", "b"},           {"Content-Encoding", "gzip"}, {"Content-Length", "4"}};
   cr_assert(seen->head.headers == expected);
   cr_assert(seen->end.head.headers == expected);
   cr_assert_eq(*seen->head.find("X-ODD-case"), "One");
@@ -541,7 +550,8 @@
       call.once = count % 2;
       all.push_back(bench.start(call));
     }
-    cr_assert(bench.until([&] { return std::all_of(all.begin(), all.end(), [](const auto& each) { return each->ends == 1; }); }));
+    cr_assert(bench.until(
+        [&] { return std::all_of(all.begin(), all.end(), [](const auto& each) { return each->ends == 1; }); }));
     for (int count = 0; count < 200; ++count) {
       cr_assert(all[static_cast<std::size_t>(count)]->end.how == HttpHow::whole);
       cr_assert_eq(all[static_cast<std::size_t>(count)]->body, std::to_string(100 + count));
@@ -553,7 +563,9 @@
 
 Test(calls, calls_one_after_the_other_share_a_connection) {
   Bench bench;
-  RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine", "Keep-Alive: timeout=5\r\n")); });
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) {
+    held->say(okay("fine", "Keep-Alive: timeout=5\r\n"));
+  });
   for (int count = 0; count < 50; ++count) {
     auto call = bench.call(server, "/", count % 2 ? "POST" : "GET", count % 2 ? "body" : "");
     call.once = count % 3 == 0;
--- a/tests/cells.cpp
+++ b/tests/cells.cpp
@@ -93,7 +93,9 @@
     }
   }
   void name(const std::string& weights) {
-    auto patch = configuration.preparePatch(R"({"weights":{")" + weights + R"(":{"model":"moss"}},"models":{"moss":{"weights":")" + weights + R"("}}})", Manner::patch);
+    auto patch = configuration.preparePatch(
+        R"({"weights":{")" + weights + R"(":{"model":"moss"}},"models":{"moss":{"weights":")" + weights + R"("}}})",
+        Manner::patch);
     cr_assert(bool(patch));
     configuration.apply(Entry{configuration.index() + 1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
   }
@@ -135,7 +137,9 @@
       saves = std::move(later.saves);
     }
   }
-  void answer(const TestWorker& worker, const std::string& to, const Message& message) { due.emplace(now + transit, Sent{now, worker.name + ":80", to, message}); }
+  void answer(const TestWorker& worker, const std::string& to, const Message& message) {
+    due.emplace(now + transit, Sent{now, worker.name + ":80", to, message});
+  }
   void hear(TestWorker& worker, const std::string& from, const Message& message) {
     if (!worker.answers) return;
     if (auto* ask = std::get_if<ReportAsk>(&message)) {
@@ -170,7 +174,9 @@
       worker.loading = control->weights;
       worker.loadedAt = now + worker.loadSpan;
     }
-    if (worker.answersCommands) answer(worker, from, ControlReply{worker.name, control->term, static_cast<int>(old ? Code::termOld : Code::done)});
+    if (worker.answersCommands)
+      answer(worker, from,
+             ControlReply{worker.name, control->term, static_cast<int>(old ? Code::termOld : Code::done)});
   }
   void step() {
     now += 10ms;
@@ -183,7 +189,8 @@
       Sent row = std::move(due.begin()->second);
       due.erase(due.begin());
       if (auto core = cores.find(row.to); core != cores.end()) {
-        if (core->second.alive) with(row.to, [&](Effects& effects, Cell& cell) { cell.take(effects, row.from, row.message); });
+        if (core->second.alive)
+          with(row.to, [&](Effects& effects, Cell& cell) { cell.take(effects, row.from, row.message); });
       } else if (auto worker = workers.find(row.to.substr(0, row.to.find(':'))); worker != workers.end()) {
         hear(worker->second, row.from, row.message);
       }
@@ -220,7 +227,8 @@
       if (row.to == worker + ":80") rows.push_back(row);
     return rows;
   }
-  std::vector<int> lookup(const std::string& worker, const Strings& ids, const std::string& weights = "moss/3", std::string to = {}) {
+  std::vector<int> lookup(const std::string& worker, const Strings& ids, const std::string& weights = "moss/3",
+                          std::string to = {}) {
     LookupMsg ask{"l", "north-a", worker, weights, {}, "asker"};
     for (const auto& id : ids) ask.hashes.push_back(part(id));
     std::size_t before = sent.size();
@@ -336,7 +344,8 @@
   cr_expect(bench.lookup("w2", {"a", "b"}) == noneHeld);
   cr_expect(bench.lookup("w9", {"a", "b"}).empty());
   for (const auto& [address, core] : bench.cores)
-    if (address != holder) cr_expect(bench.lookup("w1", {"a"}, "moss/3", address) == std::vector<int>{-1}, "only the holder answers");
+    if (address != holder)
+      cr_expect(bench.lookup("w1", {"a"}, "moss/3", address) == std::vector<int>{-1}, "only the holder answers");
   worker.answers = false;
   bench.run(1400ms);
   cr_expect(bench.lookup("w1", {"a", "b"}) == bothHeld);
@@ -378,14 +387,19 @@
   Moment namedAt = bench.now;
   std::size_t most = 0, mostHeld = 0;
   bench.run(14s, [&] {
-    most = std::max<std::size_t>(most, static_cast<std::size_t>(std::count_if(bench.workers.begin(), bench.workers.end(), [](const auto& row) { return !row.second.loading.empty(); })));
+    most = std::max<std::size_t>(
+        most, static_cast<std::size_t>(std::count_if(bench.workers.begin(), bench.workers.end(),
+                                                     [](const auto& row) { return !row.second.loading.empty(); })));
     const auto& news = bench.cores.begin()->second.news.back();
-    mostHeld = std::max<std::size_t>(mostHeld, static_cast<std::size_t>(std::count_if(news.workers.begin(), news.workers.end(), [](const auto& row) { return row.held; })));
+    mostHeld = std::max<std::size_t>(mostHeld,
+                                     static_cast<std::size_t>(std::count_if(news.workers.begin(), news.workers.end(),
+                                                                            [](const auto& row) { return row.held; })));
   });
   auto commands = bench.all<ControlAsk>();
   cr_expect_eq(commands.size(), 7u, "one command for each worker");
   for (std::size_t at = 0; at < commands.size(); ++at) {
-    cr_expect(commands[at].at - namedAt >= 7800ms * static_cast<int>(at) / 7, "command %zu came after %d ms", at, static_cast<int>(inMs(commands[at].at - namedAt)));
+    cr_expect(commands[at].at - namedAt >= 7800ms * static_cast<int>(at) / 7, "command %zu came after %d ms", at,
+              static_cast<int>(inMs(commands[at].at - namedAt)));
     cr_expect_eq(std::get<ControlAsk>(commands[at].message).term, std::get<ControlAsk>(commands[0].message).term);
   }
   cr_expect_leq(most, 3u);
@@ -464,7 +478,8 @@
   auto before = bench.all<ControlAsk>();
   cr_assert_not(before.empty());
   for (const auto& row : before) cr_expect_eq(row.from, first);
-  std::size_t done = static_cast<std::size_t>(std::count_if(bench.workers.begin(), bench.workers.end(), [](const auto& row) { return row.second.weights == "moss/4"; }));
+  std::size_t done = static_cast<std::size_t>(std::count_if(
+      bench.workers.begin(), bench.workers.end(), [](const auto& row) { return row.second.weights == "moss/4"; }));
   cr_assert(done > 0 && done < 6);
   bench.cores.at(first).alive = false;
   Moment lostAt = bench.now;
@@ -507,7 +522,10 @@
   bench.run(4s);
   std::string first = bench.holder();
   bench.name("moss/4");
-  auto doneCount = [&] { return std::count_if(bench.workers.begin(), bench.workers.end(), [](const auto& row) { return row.second.weights == "moss/4"; }); };
+  auto doneCount = [&] {
+    return std::count_if(bench.workers.begin(), bench.workers.end(),
+                         [](const auto& row) { return row.second.weights == "moss/4"; });
+  };
   while (doneCount() < 4) bench.step();
   bench.cores.at(first).alive = false;
   Moment lostAt = bench.now;
@@ -516,8 +534,10 @@
   bench.run(14s);
   auto after = bench.all<ControlAsk>(lostAt);
   cr_assert_eq(after.size(), 2u);
-  cr_expect(after[0].at - mayAt < 1500ms, "the next worker waited %d ms more", static_cast<int>(inMs(after[0].at - mayAt)));
-  cr_expect(after[1].at - mayAt < 1500ms + 7800ms / 6, "the last worker waited %d ms more", static_cast<int>(inMs(after[1].at - mayAt)));
+  cr_expect(after[0].at - mayAt < 1500ms, "the next worker waited %d ms more",
+            static_cast<int>(inMs(after[0].at - mayAt)));
+  cr_expect(after[1].at - mayAt < 1500ms + 7800ms / 6, "the last worker waited %d ms more",
+            static_cast<int>(inMs(after[1].at - mayAt)));
 }
 
 Test(cells, weights_named_while_a_worker_loads_reach_it_too) {
@@ -531,6 +551,7 @@
   cr_assert_not(bench.all<ControlAsk>().empty());
   bench.name("moss/5");
   bench.run(16s);
-  for (const auto& [name, worker] : bench.workers) cr_expect_eq(worker.weights, "moss/5", "%s has %s", name.c_str(), worker.weights.c_str());
+  for (const auto& [name, worker] : bench.workers)
+    cr_expect_eq(worker.weights, "moss/5", "%s has %s", name.c_str(), worker.weights.c_str());
   for (const auto& view : bench.cores.begin()->second.news.back().workers) cr_expect_not(view.held);
 }
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -222,7 +222,9 @@
       {"xchunked", post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")},
       {"chunked with a parameter", post("Transfer-Encoding: chunked;q=1\r\n", "0\r\n\r\n")},
       {"empty coding", post("Transfer-Encoding:\r\n", "0\r\n\r\n")},
-      {"vertical tab before chunked", post("Transfer-Encoding: \x0b" "chunked\r\n", "0\r\n\r\n")},
+      {"vertical tab before chunked", post("Transfer-Encoding: \x0b"
+                                           "chunked\r\n",
+                                           "0\r\n\r\n")},
       {"chunked in HTTP/1.0", "POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
       {"no chunk size", post(chunked, "\r\nab\r\n0\r\n\r\n")},
       {"chunk size that is no number", post(chunked, "zz\r\nab\r\n0\r\n\r\n")},
@@ -247,11 +249,13 @@
       {"folded trailer", post(chunked, "0\r\nOdd: b\r\n c\r\n\r\n")},
       {"endless trailer", post(chunked, "0\r\nOdd: " + std::string(20000, 'b')), 431},
       {"endless head", "GET /x HTTP/1.1\r\nHost: a\r\nOdd: " + std::string(20000, 'b'), 431},
-      {"long head in many lines", [] {
+      {"long head in many lines",
+       [] {
          std::string text = "GET /x HTTP/1.1\r\nHost: a\r\n";
          for (int line = 0; line < 2000; ++line) text += "Odd: line\r\n";
          return text + "\r\n";
-       }(), 431},
+       }(),
+       431},
       {"endless target", "GET /" + std::string(20000, 'x'), 431},
       {"length beyond the limit", post("Content-Length: 4194305\r\n"), 413},
       {"chunk beyond the limit", post(chunked, "400001\r\n"), 413},
@@ -301,8 +305,10 @@
   cr_assert_eq(seen.method, "POST");
   cr_assert_eq(seen.target, "/a/b?c=d%20e");
   cr_assert_eq(seen.body, "xyz");
-  HttpHeaders expected{{"hOST", "a:80"}, {"X-Empty", ""}, {"X-Spaced", "b c"}, {"X-Two", "1"}, {"x-two", "2"},
-                       {"X-High", "\xc3\xa9"}, {"Upgrade", "h2c"}, {"Connection", "Upgrade, close"}, {"Content-Length", "3"}};
+  HttpHeaders expected{
+      {"hOST", "a:80"},       {"X-Empty", ""},        {"X-Spaced", "b c"}, {"X-Two", "1"},
+      {"x-two", "2"},         {"X-High", "\xc3\xa9"}, {"Upgrade", "h2c"},  {"Connection", "Upgrade, close"},
+      {"Content-Length", "3"}};
   cr_assert(seen.headers == expected);
   cr_assert_eq(*findHeader(seen.headers, "X-TWO"), "1");
   cr_assert_null(findHeader(seen.headers, "X-Three"));
@@ -311,7 +317,8 @@
 Test(gate, takes_requests_in_single_bytes) {
   Door door(echo);
   for (const auto& input : {post("Content-Length: 5\r\nConnection: close\r\n", "hello"),
-                            post("Transfer-Encoding: chunked\r\nConnection: close\r\n", "2;x=y\r\nhe\r\n03\r\nllo\r\n0\r\nTrailer: t\r\n\r\n")}) {
+                            post("Transfer-Encoding: chunked\r\nConnection: close\r\n",
+                                 "2;x=y\r\nhe\r\n03\r\nllo\r\n0\r\nTrailer: t\r\n\r\n")}) {
     Caller caller(door.port);
     for (char letter : input) caller.send(std::string_view(&letter, 1));
     auto got = caller.all();
@@ -325,7 +332,8 @@
     ++handled;
     answerWhole(answer, "ok");
   });
-  for (const auto& input : {post("Content-Length: 5\r\n", "hello"), post("Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n")}) {
+  for (const auto& input : {post("Content-Length: 5\r\n", "hello"),
+                            post("Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n")}) {
     for (std::size_t size = 1; size < input.size(); ++size) {
       Caller caller(door.port);
       caller.send(std::string_view(input).substr(0, size));
@@ -369,7 +377,8 @@
   std::string fair;
   for (int number = 0; number < 20000; ++number) fair += "1\r\nx\r\n";
   Caller other(door.port);
-  cr_assert_eq(statusOf(other.askAll(post("Connection: close\r\nTransfer-Encoding: chunked\r\n", fair + "0\r\n\r\n"))), 200);
+  cr_assert_eq(statusOf(other.askAll(post("Connection: close\r\nTransfer-Encoding: chunked\r\n", fair + "0\r\n\r\n"))),
+               200);
 }
 
 Test(gate, pipelined_requests_are_answered_one_at_a_time_and_in_order) {
@@ -399,7 +408,8 @@
   const int requests = 3000;
   std::thread sender([&] {
     std::string text;
-    for (int number = 0; number < requests; ++number) text += "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (int number = 0; number < requests; ++number)
+      text += "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\n\r\n";
     caller.send(text + getClose);
   });
   auto got = caller.all();
@@ -420,7 +430,8 @@
   for (int time = 0; time < 5; ++time) {
     caller.send(get);
     auto got = caller.until("[]");
-    cr_assert(has(got, "\r\nConnection: keep-alive\r\n") && has(got, "\r\nKeep-Alive: timeout=2\r\n"), "got \"%s\"", got.c_str());
+    cr_assert(has(got, "\r\nConnection: keep-alive\r\n") && has(got, "\r\nKeep-Alive: timeout=2\r\n"), "got \"%s\"",
+              got.c_str());
   }
   cr_assert_eq(door.connections(), 1u);
   cr_assert_eq(door.exchanges(), 0u);
@@ -453,12 +464,14 @@
   GateLimits limits;
   limits.headerWait = 120ms;
   std::atomic<int> handled{0};
-  Door door([&](GateRequest, std::shared_ptr<GateAnswer> answer) {
-    ++handled;
-    answerWhole(answer, "ok");
-  }, limits);
-  for (const auto& input : {std::string("G"), std::string("GET /x HTTP/1.1\r\nHost: a\r\n"), post("Content-Length: 5\r\n", "hell"),
-                            post("Transfer-Encoding: chunked\r\n", "2\r\nhe")}) {
+  Door door(
+      [&](GateRequest, std::shared_ptr<GateAnswer> answer) {
+        ++handled;
+        answerWhole(answer, "ok");
+      },
+      limits);
+  for (const auto& input : {std::string("G"), std::string("GET /x HTTP/1.1\r\nHost: a\r\n"),
+                            post("Content-Length: 5\r\n", "hell"), post("Transfer-Encoding: chunked\r\n", "2\r\nhe")}) {
     Caller caller(door.port);
     auto got = caller.askAll(input);
     cr_assert_eq(statusOf(got), 408, "got \"%s\"", got.c_str());
@@ -526,9 +539,20 @@
   auto answer = kept.answers[0];
   cr_assert(!door.run([&] { return answer->started(); }));
   door.run([&] {
-    answer->head(200, {{"X-odd-Case", "One"}, {"Connection", "bad"}, {"content-length", "7"}, {"transfer-encoding", "bad"},
-                       {"Keep-Alive", "bad"}, {"Proxy-Thing", "bad"}, {"TE", "bad"}, {"Trailer", "bad"}, {"Upgrade", "bad"},
-                       {"X-Split", "a\r\nX-Bad: bad"}, {"X-Two", "1"}, {"X-Two", "2"}}, std::nullopt);
+    answer->head(200,
+                 {{"X-odd-Case", "One"},
+                  {"Connection", "bad"},
+                  {"content-length", "7"},
+                  {"transfer-encoding", "bad"},
+                  {"Keep-Alive", "bad"},
+                  {"Proxy-Thing", "bad"},
+                  {"TE", "bad"},
+                  {"Trailer", "bad"},
+                  {"Upgrade", "bad"},
+                  {"X-Split", "a\r\nX-Bad: bad"},
+                  {"X-Two", "1"},
+                  {"X-Two", "2"}},
+                 std::nullopt);
   });
   cr_assert_eq(caller.until("\r\n\r\n"),
                "HTTP/1.1 200 OK\r\nX-odd-Case: One\r\nX-Two: 1\r\nX-Two: 2\r\nTransfer-Encoding: chunked\r\n"
@@ -538,7 +562,8 @@
       answer->bytes("piece " + std::to_string(number));
       answer->bytes("");
     });
-    cr_assert_eq(caller.until("\r\npiece " + std::to_string(number) + "\r\n"), "7\r\npiece " + std::to_string(number) + "\r\n");
+    cr_assert_eq(caller.until("\r\npiece " + std::to_string(number) + "\r\n"),
+                 "7\r\npiece " + std::to_string(number) + "\r\n");
   }
   door.run([&] {
     answer->bytes("a");
@@ -599,7 +624,8 @@
 Test(gate, a_cut_answer_never_looks_whole) {
   Kept kept;
   Door door(kept.handler());
-  auto cutAfter = [&](const std::string& request, Caller& caller, const std::function<void(GateAnswer&)>& action, bool inOneTurn) {
+  auto cutAfter = [&](const std::string& request, Caller& caller, const std::function<void(GateAnswer&)>& action,
+                      bool inOneTurn) {
     int before = kept.taken;
     caller.send(request);
     cr_assert(soon([&] { return kept.taken > before; }));
@@ -628,32 +654,45 @@
   const std::string old = "GET /x HTTP/1.0\r\n\r\n", head = "HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n";
   for (bool inOneTurn : {true, false}) {
     Caller silent(door.port);
-    cr_assert_eq(cutAfter(get, silent, [](GateAnswer&) {}, inOneTurn), "", "nothing written");
+    cr_assert_eq(cutAfter(
+                     get, silent, [](GateAnswer&) {}, inOneTurn),
+                 "", "nothing written");
     Caller chunks(door.port);
-    auto got = cutAfter(get, chunks, [](GateAnswer& answer) {
-      answer.head(200, {}, std::nullopt);
-      answer.bytes("abc");
-    }, inOneTurn);
+    auto got = cutAfter(
+        get, chunks,
+        [](GateAnswer& answer) {
+          answer.head(200, {}, std::nullopt);
+          answer.bytes("abc");
+        },
+        inOneTurn);
     cr_assert(has(got, "3\r\nabc\r\n") && !has(got, "0\r\n\r\n"), "got \"%s\"", got.c_str());
     Caller filled(door.port);
-    got = cutAfter(get, filled, [](GateAnswer& answer) {
-      answer.head(200, {}, 3);
-      answer.bytes("abc");
-    }, inOneTurn);
+    got = cutAfter(
+        get, filled,
+        [](GateAnswer& answer) {
+          answer.head(200, {}, 3);
+          answer.bytes("abc");
+        },
+        inOneTurn);
     cr_assert(has(got, "\r\n\r\nab") && !has(got, "abc"), "got \"%s\"", got.c_str());
     for (const auto& request : {get, head}) {
       Caller empty(door.port);
-      got = cutAfter(request, empty, [](GateAnswer& answer) { answer.head(200, {}, 0); }, inOneTurn);
+      got = cutAfter(
+          request, empty, [](GateAnswer& answer) { answer.head(200, {}, 0); }, inOneTurn);
       cr_assert(!has(got, "\r\n\r\n"), "got \"%s\"", got.c_str());
     }
     Caller none(door.port);
-    got = cutAfter(get, none, [](GateAnswer& answer) { answer.head(204, {}, std::nullopt); }, inOneTurn);
+    got = cutAfter(
+        get, none, [](GateAnswer& answer) { answer.head(204, {}, std::nullopt); }, inOneTurn);
     cr_assert(!has(got, "\r\n\r\n"), "got \"%s\"", got.c_str());
     Caller untilClose(door.port);
-    cutAfter(old, untilClose, [](GateAnswer& answer) {
-      answer.head(200, {}, std::nullopt);
-      answer.bytes("abc");
-    }, inOneTurn);
+    cutAfter(
+        old, untilClose,
+        [](GateAnswer& answer) {
+          answer.head(200, {}, std::nullopt);
+          answer.bytes("abc");
+        },
+        inOneTurn);
     cr_assert(untilClose.reset, "an answer that ends with its connection must end in a reset");
   }
   cr_assert_eq(kept.gone.load(), 0, "the gate cut, nobody left");
@@ -683,8 +722,11 @@
     Caller caller(door.port);
     auto got = caller.askAll("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
     cr_assert(!caller.timedOut, "%s must end", target.c_str());
-    if (least.empty()) cr_assert_eq(got, "", "%s: got \"%s\"", target.c_str(), got.c_str());
-    else cr_assert_eq(got.substr(std::min(got.size(), got.find("\r\n\r\n") + 4)), least, "%s: got \"%s\"", target.c_str(), got.c_str());
+    if (least.empty())
+      cr_assert_eq(got, "", "%s: got \"%s\"", target.c_str(), got.c_str());
+    else
+      cr_assert_eq(got.substr(std::min(got.size(), got.find("\r\n\r\n") + 4)), least, "%s: got \"%s\"", target.c_str(),
+                   got.c_str());
   }
   cr_assert_eq(door.exchanges(), 0u);
 }
@@ -709,9 +751,12 @@
         }
         cr_assert_eq(kept.gone.load(), 0);
         Moment left = Clock::now();
-        if (way == closing) caller.close();
-        else if (way == resetting) caller.resetConnection();
-        else caller.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        if (way == closing)
+          caller.close();
+        else if (way == resetting)
+          caller.resetConnection();
+        else
+          caller.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
         cr_assert(soon([&] { return kept.gone == 1; }), "way %d, mid-stream %d", way, midStream);
         cr_assert_lt(inMs(Clock::now() - left), 200);
         std::atomic<int> told{0};
--- a/tests/load.cpp
+++ b/tests/load.cpp
@@ -23,7 +23,8 @@
   return view;
 }
 
-CellNews newsOf(Count term, Count sequence, Count base, const std::vector<WorkerView>& workers, const Strings& gone = {}) {
+CellNews newsOf(Count term, Count sequence, Count base, const std::vector<WorkerView>& workers,
+                const Strings& gone = {}) {
   CellNews news;
   news.locality = "north-a";
   news.term = term;
@@ -65,8 +66,9 @@
   cr_expect(kept.workers.empty());
   cr_assert(takeCellNews(kept, newsOf(2, 4, 0, {viewOf("w1", 1), viewOf("w2", 2)})));
   auto before = waitingOf(kept);
-  for (const auto& news : {newsOf(2, 6, 5, {viewOf("w1", 9)}, {"w2"}), newsOf(3, 5, 4, {viewOf("w1", 9)}, {"w2"}), newsOf(1, 5, 4, {viewOf("w1", 9)}, {"w2"}),
-                           newsOf(2, 4, 3, {viewOf("w1", 9)}, {"w2"}), newsOf(2, 5, 3, {viewOf("w1", 9)}, {"w2"})}) {
+  for (const auto& news : {newsOf(2, 6, 5, {viewOf("w1", 9)}, {"w2"}), newsOf(3, 5, 4, {viewOf("w1", 9)}, {"w2"}),
+                           newsOf(1, 5, 4, {viewOf("w1", 9)}, {"w2"}), newsOf(2, 4, 3, {viewOf("w1", 9)}, {"w2"}),
+                           newsOf(2, 5, 3, {viewOf("w1", 9)}, {"w2"})}) {
     cr_expect_not(takeCellNews(kept, news));
     cr_expect(waitingOf(kept) == before);
     cr_expect_eq(kept.term, 2u);
@@ -109,7 +111,8 @@
     settings.lateAfter = 1500ms;
     settings.goneAfter = 2s;
     settings.publishEvery = 100ms;
-    auto patch = configuration.preparePatch(R"({"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})", Manner::patch);
+    auto patch = configuration.preparePatch(
+        R"({"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})", Manner::patch);
     cr_assert(bool(patch));
     configuration.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
     Member self{"core-1", "core-1", "core-1:1", "north-a", true};
@@ -204,7 +207,11 @@
   }
   std::vector<int> lookup(const std::string& keeper, const std::string& id) {
     replies.clear();
-    with([&](Effects& effects) { cell->take(effects, "agent", LookupMsg{"l", "north-a", keeper, "moss/3", {hashPart("salt", "system"), hashPart("salt", id)}, "asker"}); });
+    with([&](Effects& effects) {
+      cell->take(
+          effects, "agent",
+          LookupMsg{"l", "north-a", keeper, "moss/3", {hashPart("salt", "system"), hashPart("salt", id)}, "asker"});
+    });
     for (const auto& message : replies)
       if (auto* reply = std::get_if<LookupReply>(&message)) return reply->hits;
     return {};
@@ -372,7 +379,8 @@
     settings.cell.summaries = false;
     return settings;
   }
-  explicit LoneCore(const std::string& name) : core(settingsOf(name), Recovered{}, randomSource, now), address(name + ":1") {}
+  explicit LoneCore(const std::string& name)
+      : core(settingsOf(name), Recovered{}, randomSource, now), address(name + ":1") {}
   std::vector<std::pair<std::string, Message>> give(const std::string& from, const Message& message) {
     Effects effects{now, randomSource, core.journal, {}, {}};
     core.take(effects, from, message);
@@ -406,7 +414,8 @@
   std::vector<Moment> asked;
   for (Count sequence = 5; sequence < 30; ++sequence) {
     core.now += 30ms;
-    for (std::size_t at = core.asksAt(newsOf(1, sequence, sequence - 1, {})).size(); at > 0; --at) asked.push_back(core.now);
+    for (std::size_t at = core.asksAt(newsOf(1, sequence, sequence - 1, {})).size(); at > 0; --at)
+      asked.push_back(core.now);
   }
   cr_expect_geq(asked.size(), 3u, "it asks on while it lacks them");
   for (Moment at : asked) {
@@ -421,7 +430,8 @@
 
 Test(load, a_core_that_is_asked_gives_the_whole_of_what_it_has_merged) {
   LoneCore holder("core-1"), other("core-2");
-  for (auto* core : {&holder, &other}) core->give("holder:1", newsOf(1, 1, 0, {viewOf("w1"), viewOf("w2"), viewOf("w3")}));
+  for (auto* core : {&holder, &other})
+    core->give("holder:1", newsOf(1, 1, 0, {viewOf("w1"), viewOf("w2"), viewOf("w3")}));
   holder.give("holder:1", newsOf(1, 2, 1, {viewOf("w1", 3)}, {"w3"}));
   holder.give("holder:1", newsOf(1, 3, 2, {viewOf("w2", 5)}));
   auto asks = other.asksAt(newsOf(1, 3, 2, {viewOf("w2", 5)}));
@@ -442,7 +452,8 @@
 }
 
 namespace {
-const std::string loadConfiguration = R"({"services":{"mill":{},"barn":{}},"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},
+const std::string loadConfiguration =
+    R"({"services":{"mill":{},"barn":{}},"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},
   "tenants":{"asp":{"secrets":["key-a"]}},
   "routes":{"aim":{"host":"h","prefix":"/aim/","service":"mill","repeat":"safe","aimMs":1000,"tries":3,"timeoutMs":60000},
     "free":{"host":"h","prefix":"/free/","service":"mill","repeat":"safe","tries":3,"timeoutMs":60000}}})";
@@ -577,7 +588,8 @@
       give("agent:1", LookupReply{ask.lookupId, ask.keeper, row});
     }
   }
-  std::string placeAndAnswer(int number, const std::string& path = "/aim/x", const std::vector<int>& tokens = promptTokens, const Hits& hits = {}) {
+  std::string placeAndAnswer(int number, const std::string& path = "/aim/x",
+                             const std::vector<int>& tokens = promptTokens, const Hits& hits = {}) {
     auto orderId = place(number, path, tokens);
     answer(hits);
     return orderId;
@@ -588,7 +600,8 @@
   }
   void chunk(const std::string& orderId) { give("worker", WorkerChunk{sends.at(orderId).back().orderId, "piece", ""}); }
   void end(const std::string& orderId, Outcome outcome = Outcome::done) {
-    give("worker", WorkerEnd{sends.at(orderId).back().orderId, static_cast<int>(outcome), static_cast<int>(Code::workerFull), 0, 0, 0});
+    give("worker", WorkerEnd{sends.at(orderId).back().orderId, static_cast<int>(outcome),
+                             static_cast<int>(Code::workerFull), 0, 0, 0});
   }
   std::string sinkOf(int number, const Hits& hits = {}, const std::vector<int>& tokens = promptTokens) {
     auto orderId = placeAndAnswer(number, "/free/x", tokens, hits);
@@ -739,7 +752,8 @@
   EdgeBench bench(0.3);
   bench.workers(6);
   bench.slow(60, 4s);
-  int largest = bench.shedOf(400, {6000, 8000, 50}), mean = bench.shedOf(400), smallest = bench.shedOf(400, {40, 40, 20});
+  int largest = bench.shedOf(400, {6000, 8000, 50}), mean = bench.shedOf(400),
+      smallest = bench.shedOf(400, {40, 40, 20});
   cr_expect_leq(largest, 290, "%d of 400", largest);
   cr_expect_geq(largest, 190, "%d of 400", largest);
   cr_expect_leq(mean, 160, "%d of 400", mean);
@@ -784,7 +798,8 @@
     bench.answer();
     bench.run(20ms);
     cr_expect(bench.verdicts[orderId].empty());
-    cr_expect_eq(bench.sends[orderId].size(), 2u, "%s was sent %zu times", orderId.c_str(), bench.sends[orderId].size());
+    cr_expect_eq(bench.sends[orderId].size(), 2u, "%s was sent %zu times", orderId.c_str(),
+                 bench.sends[orderId].size());
   }
 }
 
@@ -793,7 +808,8 @@
   Strings names;
   for (int at = 1; at <= workers; ++at) names.push_back("w" + std::to_string(at));
   std::string key = "shared/moss/document " + std::to_string(number);
-  std::sort(names.begin(), names.end(), [&](const auto& one, const auto& other) { return rendezvous(key, one) > rendezvous(key, other); });
+  std::sort(names.begin(), names.end(),
+            [&](const auto& one, const auto& other) { return rendezvous(key, one) > rendezvous(key, other); });
   return names;
 }
 }  // namespace
@@ -811,7 +827,8 @@
     };
     Hits hits{{ranked[0], {1, 1}}, {ranked[1], {1, 1}}};
     cr_expect_eq(drawn(hits), ranked[0]);
-    auto delta = newsOf(1, bench.cells["north-a"].sequence + 1, bench.cells["north-a"].sequence, {viewOf(ranked[0], 50)});
+    auto delta =
+        newsOf(1, bench.cells["north-a"].sequence + 1, bench.cells["north-a"].sequence, {viewOf(ranked[0], 50)});
     bench.give("agent:1", delta);
     cr_expect_eq(drawn(hits), ranked[1], "prompt %d", number);
     cr_expect_neq(drawn({{ranked[2], {1, 1}}}), ranked[0]);
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -79,7 +79,9 @@
       if (machine.address == address) return &machine;
     return nullptr;
   }
-  bool cut(const std::string& one, const std::string& other) const { return one != other && (cutOff.count(one) || cutOff.count(other)); }
+  bool cut(const std::string& one, const std::string& other) const {
+    return one != other && (cutOff.count(one) || cutOff.count(other));
+  }
   void with(Machine& machine, const std::function<void(Effects&, Core&)>& action) {
     Effects effects{now, randomSource, machine.core->journal, {}, {}};
     action(effects, *machine.core);
@@ -90,7 +92,8 @@
       } else if (to == machine.address) {
         due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
       } else if (auto* other = at(to)) {
-        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8), std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
+        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8),
+                    std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
       }
     }
     for (auto& save : effects.saves) machine.syncing.push_back(std::move(save));
@@ -114,7 +117,9 @@
       auto& machine = *at(mail.to);
       const auto* sender = at(mail.from);
       if (!machine.alive || machine.life != life || (sender && cut(sender->name, machine.name))) continue;
-      with(machine, [&, from = mail.from, message = std::move(mail.message)](Effects& effects, Core& core) { core.take(effects, from, message); });
+      with(machine, [&, from = mail.from, message = std::move(mail.message)](Effects& effects, Core& core) {
+        core.take(effects, from, message);
+      });
     }
     for (auto& [name, machine] : machines) {
       if (!machine.alive) continue;
@@ -132,7 +137,8 @@
   std::vector<Member> membersOf(const std::string& name) const { return machines.at(name).core->agreement().members(); }
   std::size_t votersAt(const std::string& name) const {
     auto rows = membersOf(name);
-    return static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), [](const Member& row) { return row.votes; }));
+    return static_cast<std::size_t>(
+        std::count_if(rows.begin(), rows.end(), [](const Member& row) { return row.votes; }));
   }
   bool votes(const std::string& name, const std::string& id) const {
     auto rows = membersOf(name);
@@ -180,13 +186,17 @@
     for (const auto& [name, machine] : machines) {
       if (!machine.alive) continue;
       const auto& log = machine.core->agreement();
-      text += "\n" + machine.core->id() + (log.leads(now) ? " leads" : "") + " term " + std::to_string(log.election.term()) + " " + log.election.state() + " holder " + log.election.holder() +
-              " end " + std::to_string(log.logEnd()) + " synced " + std::to_string(log.syncedEnd()) + " commit " + std::to_string(log.commit()) + " of";
+      text += "\n" + machine.core->id() + (log.leads(now) ? " leads" : "") + " term " +
+              std::to_string(log.election.term()) + " " + log.election.state() + " holder " + log.election.holder() +
+              " end " + std::to_string(log.logEnd()) + " synced " + std::to_string(log.syncedEnd()) + " commit " +
+              std::to_string(log.commit()) + " of";
       for (const auto& member : log.members()) text += " " + member.id + (member.votes ? "" : " (learns)");
     }
     return text;
   }
-  bool has(const std::string& name, const std::string& changeName) const { return machines.at(name).core->agreement().configuration().section("weights").count(changeName) > 0; }
+  bool has(const std::string& name, const std::string& changeName) const {
+    return machines.at(name).core->agreement().configuration().section("weights").count(changeName) > 0;
+  }
 };
 const Strings four{"core-1", "core-2", "core-3", "core-4"};
 }  // namespace
@@ -272,7 +282,9 @@
   cr_assert_not(bench.leader().empty(), "two of three still agree");
   cr_expect_eq(bench.votersAt(bench.leader()), 3u, "the least stay");
   auto askId = bench.ask(bench.leader(), "late");
-  cr_expect(bench.runUntil([&] { return bench.acknowledged(askId); }, 10s), "%s and then %s stopped, code %d:%s", first.c_str(), second.c_str(), bench.replies.count(askId) ? bench.replies[askId].code : -1, bench.told().c_str());
+  cr_expect(bench.runUntil([&] { return bench.acknowledged(askId); }, 10s), "%s and then %s stopped, code %d:%s",
+            first.c_str(), second.c_str(), bench.replies.count(askId) ? bench.replies[askId].code : -1,
+            bench.told().c_str());
 }
 
 Test(members, a_voter_that_is_heard_again_in_time_stays) {
@@ -312,13 +324,17 @@
       away = four[bench.randomSource() % 4];
       bench.cutOff = {away};
       cr_assert(bench.runUntil([&] { return !bench.leader().empty() && bench.leader() != away; }, 15s));
-      if (how == Away::takenOut) cr_assert(bench.runUntil([&] { return !bench.leader().empty() && bench.leader() != away && bench.votersAt(bench.leader()) == 3; }, 15s));
+      if (how == Away::takenOut)
+        cr_assert(bench.runUntil(
+            [&] { return !bench.leader().empty() && bench.leader() != away && bench.votersAt(bench.leader()) == 3; },
+            15s));
     }
     std::string name = "change-" + std::to_string(round), asked = bench.leader();
     for (const auto& other : four)
       if (other != away && bench.randomSource() % 2) asked = other;
     auto askId = bench.ask(asked, name);
-    cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 15s), "seed %d round %d", static_cast<int>(seed), round);
+    cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 15s), "seed %d round %d",
+              static_cast<int>(seed), round);
     acked.push_back(name);
     std::string wiped;
     do wiped = four[bench.randomSource() % 4];
@@ -329,10 +345,14 @@
     bench.cutOff.clear();
     bench.run(std::chrono::milliseconds(bench.randomSource() % 2000));
     for (const auto& other : four) bench.start(other, false);
-    cr_assert(bench.runUntil([&] { return bench.allVote(four) && !bench.leader().empty(); }, 60s), "seed %d round %d, %s away, %s wiped:%s", static_cast<int>(seed), round, away.c_str(), wiped.c_str(), bench.told().c_str());
+    cr_assert(bench.runUntil([&] { return bench.allVote(four) && !bench.leader().empty(); }, 60s),
+              "seed %d round %d, %s away, %s wiped:%s", static_cast<int>(seed), round, away.c_str(), wiped.c_str(),
+              bench.told().c_str());
     bench.run(2s);
     for (const auto& known : acked)
-      for (const auto& other : four) cr_expect(bench.has(other, known), "seed %d round %d: %s lacks %s", static_cast<int>(seed), round, other.c_str(), known.c_str());
+      for (const auto& other : four)
+        cr_expect(bench.has(other, known), "seed %d round %d: %s lacks %s", static_cast<int>(seed), round,
+                  other.c_str(), known.c_str());
   }
 }
 }  // namespace
@@ -368,7 +388,9 @@
     bench.run(20s);
     cr_expect_not(bench.leader().empty(), "two of three voters are up with their disks");
     for (const auto& name : four)
-      if (name != gone && name != lost) cr_expect(bench.has(name, "kept"), "%s, %s was taken out and %s is away:%s", name.c_str(), gone.c_str(), lost.c_str(), bench.told().c_str());
+      if (name != gone && name != lost)
+        cr_expect(bench.has(name, "kept"), "%s, %s was taken out and %s is away:%s", name.c_str(), gone.c_str(),
+                  lost.c_str(), bench.told().c_str());
   }
 }
 
@@ -385,7 +407,8 @@
     bench.run(2s);
     bench.cutOff.clear();
     if (restarts) bench.start(away, false);
-    cr_expect(bench.runUntil([&] { return bench.allVote(four); }, 30s), "%s came back:%s", away.c_str(), bench.told().c_str());
+    cr_expect(bench.runUntil([&] { return bench.allVote(four); }, 30s), "%s came back:%s", away.c_str(),
+              bench.told().c_str());
   }
 }
 
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -6,9 +6,9 @@
 #include <sstream>
 
 #include "audit.hpp"
-#include "configuration.hpp"
 #include "cell.hpp"
 #include "chart.hpp"
+#include "configuration.hpp"
 #include "contract.hpp"
 #include "edge.hpp"
 #include "manifests.hpp"
@@ -20,7 +20,8 @@
 namespace {
 class MemoryFiles : public RingFiles {
  public:
-  explicit MemoryFiles(int files = 4, std::size_t bytes = 16384) : rows(static_cast<std::size_t>(files), std::string(bytes, '\0')) {}
+  explicit MemoryFiles(int files = 4, std::size_t bytes = 16384)
+      : rows(static_cast<std::size_t>(files), std::string(bytes, '\0')) {}
   Result<std::string> readAll(int file) override { return rows[static_cast<std::size_t>(file)]; }
   Result<void> write(int file, std::size_t offset, std::string_view bytes) override {
     rows[static_cast<std::size_t>(file)].replace(offset, bytes.size(), bytes);
@@ -63,7 +64,8 @@
   MemoryFiles files;
   auto ring = Ring::open(files);
   cr_assert(bool(ring.value()->append({identityRecord("core-x")})));
-  for (std::uint64_t index = 1; index <= 20; ++index) cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
+  for (std::uint64_t index = 1; index <= 20; ++index)
+    cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
   MemoryFiles torn = files;
   std::size_t file = 0;
   for (std::size_t at = 0; at < torn.rows.size(); ++at)
@@ -85,7 +87,8 @@
   MemoryFiles files;
   auto ring = Ring::open(files);
   cr_assert(bool(ring.value()->append({identityRecord("core-x")})));
-  for (std::uint64_t index = 1; index <= 150; ++index) cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
+  for (std::uint64_t index = 1; index <= 150; ++index)
+    cr_assert(bool(ring.value()->append({entryRecord(entryAt(index))})));
   std::mt19937_64 randomSource(3);
   int faults = 0;
   for (int round = 0; round < 400; ++round) {
@@ -159,7 +162,8 @@
   cr_assert_not(hashPrompt(parts, cacheSalt("m", "w2", "shared"))[0] == hashes[0]);
   cr_assert_not(hashPrompt(parts, cacheSalt("m", "w1", "own:a"))[0] == hashes[0]);
   cr_assert_not(cacheSalt("a", "bc", "d") == cacheSalt("ab", "c", "d"));
-  cr_assert_not(layPrompt({"a", "b"}) == layPrompt({"a\x1e" "b"}));
+  cr_assert_not(layPrompt({"a", "b"}) == layPrompt({"a\x1e"
+                                                    "b"}));
 }
 
 Test(configuration, changes_are_checked_whole_and_faults_name_the_field) {
@@ -172,7 +176,8 @@
   };
   cr_assert(bool(take(R"({"weights":{"w1":{"model":"m"}},"models":{"m":{"weights":"w1"}},"tenants":{"t":{}},)"
                       R"("keys":{"k":{"tenant":"t","secret":"abcdefgh"}},"policies":{"p":"fetch peer"},)"
-                      R"("routes":{"r":{"model":"m","policy":"p","tenants":["t"]}}})", true)));
+                      R"("routes":{"r":{"model":"m","policy":"p","tenants":["t"]}}})",
+                      true)));
   cr_assert(view.findKey(sha256Hex("abcdefgh")).has_value());
   cr_assert(view.text().find("abcdefgh") == std::string::npos, "keys are kept hashed");
   cr_assert_eq(take(R"({"tenants":{"t":null}})", false).error().subject, "keys.k.tenant");
@@ -189,8 +194,9 @@
 }
 
 Test(configuration, bent_texts_are_denied_with_a_field_or_taken_whole) {
-  std::string good = R"({"weights":{"w1":{"model":"m"}},"models":{"m":{"weights":"w1"}},"tenants":{"t":{"isolated":true}},)"
-                     R"("keys":{"k":{"tenant":"t","secret":"abcdefgh"}},"policies":{"p":"fetch peer when hits > 3"},"routes":{"r":{"model":"m"}}})";
+  std::string good =
+      R"({"weights":{"w1":{"model":"m"}},"models":{"m":{"weights":"w1"}},"tenants":{"t":{"isolated":true}},)"
+      R"("keys":{"k":{"tenant":"t","secret":"abcdefgh"}},"policies":{"p":"fetch peer when hits > 3"},"routes":{"r":{"model":"m"}}})";
   std::mt19937_64 randomSource(4);
   int denied = 0;
   for (int round = 0; round < 5000; ++round) {
@@ -212,15 +218,17 @@
 }
 
 Test(manifests, become_routes_and_what_is_not_supported_is_denied_by_name) {
-  std::string good = R"({"apiVersion":"gateway.networking.k8s.io/v1","kind":"HTTPRoute","metadata":{"name":"r","annotations":)"
-                     R"({"trouttally/policy":"p"}},"spec":{"rules":[{"backendRefs":[{"name":"m"}]}]}})";
+  std::string good =
+      R"({"apiVersion":"gateway.networking.k8s.io/v1","kind":"HTTPRoute","metadata":{"name":"r","annotations":)"
+      R"({"trouttally/policy":"p"}},"spec":{"rules":[{"backendRefs":[{"name":"m"}]}]}})";
   auto patch = patchFromManifests(good);
   cr_assert(bool(patch));
   cr_assert_eq(patch.value(), R"({"routes":{"r":{"model":"m","policy":"p"}}})");
   auto list = patchFromManifests(R"({"kind":"List","items":[)" + good + "]}");
   cr_assert(bool(list));
   cr_assert_eq(list.value(), patch.value());
-  cr_assert_eq(patchFromManifests(R"({"kind":"List","items":[)" + good + "," + good + "]}").error().subject, "items[1].metadata.name");
+  cr_assert_eq(patchFromManifests(R"({"kind":"List","items":[)" + good + "," + good + "]}").error().subject,
+               "items[1].metadata.name");
   auto with = [&](const std::string& from, const std::string& to) {
     std::string text = good;
     text.replace(text.find(from), from.size(), to);
@@ -233,7 +241,10 @@
 }
 
 Test(logic, reads_no_clock_but_the_one_it_is_handed) {
-  for (const char* name : {"consensus/election", "consensus/replicated_log", "consensus/membership", "consensus/snapshot", "consensus/change_requests", "index/cell", "cluster/core", "cluster/core_operators", "cluster/core_membership", "cluster/core_report", "agent/agent", "routing/edge", "config/configuration", "sim/standin", "storage/ring", "base/effects"}) {
+  for (const char* name : {"consensus/election", "consensus/replicated_log", "consensus/membership",
+                           "consensus/snapshot", "consensus/change_requests", "index/cell", "cluster/core",
+                           "cluster/core_operators", "cluster/core_membership", "cluster/core_report", "agent/agent",
+                           "routing/edge", "config/configuration", "sim/standin", "storage/ring", "base/effects"}) {
     std::string path = std::string(TT_SOURCE "/src/") + name + ".cpp", text;
     FILE* file = std::fopen(path.c_str(), "r");
     cr_assert(file != nullptr);
@@ -275,7 +286,8 @@
     while (std::size_t got = std::fread(bytes, 1, sizeof bytes, file)) text.append(bytes, got);
     std::fclose(file);
   }
-  cr_assert(text.find(codeTable()) != std::string::npos, "docs/codes.md must hold the table that trouttally-sim --codes prints");
+  cr_assert(text.find(codeTable()) != std::string::npos,
+            "docs/codes.md must hold the table that trouttally-sim --codes prints");
 }
 
 Test(watch, nobody_follows_a_higher_rank_so_no_ring_can_form) {
@@ -299,7 +311,8 @@
 Test(configuration, says_where_its_memory_of_change_ids_ends) {
   Configuration view;
   auto change = [&](std::uint64_t number) {
-    view.apply(Entry{number, 1, static_cast<int>(EntryKind::change), "{\"weights\":{\"w\":{\"model\":\"m\"}}}", "id-" + std::to_string(number)});
+    view.apply(Entry{number, 1, static_cast<int>(EntryKind::change), "{\"weights\":{\"w\":{\"model\":\"m\"}}}",
+                     "id-" + std::to_string(number)});
   };
   for (std::uint64_t number = 1; number <= 4095; ++number) change(number);
   cr_assert_eq(view.forgottenRevision(), 0u);
@@ -309,7 +322,8 @@
   cr_assert_eq(*view.takenAs("id-105"), 105u);
   Configuration again;
   cr_assert(bool(again.adopt(view.snapshot())));
-  cr_assert_eq(again.forgottenRevision(), view.forgottenRevision(), "a capture must not make it forget where its memory ends");
+  cr_assert_eq(again.forgottenRevision(), view.forgottenRevision(),
+               "a capture must not make it forget where its memory ends");
 }
 
 Test(clocks, only_the_log_looks_at_a_clock_that_may_jump) {
@@ -330,7 +344,8 @@
 }
 
 namespace {
-std::string callerLine(const std::string& intent, const std::string& verdict, const std::string& text, double sentAt, bool repeatable = false) {
+std::string callerLine(const std::string& intent, const std::string& verdict, const std::string& text, double sentAt,
+                       bool repeatable = false) {
   JsonObject row;
   row["intent"] = Json(intent);
   row["mark"] = Json(intent + "-1");
@@ -344,7 +359,8 @@
   row["lastAt"] = Json(std::to_string(static_cast<std::int64_t>((sentAt + 0.5) * 1e9)));
   return Json(row).serialize();
 }
-std::string workerLine(const std::string& worker, const std::string& event, const std::string& subject, double at, double number = 0) {
+std::string workerLine(const std::string& worker, const std::string& event, const std::string& subject, double at,
+                       double number = 0) {
   JsonObject row;
   row["at"] = Json(std::to_string(static_cast<std::int64_t>(at * 1e9)));
   row["worker"] = Json(worker);
@@ -354,7 +370,8 @@
   return Json(row).serialize();
 }
 std::string eventLine(const std::string& event, const std::string& name, double at) {
-  return "{\"at\":\"" + std::to_string(static_cast<std::int64_t>(at * 1e9)) + "\",\"event\":\"" + event + "\",\"name\":\"" + name + "\"}";
+  return "{\"at\":\"" + std::to_string(static_cast<std::int64_t>(at * 1e9)) + "\",\"event\":\"" + event +
+         "\",\"name\":\"" + name + "\"}";
 }
 // A run in which nothing is wrong.
 AuditRecords soundRecords() {
@@ -363,7 +380,8 @@
   for (int number = 0; number < 100; ++number) {
     std::string intent = "mark-1-" + std::to_string(number);
     records.callers.push_back(callerLine(intent, "done", "worker-1:1 worker-1:2 ", 10 + number * 0.01));
-    records.workers.push_back(workerLine("worker-1", "ran for", "p/" + std::to_string(number) + ".1 w1 tenant-a " + intent + "-1", 10 + number * 0.01));
+    records.workers.push_back(workerLine(
+        "worker-1", "ran for", "p/" + std::to_string(number) + ".1 w1 tenant-a " + intent + "-1", 10 + number * 0.01));
   }
   records.workers.push_back(workerLine("worker-1", "move ran", "p/m1", 11, 8));
   records.workers.push_back(workerLine("worker-1", "pulled", "p/m1", 11.1, 8));
@@ -383,7 +401,10 @@
 Test(audit, finds_each_planted_breach_and_only_that) {
   using Plant = std::function<void(AuditRecords&)>;
   std::map<std::string, Plant> plants{
-      {"runs-twice", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "ran for", "p/5.1 w1 tenant-a mark-1-5-1", 12)); }},
+      {"runs-twice",
+       [](AuditRecords& records) {
+         records.workers.push_back(workerLine("worker-2", "ran for", "p/5.1 w1 tenant-a mark-1-5-1", 12));
+       }},
       {"not-run-but-ran",
        [](AuditRecords& records) {
          records.callers.push_back(callerLine("mark-1-x", "not run", "", 12));
@@ -394,9 +415,16 @@
          records.callers.push_back(callerLine("mark-1-x", "done", "worker-1:1 worker-2:2 ", 12));
          records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 12));
        }},
-      {"other-weights", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "cross weights", "p/1.1 w1 w2", 12)); }},
-      {"other-tenant", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-2", "cross tenant", "tenant-b>tenant-a", 12)); }},
-      {"fetch-beyond", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-1", "pulled", "p/m1", 12, 9)); }},
+      {"other-weights",
+       [](AuditRecords& records) {
+         records.workers.push_back(workerLine("worker-2", "cross weights", "p/1.1 w1 w2", 12));
+       }},
+      {"other-tenant",
+       [](AuditRecords& records) {
+         records.workers.push_back(workerLine("worker-2", "cross tenant", "tenant-b>tenant-a", 12));
+       }},
+      {"fetch-beyond",
+       [](AuditRecords& records) { records.workers.push_back(workerLine("worker-1", "pulled", "p/m1", 12, 9)); }},
       {"revoked-works",
        [](AuditRecords& records) {
          records.events.push_back(eventLine("revoked", "key-a", 14));
@@ -417,16 +445,20 @@
       {"too-many-retries",
        [](AuditRecords& records) {
          for (int number = 0; number < 25; ++number)
-           records.workers.push_back(workerLine("worker-2", "worker denied", "p/" + std::to_string(number) + ".2", 10.9, 508));
+           records.workers.push_back(
+               workerLine("worker-2", "worker denied", "p/" + std::to_string(number) + ".2", 10.9, 508));
        }},
-      {"two-holders", [](AuditRecords& records) { records.workers.push_back(workerLine("worker-1", "command taken", "worker-1 core-2 load", 12, 3)); }}};
+      {"two-holders", [](AuditRecords& records) {
+         records.workers.push_back(workerLine("worker-1", "command taken", "worker-1 core-2 load", 12, 3));
+       }}};
   for (const auto& line : auditedLines()) {
     cr_assert(plants.count(line) > 0, "no breach is planted for %s", line.c_str());
     auto records = soundRecords();
     plants[line](records);
     auto result = auditRecords(records);
     for (const auto& [found, rows] : result.breaches)
-      if (!rows.empty()) cr_expect_eq(found, line, "planted %s, found %s: %s", line.c_str(), found.c_str(), rows.front().c_str());
+      if (!rows.empty())
+        cr_expect_eq(found, line, "planted %s, found %s: %s", line.c_str(), found.c_str(), rows.front().c_str());
     cr_expect_gt(result.breachCount(), 0, "%s was planted and not found", line.c_str());
   }
 }
@@ -450,7 +482,8 @@
 // A worker of the worst kind: reads so many bytes, says so much, and closes.
 class CutWorker {
  public:
-  CutWorker(std::size_t readBytes, std::string answer) : acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+  CutWorker(std::size_t readBytes, std::string answer)
+      : acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
     thread = std::thread([this, readBytes, answer = std::move(answer)] {
       asio::error_code error;
       asio::ip::tcp::socket socket(io);
@@ -490,9 +523,11 @@
     gone = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/v1/orders";
   }
   cr_expect_eq(callCutWorker(gone).outcome, static_cast<int>(Outcome::brokenUnsent), "nobody listens there");
-  std::string denial = writeWorkerEnd(WorkerEnd{"send", static_cast<int>(Outcome::denied), static_cast<int>(Code::workerFull), 0, 0, 0});
+  std::string denial =
+      writeWorkerEnd(WorkerEnd{"send", static_cast<int>(Outcome::denied), static_cast<int>(Code::workerFull), 0, 0, 0});
   auto answer = [&](const std::string& body, std::size_t claimed) {
-    return "HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(claimed) + "\r\n\r\n" + body;
+    return "HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(claimed) +
+           "\r\n\r\n" + body;
   };
   struct Case {
     const char* about;
--- a/tests/path_routes.cpp
+++ b/tests/path_routes.cpp
@@ -12,8 +12,11 @@
 class Declared {
  public:
   Configuration view;
-  Result<std::string> prepare(const std::string& text, Manner manner = Manner::patch) const { return view.preparePatch(text, manner); }
-  Entry change(const std::string& text, Manner manner = Manner::patch, std::uint64_t revision = 0, const std::string& changeId = {}) {
+  Result<std::string> prepare(const std::string& text, Manner manner = Manner::patch) const {
+    return view.preparePatch(text, manner);
+  }
+  Entry change(const std::string& text, Manner manner = Manner::patch, std::uint64_t revision = 0,
+               const std::string& changeId = {}) {
     auto patch = prepare(text, manner);
     cr_assert(bool(patch), "%s: %s", patch.error().subject.c_str(), patch.error().text.c_str());
     Entry entry{view.index() + 1, 1, static_cast<int>(EntryKind::change), patch.value(), changeId, revision};
@@ -66,7 +69,9 @@
 Test(path_routes, routes_that_cannot_be_served_are_denied) {
   Declared declared;
   declared.change(someRoutes);
-  auto route = [&](const std::string& fields) { return declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/new/",)" + fields + "}}}"); };
+  auto route = [&](const std::string& fields) {
+    return declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/new/",)" + fields + "}}}");
+  };
   cr_expect_eq(route(R"("service":"mill")"), "taken");
   cr_expect_eq(route(R"("service":"moon")"), "routes.new.service");
   cr_expect_eq(route(R"("split":[{"service":"mill","weight":3},{"service":"moon","weight":1}])"), "routes.new.service");
@@ -75,11 +80,18 @@
   cr_expect_eq(route(R"("split":[])"), "routes.new.split");
   cr_expect_eq(route(R"("service":"mill","timeoutMs":0)"), "routes.new.timeoutMs");
   cr_expect_eq(route(R"("service":"mill","timeoutMs":1)"), "taken");
-  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/alpha/","service":"mill"}}})"), "routes.new");
-  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/alpha","service":"mill"}}})"), "routes.new", "with and without its last slash a prefix is the same");
-  cr_expect_eq(declared.deniedAt(R"({"routes":{"n1":{"host":"h","prefix":"/n/","service":"mill"},"n2":{"host":"h","prefix":"/n","service":"mill"}}})"), "routes.n2");
-  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"two.example","prefix":"/beta/","service":"mill"}}})"), "taken");
-  cr_expect_eq(declared.deniedAt(R"({"services":{"weir":null}})"), "routes.deep.service", "a service that routes lead to stays");
+  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/alpha/","service":"mill"}}})"),
+               "routes.new");
+  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"one.example","prefix":"/alpha","service":"mill"}}})"),
+               "routes.new", "with and without its last slash a prefix is the same");
+  cr_expect_eq(
+      declared.deniedAt(
+          R"({"routes":{"n1":{"host":"h","prefix":"/n/","service":"mill"},"n2":{"host":"h","prefix":"/n","service":"mill"}}})"),
+      "routes.n2");
+  cr_expect_eq(declared.deniedAt(R"({"routes":{"new":{"host":"two.example","prefix":"/beta/","service":"mill"}}})"),
+               "taken");
+  cr_expect_eq(declared.deniedAt(R"({"services":{"weir":null}})"), "routes.deep.service",
+               "a service that routes lead to stays");
   cr_expect_eq(declared.deniedAt(R"({"services":{"weir":null},"routes":{"deep":null,"other":null}})"), "taken");
 }
 
@@ -87,11 +99,14 @@
   for (auto manner : {Manner::patch, Manner::items}) {
     Declared declared;
     declared.change(someRoutes);
-    declared.change(R"({"routes":{"alpha":{"host":"one.example","prefix":"/alpha/deep/","service":"mill"},"deep":{"host":"one.example","prefix":"/alpha/","service":"weir"}}})", manner);
+    declared.change(
+        R"({"routes":{"alpha":{"host":"one.example","prefix":"/alpha/deep/","service":"mill"},"deep":{"host":"one.example","prefix":"/alpha/","service":"weir"}}})",
+        manner);
     cr_expect_eq(declared.routeOf("one.example", "/alpha/x"), "deep");
     cr_expect_eq(declared.routeOf("one.example", "/alpha/deep/x"), "alpha");
     cr_expect_eq(declared.routeOf("one.example", "/x"), "all");
-    declared.change(R"({"routes":{"alpha":null,"fresh":{"host":"one.example","prefix":"/alpha/deep/","service":"mill"}}})", manner);
+    declared.change(
+        R"({"routes":{"alpha":null,"fresh":{"host":"one.example","prefix":"/alpha/deep/","service":"mill"}}})", manner);
     cr_expect_eq(declared.routeOf("one.example", "/alpha/deep/x"), "fresh");
     declared.change(R"({"routes":{"other":null}})", manner);
     cr_expect_eq(declared.routeOf("two.example", "/alpha/x"), "none");
@@ -102,11 +117,15 @@
   Declared declared;
   declared.change(R"({"tenants":{"asp":{"secrets":["key-a","key-b"]},"olm":{"secrets":["key-c"]}}})");
   cr_expect_eq(declared.tenantOf("key-b"), "asp");
-  cr_expect_eq(declared.deniedAt(R"({"tenants":{"elm":{"secrets":["key-d"]},"yew":{"secrets":["key-d"]}}})"), "tenants.yew.secrets");
-  cr_expect_eq(declared.deniedAt(R"({"tenants":{"yew":{"secrets":["key-b"]}}})"), "tenants.yew.secrets", "the other tenant is in the state only");
+  cr_expect_eq(declared.deniedAt(R"({"tenants":{"elm":{"secrets":["key-d"]},"yew":{"secrets":["key-d"]}}})"),
+               "tenants.yew.secrets");
+  cr_expect_eq(declared.deniedAt(R"({"tenants":{"yew":{"secrets":["key-b"]}}})"), "tenants.yew.secrets",
+               "the other tenant is in the state only");
   cr_expect_eq(declared.deniedAt(R"({"tenants":{"asp":{"secrets":["key-c"]}}})"), "tenants.asp.secrets");
   cr_expect_eq(declared.deniedAt(R"({"tenants":{"asp":{"secrets":["key-c"]}}})", Manner::items), "tenants.asp.secrets");
-  cr_expect_eq(declared.deniedAt(R"({"tenants":{"asp":{"secrets":["key-c"]},"olm":{"secrets":["key-c"]}}})", Manner::sections), "tenants.asp.secrets");
+  cr_expect_eq(
+      declared.deniedAt(R"({"tenants":{"asp":{"secrets":["key-c"]},"olm":{"secrets":["key-c"]}}})", Manner::sections),
+      "tenants.asp.secrets");
   cr_expect_eq(declared.deniedAt(R"({"tenants":{"asp":{"secrets":["key-c"]},"olm":null}})"), "taken");
 }
 
@@ -127,7 +146,8 @@
 
 Test(path_routes, a_secret_may_move_to_another_key_within_one_patch) {
   Declared declared;
-  declared.change(R"({"tenants":{"asp":{},"olm":{}},"keys":{"k1":{"tenant":"asp","secret":"secret-one"},"k2":{"tenant":"olm","secret":"secret-two"}}})");
+  declared.change(
+      R"({"tenants":{"asp":{},"olm":{}},"keys":{"k1":{"tenant":"asp","secret":"secret-one"},"k2":{"tenant":"olm","secret":"secret-two"}}})");
   declared.change(R"({"keys":{"k1":{"secret":"secret-two"},"k2":{"secret":"secret-one"}}})");
   cr_expect_eq(declared.tenantOf("secret-two"), "asp");
   cr_expect_eq(declared.tenantOf("secret-one"), "olm");
@@ -135,16 +155,22 @@
 
 Test(path_routes, two_keys_of_one_patch_may_not_have_one_secret) {
   Declared declared;
-  cr_expect_eq(declared.deniedAt(R"({"tenants":{"asp":{},"olm":{}},"keys":{"k1":{"tenant":"asp","secret":"secret-one"},"k2":{"tenant":"olm","secret":"secret-one"}}})"), "keys.k2.secret");
+  cr_expect_eq(
+      declared.deniedAt(
+          R"({"tenants":{"asp":{},"olm":{}},"keys":{"k1":{"tenant":"asp","secret":"secret-one"},"k2":{"tenant":"olm","secret":"secret-one"}}})"),
+      "keys.k2.secret");
 }
 
 Test(path_routes, sections_are_made_to_be_just_what_is_given) {
   Declared declared;
-  declared.change(R"({"services":{"mill":{"healthPath":"/well","extra":{"deep":{"one":1,"two":2},"list":[1,2]}},"weir":{}},
+  declared.change(
+      R"({"services":{"mill":{"healthPath":"/well","extra":{"deep":{"one":1,"two":2},"list":[1,2]}},"weir":{}},
     "routes":{"a":{"host":"h","prefix":"/a/","service":"mill","tries":3},"b":{"host":"h","prefix":"/b/","service":"weir"}},
     "weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})");
-  std::string models = Json(declared.view.section("models")).serialize(), weights = Json(declared.view.section("weights")).serialize();
-  std::string given = R"({"services":{"mill":{"extra":{"deep":{"two":2},"list":[3]}}},"routes":{"a":{"host":"h","prefix":"/a/","service":"mill"}}})";
+  std::string models = Json(declared.view.section("models")).serialize(),
+              weights = Json(declared.view.section("weights")).serialize();
+  std::string given =
+      R"({"services":{"mill":{"extra":{"deep":{"two":2},"list":[3]}}},"routes":{"a":{"host":"h","prefix":"/a/","service":"mill"}}})";
   declared.change(given, Manner::sections);
   auto wanted = readJson(given).value().get<JsonObject>();
   for (const char* section : {"services", "routes"})
@@ -155,25 +181,29 @@
   cr_expect_eq(Json(declared.view.section("weights")).serialize(), weights);
   declared.change(R"({"routes":{}})", Manner::sections);
   cr_expect(declared.view.section("routes").empty());
-  cr_expect_eq(Json(declared.view.section("services")).serialize(), wanted["services"].serialize(), "a section that is not named stays");
+  cr_expect_eq(Json(declared.view.section("services")).serialize(), wanted["services"].serialize(),
+               "a section that is not named stays");
 }
 
 Test(path_routes, items_are_replaced_whole_and_null_takes_them_out) {
   Declared declared;
-  declared.change(R"({"services":{"mill":{"healthPath":"/well","extra":{"deep":{"one":1,"two":2}}},"weir":{"healthPath":"w"},"barn":{"tokens":3}}})");
+  declared.change(
+      R"({"services":{"mill":{"healthPath":"/well","extra":{"deep":{"one":1,"two":2}}},"weir":{"healthPath":"w"},"barn":{"tokens":3}}})");
   declared.change(R"({"services":{"mill":{"extra":{"deep":{"two":{"three":3}}}},"barn":null}})", Manner::items);
   cr_expect_eq(itemOf(declared.view, "services", "mill").serialize(), R"({"extra":{"deep":{"two":{"three":3}}}})");
   cr_expect_eq(itemOf(declared.view, "services", "weir").serialize(), R"({"healthPath":"w"})");
   cr_expect(itemOf(declared.view, "services", "barn").is<picojson::null>());
   declared.change(R"({"services":{"weir":{"tokens":5}}})");
-  cr_expect_eq(itemOf(declared.view, "services", "weir").serialize(), R"({"healthPath":"w","tokens":5})", "a plain patch merges");
+  cr_expect_eq(itemOf(declared.view, "services", "weir").serialize(), R"({"healthPath":"w","tokens":5})",
+               "a plain patch merges");
 }
 
 Test(path_routes, revisions_are_the_operators_or_the_next_and_stay_when_weights_are_named) {
   Declared declared;
   declared.change(someRoutes, Manner::sections, 40, "first");
   cr_expect_eq(declared.view.revision(), 40u);
-  declared.change(R"({"weights":{"moss/4":{"model":"moss"}},"models":{"moss":{"weights":"moss/4"}}})", Manner::patch, declared.view.revision(), "named");
+  declared.change(R"({"weights":{"moss/4":{"model":"moss"}},"models":{"moss":{"weights":"moss/4"}}})", Manner::patch,
+                  declared.view.revision(), "named");
   cr_expect_eq(declared.view.revision(), 40u);
   declared.change(R"({"services":{"barn":{}}})", Manner::items, 77, "third");
   cr_expect_eq(declared.view.revision(), 77u);
@@ -196,17 +226,20 @@
   declared.change(R"({"tenants":{"asp":{"secrets":["key-a"],"isolated":true,"priority":2},"olm":{"secrets":["key-b"]}},
     "keys":{"k1":{"tenant":"olm","secret":"secret-one"}},"services":{"barn":{"storeAddress":"10.0.0.9:80","locality":"north-b"}},
     "limits":{"callers":{"headerBytes":1000,"bodyBytes":2000,"headerMs":30,"idleMs":40}},"policies":{"p":"fetch peer when hits >= 5"},
-    "weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},"extra":{"mark":{"a":[1,{"b":2}]}}})", Manner::patch, 0, "second");
+    "weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}},"extra":{"mark":{"a":[1,{"b":2}]}}})",
+                  Manner::patch, 0, "second");
   auto read = decodeSnapshot(encodeSnapshot(declared.view.snapshot()));
   cr_assert(bool(read));
   Declared again;
-  again.change(R"({"services":{"old":{}},"routes":{"old":{"host":"old.example","prefix":"/","service":"old"}},"tenants":{"old":{"secrets":["key-old"]}}})");
+  again.change(
+      R"({"services":{"old":{}},"routes":{"old":{"host":"old.example","prefix":"/","service":"old"}},"tenants":{"old":{"secrets":["key-old"]}}})");
   cr_assert(bool(again.view.adopt(read.value())));
   cr_expect_eq(again.view.text(), declared.view.text());
   cr_expect_eq(again.view.revision(), 13u);
   cr_expect_eq(again.view.index(), declared.view.index());
   cr_expect_eq(again.view.takenAs("second").value_or(0), 13u);
-  for (const char* path : {"/alpha/x", "/alpha/deep/x", "/y"}) cr_expect_eq(again.routeOf("one.example", path), declared.routeOf("one.example", path));
+  for (const char* path : {"/alpha/x", "/alpha/deep/x", "/y"})
+    cr_expect_eq(again.routeOf("one.example", path), declared.routeOf("one.example", path));
   cr_expect_eq(again.routeOf("old.example", "/"), "none");
   cr_expect_eq(again.tenantOf("key-a"), "asp");
   cr_expect_eq(again.tenantOf("secret-one"), "olm");
@@ -309,7 +342,8 @@
     give(agentAddress, news);
     tick();
   }
-  WorkerView& worker(const std::string& name, const std::string& locality = "north-a", const std::string& weights = "moss/3", const std::string& service = "mill") {
+  WorkerView& worker(const std::string& name, const std::string& locality = "north-a",
+                     const std::string& weights = "moss/3", const std::string& service = "mill") {
     auto& news = cells[locality];
     news.locality = locality;
     news.term = 1;
@@ -357,7 +391,8 @@
     for (int at = 1; at <= number; ++at) worker("w" + std::to_string(at));
     tell();
   }
-  CallerOrder order(const std::string& path, const std::string& key = "key-a", const Strings& parts = {}, const std::vector<int>& tokens = {}) {
+  CallerOrder order(const std::string& path, const std::string& key = "key-a", const Strings& parts = {},
+                    const std::vector<int>& tokens = {}) {
     CallerOrder ask;
     ask.orderId = "o/" + std::to_string(++orderCount);
     ask.host = "h";
@@ -372,7 +407,10 @@
     give("caller", ask);
     return ask.orderId;
   }
-  std::string place(const std::string& path, const std::string& key = "key-a", const Strings& parts = {}, const std::vector<int>& tokens = {}) { return place(order(path, key, parts, tokens)); }
+  std::string place(const std::string& path, const std::string& key = "key-a", const Strings& parts = {},
+                    const std::vector<int>& tokens = {}) {
+    return place(order(path, key, parts, tokens));
+  }
   template <class T>
   std::vector<T> all() const {
     std::vector<T> rows;
@@ -402,7 +440,9 @@
     cr_assert_eq(rows.size(), 1u, "%s was sent %zu times", orderId.c_str(), rows.size());
     return rows[0];
   }
-  void end(const std::string& sendId, Outcome outcome) { give("worker", WorkerEnd{sendId, static_cast<int>(outcome), static_cast<int>(Code::workerFull), 0, 0, 0}); }
+  void end(const std::string& sendId, Outcome outcome) {
+    give("worker", WorkerEnd{sendId, static_cast<int>(outcome), static_cast<int>(Code::workerFull), 0, 0, 0});
+  }
   std::string placeAndEnd(const CallerOrder& ask) {
     auto orderId = place(ask);
     answerLookups({});
@@ -429,7 +469,9 @@
   }
 };
 
-Strings promptOf(int number, const std::string& question = "question") { return {"system", "document " + std::to_string(number), question}; }
+Strings promptOf(int number, const std::string& question = "question") {
+  return {"system", "document " + std::to_string(number), question};
+}
 const std::vector<int> promptTokens{300, 400, 50};
 }  // namespace
 
@@ -446,7 +488,8 @@
     }
     auto first = one.placeAndEnd(one.order("/once/x", "key-a", promptOf(number), promptTokens));
     cr_expect_eq(first, best);
-    cr_expect_eq(other.placeAndEnd(other.order("/once/x", "key-b", promptOf(number, "another"), promptTokens)), first, "orders that share a prefix meet, whoever sends them");
+    cr_expect_eq(other.placeAndEnd(other.order("/once/x", "key-b", promptOf(number, "another"), promptTokens)), first,
+                 "orders that share a prefix meet, whoever sends them");
     ++drawn[first];
   }
   cr_expect_eq(drawn.size(), 6u);
@@ -456,7 +499,8 @@
   ProxyBench bench;
   bench.workers(5);
   std::map<int, std::string> before;
-  for (int number = 0; number < 40; ++number) before[number] = bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens));
+  for (int number = 0; number < 40; ++number)
+    before[number] = bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens));
   std::vector<Machine> rest;
   for (const char* name : {"w1", "w2", "w4", "w5"}) rest.push_back(ProxyBench::machineOf(name));
   bench.list(rest);
@@ -471,7 +515,8 @@
   auto leaving = rest;
   leaving[0].leaving = leaving[1].leaving = leaving[2].leaving = true;
   bench.list(leaving);
-  for (int number = 0; number < 10; ++number) cr_expect_eq(bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens)), "w5");
+  for (int number = 0; number < 10; ++number)
+    cr_expect_eq(bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens)), "w5");
 }
 
 Test(path_orders, a_worker_that_leaves_while_its_index_is_asked_gets_no_order) {
@@ -480,7 +525,8 @@
   auto orderId = bench.place("/once/x", "key-a", promptOf(1), promptTokens);
   auto lookups = bench.openLookups();
   cr_assert_eq(lookups.size(), 2u);
-  std::string gone = rendezvous("shared/moss/document 1", "w1") > rendezvous("shared/moss/document 1", "w2") ? "w1" : "w2";
+  std::string gone =
+      rendezvous("shared/moss/document 1", "w1") > rendezvous("shared/moss/document 1", "w2") ? "w1" : "w2";
   std::string stays = gone == "w1" ? "w2" : "w1";
   bench.list({ProxyBench::machineOf(stays)});
   for (const auto& ask : lookups) bench.answer(ask, {});
@@ -574,7 +620,8 @@
   auto prefixOf = [](const std::vector<int>& hits) { return std::find(hits.begin(), hits.end(), 0) - hits.begin(); };
   for (int number = 0; number < 400; ++number) {
     std::map<std::string, std::vector<int>> hits;
-    for (const char* name : {"w1", "w2", "w3", "w4", "barn"}) hits[name] = {static_cast<int>(randomSource() % 2), static_cast<int>(randomSource() % 2)};
+    for (const char* name : {"w1", "w2", "w3", "w4", "barn"})
+      hits[name] = {static_cast<int>(randomSource() % 2), static_cast<int>(randomSource() % 2)};
     auto orderId = bench.place("/once/x", "key-a", promptOf(number), promptTokens);
     std::set<std::string> asked;
     for (const auto& ask : bench.openLookups()) {
@@ -649,11 +696,13 @@
   bench.tell();
   auto first = bench.place("/once/x", "key-a", promptOf(1), promptTokens);
   bench.now += 199ms;
-  for (const auto& ask : bench.openLookups()) bench.answer(ask, ask.keeper == "barn" ? std::vector<int>{1, 1} : std::vector<int>{});
+  for (const auto& ask : bench.openLookups())
+    bench.answer(ask, ask.keeper == "barn" ? std::vector<int>{1, 1} : std::vector<int>{});
   cr_expect_eq(bench.onlySend(first).sourceAddress, "barn:80");
   auto second = bench.place("/once/x", "key-a", promptOf(2), promptTokens);
   bench.now += 200ms;
-  for (const auto& ask : bench.openLookups()) bench.answer(ask, ask.keeper == "barn" ? std::vector<int>{1, 1} : std::vector<int>{});
+  for (const auto& ask : bench.openLookups())
+    bench.answer(ask, ask.keeper == "barn" ? std::vector<int>{1, 1} : std::vector<int>{});
   bench.tick();
   cr_expect_eq(bench.onlySend(second).sourceAddress, "");
 }
@@ -670,7 +719,8 @@
       bench.answer(ask, {});
     }
     auto made = bench.onlySend(orderId);
-    for (std::size_t at = 0; at < hashes.size(); ++at) cr_expect(hashes[at] == hashPart(made.cacheSalt, promptOf(1)[at]));
+    for (std::size_t at = 0; at < hashes.size(); ++at)
+      cr_expect(hashes[at] == hashPart(made.cacheSalt, promptOf(1)[at]));
     bench.end(made.orderId, Outcome::done);
     return made.cacheSalt;
   };
@@ -703,7 +753,8 @@
   bench.change(R"({"models":{"moss":{"weights":"moss/4"}}})");
   auto drawn = [&] {
     std::set<std::string> names;
-    for (int number = 0; number < 40; ++number) names.insert(bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens)));
+    for (int number = 0; number < 40; ++number)
+      names.insert(bench.placeAndEnd(bench.order("/once/x", "key-a", promptOf(number), promptTokens)));
     return names;
   };
   bench.run(3900ms);
@@ -893,8 +944,10 @@
     return std::count_if(moments.begin(), moments.end(), [&](Moment at) { return at > after && at <= until; });
   };
   for (Moment at : repeated) {
-    cr_expect_leq(static_cast<double>(within(repeated, at - 10s, at)), 0.15 * static_cast<double>(within(admitted, at - 10s, at)) + 2.9);
-    cr_expect_leq(static_cast<double>(within(repeated, at - 1ns, at + 10s)), 0.15 * static_cast<double>(within(admitted, at - 1ns, at + 10s)) + 2.9 + 0.15 * 50);
+    cr_expect_leq(static_cast<double>(within(repeated, at - 10s, at)),
+                  0.15 * static_cast<double>(within(admitted, at - 10s, at)) + 2.9);
+    cr_expect_leq(static_cast<double>(within(repeated, at - 1ns, at + 10s)),
+                  0.15 * static_cast<double>(within(admitted, at - 1ns, at + 10s)) + 2.9 + 0.15 * 50);
   }
   for (const auto& verdict : bench.all<CallerVerdict>()) cr_expect_eq(verdict.verdict, "not run");
 }
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -67,11 +67,20 @@
     for (std::size_t left = 1 + pick(4); left && !text.empty(); --left) {
       std::size_t place = pick(text.size());
       switch (pick(5)) {
-        case 0: text[place] = static_cast<char>(pick(256)); break;
-        case 1: text[place] = signs[pick(signs.size())]; break;
-        case 2: text.erase(place, 1 + pick(8)); break;
-        case 3: text.insert(place, text.substr(pick(text.size()), pick(20))); break;
-        default: text.resize(place);
+        case 0:
+          text[place] = static_cast<char>(pick(256));
+          break;
+        case 1:
+          text[place] = signs[pick(signs.size())];
+          break;
+        case 2:
+          text.erase(place, 1 + pick(8));
+          break;
+        case 3:
+          text.insert(place, text.substr(pick(text.size()), pick(20)));
+          break;
+        default:
+          text.resize(place);
       }
     }
     read(text);
@@ -86,7 +95,8 @@
     "DataDir=/data/x\r\nDiscovery=cloud\r\nEntryMode=vip\r\nBeatIntervalMs=900\r\nContracts=base,stream\r\n"
     "FaultBudget.Machines=2\r\nFaultBudget.Zones=1\r\nFaultBudget.Regions=0\r\nBounds.SeedLagS=2.5\r\n"
     "Bounds.AckMs=3500\r\nBounds.RevokeGlobal=false\r\nBounds.RetryRatio=0.3\r\nBounds.RetrySlack=61\r\n"
-    "Bounds.FenceChecked=false\r\nBounds.VersionMs=9000\r\nCloudApi.Address=10.200.0.1:8600\r\nCloudApi.RatePerS=33.5\r\n"
+    "Bounds.FenceChecked=false\r\nBounds.VersionMs=9000\r\nCloudApi.Address=10.200.0.1:8600\r\nCloudApi.RatePerS=33."
+    "5\r\n"
     "CloudApi.Duties=\r\nCloudApi.MaxLagMs=650\r\nNewField.Of=tomorrow\r\n";
 std::string withoutField(const std::string& field) {
   std::string kept;
@@ -145,7 +155,8 @@
   auto change = readConfigPatch(R"({"Revision":15,"Upsert":{
       "Routes":[{"Name":"r-new","Backend":"weir","PathPrefix":"/n/"},{"Name":"r-zeta","Backend":"mill","TimeoutMs":10},{"Name":"r-newer","Backend":"weir"}],
       "Tenants":[{"Name":"olm","ApiKeys":["key-c"]}],"Limits":{"IdleTimeoutMs":7},"Later":[{"Name":"l-1","X":5},{"Name":"l-3"}]},
-      "Remove":{"Routes":["r-alpha","r-unknown"],"Backends":["barn"],"Later":["l-2"]}})", sections);
+      "Remove":{"Routes":["r-alpha","r-unknown"],"Backends":["barn"],"Later":["l-2"]}})",
+                                sections);
   cr_assert(bool(change), "%s", change.error().subject.c_str());
   cr_assert_eq(change.value().revision, 15u);
   auto patch = sectionsOf(change.value());
@@ -200,10 +211,12 @@
       {"\"Backend\":\"weir\"", "\"Backend\":\"gone\"", "Routes.r-alpha.Backend", Code::blueprintBad},
       {"\"Backend\":\"weir\",", "", "Routes.r-alpha.Backend", Code::missingField},
       {"\"Backend\":\"weir\"", "\"Backend\":1", "Routes.r-alpha.Backend", Code::badField},
-      {"{\"Backend\":\"mill\",\"Weight\":30", "{\"Backend\":\"gone\",\"Weight\":30", "Routes.r-zeta.TrafficSplit", Code::blueprintBad},
+      {"{\"Backend\":\"mill\",\"Weight\":30", "{\"Backend\":\"gone\",\"Weight\":30", "Routes.r-zeta.TrafficSplit",
+       Code::blueprintBad},
       {"\"Weight\":30", "\"Weight\":-1", "Routes.r-zeta.TrafficSplit", Code::blueprintBad},
       {",\"Weight\":30", "", "Routes.r-zeta.TrafficSplit[1].Weight", Code::missingField},
-      {"\"Weight\":70},{\"Backend\":\"mill\",\"Weight\":30", "\"Weight\":0},{\"Backend\":\"mill\",\"Weight\":0", "Routes.r-zeta.TrafficSplit", Code::blueprintBad},
+      {"\"Weight\":70},{\"Backend\":\"mill\",\"Weight\":30", "\"Weight\":0},{\"Backend\":\"mill\",\"Weight\":0",
+       "Routes.r-zeta.TrafficSplit", Code::blueprintBad},
       {"\"TimeoutMs\":4000", "\"TimeoutMs\":0", "Routes.r-alpha.TimeoutMs", Code::blueprintBad},
       {"\"TimeoutMs\":4000", "\"TimeoutMs\":\"4000\"", "Routes.r-alpha.TimeoutMs", Code::badField},
       {"\"Public\":true", "\"Public\":1", "Routes.r-alpha.Public", Code::badField},
@@ -234,7 +247,8 @@
            {R"({"Revision":3,"Upsert":{"Limits":[]}})", "Limits"},
            {R"({"Revision":3,"Upsert":{"Routes":[{"Name":"r","Backend":"x","TimeoutMs":0}]}})", "Routes.r.TimeoutMs"},
            {R"({"Revision":3,"Upsert":{"Routes":[{"Name":"r","TrafficSplit":[]}]}})", "Routes.r.TrafficSplit"},
-           {R"({"Revision":3,"Upsert":{"Routes":[{"Name":"r","Backend":"x"}]},"Remove":{"Routes":["r"]}})", "Routes.r"}}) {
+           {R"({"Revision":3,"Upsert":{"Routes":[{"Name":"r","Backend":"x"}]},"Remove":{"Routes":["r"]}})",
+            "Routes.r"}}) {
     auto change = readConfigPatch(text, readWhole(wholeConfig));
     cr_assert_not(bool(change), "%s", text.c_str());
     cr_expect_eq(change.error().subject, subject, "%s", change.error().subject.c_str());
@@ -246,8 +260,9 @@
   cr_assert(bool(put));
   cr_assert_eq(put.value().first, "moss7");
   cr_assert_eq(put.value().second, 3u);
-  for (std::string text : {"", "7", "{}", R"({"Model":"m"})", R"({"Model":"","Revision":1})", R"({"Model":"m","Revision":0})",
-                           R"({"Model":5,"Revision":1})", R"({"Model":"m","Revision":"1"})"})
+  for (std::string text :
+       {"", "7", "{}", R"({"Model":"m"})", R"({"Model":"","Revision":1})", R"({"Model":"m","Revision":0})",
+        R"({"Model":5,"Revision":1})", R"({"Model":"m","Revision":"1"})"})
     cr_assert_not(bool(readVersionPut(text)), "%s", text.c_str());
 }
 
@@ -286,11 +301,22 @@
     cr_assert_eq(read.error().code, Code::badProps);
     cr_assert_eq(read.error().subject, field);
   }
-  for (auto [field, value] : std::vector<std::pair<std::string, std::string>>{
-           {"NodeName", ""}, {"Ip", "10.9.0"}, {"Ip", "10.9.0.300"}, {"Ip", "10.9.0.3.4"}, {"Ip", "host"}, {"Zone", " "},
-           {"InternalPorts", "7400"}, {"InternalPorts", "7411,7400"}, {"InternalPorts", "a,b"}, {"InternalPorts", "1,70000"},
-           {"SeedPeers", "10.9.0.4"}, {"SeedPeers", "10.9.0.4:0"}, {"ListenAddrs.Front", ":9"},
-           {"ListenAddrs.Readiness", "10.9.0.3"}, {"ListenAddrs.Control", "x:1"}, {"DataDir", ""}}) {
+  for (auto [field, value] : std::vector<std::pair<std::string, std::string>>{{"NodeName", ""},
+                                                                              {"Ip", "10.9.0"},
+                                                                              {"Ip", "10.9.0.300"},
+                                                                              {"Ip", "10.9.0.3.4"},
+                                                                              {"Ip", "host"},
+                                                                              {"Zone", " "},
+                                                                              {"InternalPorts", "7400"},
+                                                                              {"InternalPorts", "7411,7400"},
+                                                                              {"InternalPorts", "a,b"},
+                                                                              {"InternalPorts", "1,70000"},
+                                                                              {"SeedPeers", "10.9.0.4"},
+                                                                              {"SeedPeers", "10.9.0.4:0"},
+                                                                              {"ListenAddrs.Front", ":9"},
+                                                                              {"ListenAddrs.Readiness", "10.9.0.3"},
+                                                                              {"ListenAddrs.Control", "x:1"},
+                                                                              {"DataDir", ""}}) {
     auto read = readSettings(withoutField(field) + field + "=" + value);
     cr_assert_not(bool(read), "%s=%s", field.c_str(), value.c_str());
     cr_assert_eq(read.error().subject, field, "%s", read.error().subject.c_str());
@@ -298,7 +324,8 @@
 }
 
 Test(settings, needs_only_what_the_role_serves) {
-  auto read = readSettings("NodeName=n\nServes=\nIp=10.0.0.1\nZone=z\nInternalPorts=5,5\nSeedPeers=\nLimits.MaxFds=many\nstray\n");
+  auto read = readSettings(
+      "NodeName=n\nServes=\nIp=10.0.0.1\nZone=z\nInternalPorts=5,5\nSeedPeers=\nLimits.MaxFds=many\nstray\n");
   cr_assert(bool(read), "%s", read.error().subject.c_str());
   cr_assert(read.value().seedPeers.empty() && read.value().serves.empty());
   cr_assert_eq(read.value().maxFds, 4100);
@@ -324,8 +351,10 @@
   cr_assert(bool(page), "%s", page.error().subject.c_str());
   cr_assert_eq(page.value().rows.size(), 2u);
   const auto& first = page.value().rows[0];
-  cr_assert(first.id == "i-1" && first.service == "mill" && first.address == "10.128.0.4:8080" && first.locality == "north-a");
-  cr_assert(first.revision == "v3" && first.slots == 64 && first.draining && first.coldLeftMs == 1200 && first.phase == "colocated");
+  cr_assert(first.id == "i-1" && first.service == "mill" && first.address == "10.128.0.4:8080" &&
+            first.locality == "north-a");
+  cr_assert(first.revision == "v3" && first.slots == 64 && first.draining && first.coldLeftMs == 1200 &&
+            first.phase == "colocated");
   cr_assert(first.models == ModelRevisions({{"moss7", 4}}));
   cr_assert(!page.value().rows[1].draining && page.value().rows[1].models.empty());
   cr_assert_eq(page.value().nextToken.value(), "p-9");
@@ -333,7 +362,8 @@
   auto bad = readInstances(replaced(pageBody, "\"Id\":\"i-2\"", "\"Id\":7"));
   cr_assert_not(bool(bad));
   cr_assert_eq(bad.error().subject, "Instances[1].Id");
-  for (std::string text : {"", "{}", "[]", R"({"Instances":{}})", R"({"Instances":[5]})", R"({"Instances":[],"NextToken":5})"})
+  for (std::string text :
+       {"", "{}", "[]", R"({"Instances":{}})", R"({"Instances":[5]})", R"({"Instances":[],"NextToken":5})"})
     cr_assert_not(bool(readInstances(text)), "%s", text.c_str());
 }
 
@@ -341,7 +371,8 @@
   auto report = readWorkerReport(reportBody);
   cr_assert(bool(report));
   const auto& worker = report.value();
-  cr_assert(worker.phase == "colocated" && worker.saturated && worker.callSeq == 5 && worker.queued == 2 && worker.active == 11);
+  cr_assert(worker.phase == "colocated" && worker.saturated && worker.callSeq == 5 && worker.queued == 2 &&
+            worker.active == 11);
   cr_assert(worker.kvUsed == 4100 && worker.kvTotal == 9000 && worker.models.at(0).second == 4);
   cr_assert_eq(readWorkerReport(replaced(reportBody, "\"CallSeq\":5", "\"CallSeq\":-5")).error().subject, "CallSeq");
   cr_assert_eq(readWorkerReport(replaced(reportBody, "CallSeq", "Calls")).error().subject, "CallSeq");
@@ -354,21 +385,27 @@
   cr_assert(events.value().epoch == 9912 && events.value().nextToken == 502 && !events.value().lost);
   const auto& rows = events.value().events;
   cr_assert_eq(rows.size(), 2u);
-  cr_assert(rows[0].added && rows[0].number == 501 && rows[0].salt == "salt-1" && rows[0].id == "ab12" && rows[0].tokens == 640);
-  cr_assert(!rows[1].added && rows[1].salt.empty() && rows[1].id == "cd\"34\xf0\x9f\x98\x80" && rows[1].model == "moss7");
+  cr_assert(rows[0].added && rows[0].number == 501 && rows[0].salt == "salt-1" && rows[0].id == "ab12" &&
+            rows[0].tokens == 640);
+  cr_assert(!rows[1].added && rows[1].salt.empty() && rows[1].id == "cd\"34\xf0\x9f\x98\x80" &&
+            rows[1].model == "moss7");
   auto list = readKeptList(listBody);
   cr_assert(bool(list), "%s", list.error().text.c_str());
   cr_assert(list.value().held.size() == 2 && list.value().held[1].id == "cd34" && list.value().held[1].model == "fern");
-  cr_assert(readKeptEvents(R"( { "Events" : [ ] , "Lost" : true , "Epoch" : 18446744073709551615 , "NextToken" : 0 } )").value().lost);
+  cr_assert(readKeptEvents(R"( { "Events" : [ ] , "Lost" : true , "Epoch" : 18446744073709551615 , "NextToken" : 0 } )")
+                .value()
+                .lost);
 }
 
 Test(backend_wire, turns_malformed_rows_away) {
   const std::string row = R"([501,"+","salt-1","ab12",640,"moss7"])";
-  for (std::string fresh : {R"([501,"*","s","ab12",640,"m"])", R"([501,"+","s","ab12",640])", R"([501,"+","s","ab12",640,"m",1])",
-                            R"(["501","+","s","ab12",640,"m"])", R"([501,"+","s","ab12",-1,"m"])", R"([501,"+","s","ab12",6.5,"m"])",
-                            R"([501,"+","s","ab12",99999999999,"m"])", R"([501,"+",null,"ab12",640,"m"])", R"([501,"+","s","",640,"m"])",
-                            R"([501,"+","s","ab12",0640,"m"])", R"([501,"+","s","ab\x",640,"m"])", R"([501,"+","s","a\ud800",640,"m"])",
-                            R"([501 "+","s","ab12",640,"m"])", R"([])", R"({})", R"(7)", R"(null)", "", "[501,\"+\",\"s\n\",\"ab12\",640,\"m\"]"})
+  for (std::string fresh :
+       {R"([501,"*","s","ab12",640,"m"])", R"([501,"+","s","ab12",640])", R"([501,"+","s","ab12",640,"m",1])",
+        R"(["501","+","s","ab12",640,"m"])", R"([501,"+","s","ab12",-1,"m"])", R"([501,"+","s","ab12",6.5,"m"])",
+        R"([501,"+","s","ab12",99999999999,"m"])", R"([501,"+",null,"ab12",640,"m"])", R"([501,"+","s","",640,"m"])",
+        R"([501,"+","s","ab12",0640,"m"])", R"([501,"+","s","ab\x",640,"m"])", R"([501,"+","s","a\ud800",640,"m"])",
+        R"([501 "+","s","ab12",640,"m"])", R"([])", R"({})", R"(7)", R"(null)", "",
+        "[501,\"+\",\"s\n\",\"ab12\",640,\"m\"]"})
     cr_assert_not(bool(readKeptEvents(replaced(eventsBody, row, fresh))), "%s", fresh.c_str());
   for (const char* field : {"Epoch", "NextToken", "Lost", "Events"})
     cr_assert_eq(readKeptEvents(replaced(eventsBody, field, "Else")).error().subject, field);
@@ -376,15 +413,19 @@
     cr_assert_eq(readKeptList(replaced(listBody, field, "Else")).error().subject, field);
   for (std::size_t length = 0; length < eventsBody.size(); ++length)
     cr_assert_not(bool(readKeptEvents(eventsBody.substr(0, length))), "%zu", length);
-  for (std::size_t length = 0; length < listBody.size(); ++length) cr_assert_not(bool(readKeptList(listBody.substr(0, length))));
+  for (std::size_t length = 0; length < listBody.size(); ++length)
+    cr_assert_not(bool(readKeptList(listBody.substr(0, length))));
   cr_assert_not(bool(readKeptEvents(eventsBody + "x")));
   cr_assert_not(bool(readKeptList(replaced(listBody, "[[", R"([["s",[],1,"m"],[)"))));
-  cr_assert_not(bool(readKeptList(replaced(listBody, "\"Epoch\"", "\"Deep\":" + std::string(100000, '[') + ",\"Epoch\""))));
+  cr_assert_not(
+      bool(readKeptList(replaced(listBody, "\"Epoch\"", "\"Deep\":" + std::string(100000, '[') + ",\"Epoch\""))));
 }
 
 Test(backend_wire, writes_an_order_and_reads_headers) {
-  cr_assert(parsed(writeRevisionOrder("moss7", 4, "retain", "node-2", 77, 9)) ==
-            parsed(R"({"OpKind":"Revision","Model":"moss7","Revision":4,"Method":"retain","Holder":"node-2","FenceToken":77,"ExpectedCount":9})"));
+  cr_assert(
+      parsed(writeRevisionOrder("moss7", 4, "retain", "node-2", 77, 9)) ==
+      parsed(
+          R"({"OpKind":"Revision","Model":"moss7","Revision":4,"Method":"retain","Holder":"node-2","FenceToken":77,"ExpectedCount":9})"));
   cr_assert_not(parsed(writeRevisionOrder("m", 1, "queue", "n", 1, std::nullopt)).contains("ExpectedCount"));
   auto parts = readPromptPrefix("ab12:800, cd34:41");
   cr_assert(bool(parts));
@@ -394,15 +435,18 @@
   for (const char* text : {"ab12", ":5", "ab12:", "ab12:x", "ab12:-1", "ab12:1,", ",ab12:1", "ab12:99999999999"})
     cr_assert_not(bool(readPromptPrefix(text)), "%s", text);
   cr_assert(readTokenCounts("1500, 90").value() == std::pair(1500, 90));
-  for (const char* text : {"", "1", "1,", "1,2,3", "a,b", "1,-2"}) cr_assert_not(bool(readTokenCounts(text)), "%s", text);
+  for (const char* text : {"", "1", "1,", "1,2,3", "a,b", "1,-2"})
+    cr_assert_not(bool(readTokenCounts(text)), "%s", text);
   cr_assert(readInstanceLoad("3,0,8") == (std::array<int, 3>{3, 0, 8}));
-  for (const char* text : {"", "3,0", "3,0,8,1", "3;0;8", "3,,8", "3,0,8x"}) cr_assert_not(readInstanceLoad(text).has_value(), "%s", text);
+  for (const char* text : {"", "3,0", "3,0,8,1", "3;0;8", "3,,8", "3,0,8x"})
+    cr_assert_not(readInstanceLoad(text).has_value(), "%s", text);
 }
 
 Test(platform, survives_mutated_bodies) {
   auto sections = readWhole(wholeConfig);
-  const std::string patch = R"({"Revision":15,"Upsert":{"Routes":[{"Name":"r-new","Backend":"weir","TrafficSplit":[{"Backend":"mill","Weight":3}]}],)"
-                            R"("Limits":{"IdleTimeoutMs":7},"Later":[{"Name":"l-1"}]},"Remove":{"Routes":["r-alpha"],"Later":["l-2"]}})";
+  const std::string patch =
+      R"({"Revision":15,"Upsert":{"Routes":[{"Name":"r-new","Backend":"weir","TrafficSplit":[{"Backend":"mill","Weight":3}]}],)"
+      R"("Limits":{"IdleTimeoutMs":7},"Later":[{"Name":"l-1"}]},"Remove":{"Routes":["r-alpha"],"Later":["l-2"]}})";
   mutate(wholeConfig, [](const std::string& text) {
     auto change = readConfig(text);
     if (!change) {
@@ -440,12 +484,15 @@
 
 Test(platform, product_holds_no_word_of_the_platforms_wire) {
   const std::vector<std::string> words{
-      "X-Attempt-Id", "X-Deadline-Ms", "X-Prompt-Prefix", "X-Server-Seal", "X-Tenant", "X-Target-Instance", "X-Instance-Load",
-      "X-Not-Executed", "X-Instance-Id", "X-Token-Counts", "X-Cache-Salt", "X-Request-Urgency", "X-Kv-Source", "X-Kv-Sink",
-      "X-Weight-Versions", "X-Expect-Version", "PathPrefix", "TrafficSplit", "RouteKind", "TargetLatencyMs", "MaxAttempts",
-      "ApiKeys", "HealthPath", "MaxConns", "HeaderTimeoutMs", "ColdLeftMs", "PageToken", "ListenAddrs", "InternalPorts",
-      "SeedPeers", "CloudApi", "FenceChecked", "FaultBudget", "MaxInflight", "FenceToken", "ExpectedCount", "KvCapacityTokens",
-      "TokenKvBytes", "KvStoreAddr", "GapTargetMs", "non_idempotent", "kv-events", "kv-list", "version-put"};
+      "X-Attempt-Id",      "X-Deadline-Ms",     "X-Prompt-Prefix", "X-Server-Seal", "X-Tenant",
+      "X-Target-Instance", "X-Instance-Load",   "X-Not-Executed",  "X-Instance-Id", "X-Token-Counts",
+      "X-Cache-Salt",      "X-Request-Urgency", "X-Kv-Source",     "X-Kv-Sink",     "X-Weight-Versions",
+      "X-Expect-Version",  "PathPrefix",        "TrafficSplit",    "RouteKind",     "TargetLatencyMs",
+      "MaxAttempts",       "ApiKeys",           "HealthPath",      "MaxConns",      "HeaderTimeoutMs",
+      "ColdLeftMs",        "PageToken",         "ListenAddrs",     "InternalPorts", "SeedPeers",
+      "CloudApi",          "FenceChecked",      "FaultBudget",     "MaxInflight",   "FenceToken",
+      "ExpectedCount",     "KvCapacityTokens",  "TokenKvBytes",    "KvStoreAddr",   "GapTargetMs",
+      "non_idempotent",    "kv-events",         "kv-list",         "version-put"};
   int filesRead = 0;
   for (const char* folder : {"src", "charts"})
     for (const auto& entry : std::filesystem::recursive_directory_iterator(std::filesystem::path(TT_SOURCE) / folder)) {
