--- a/src/cluster/core_operators.cpp
+++ b/src/cluster/core_operators.cpp
@@ -38,10 +38,9 @@
   row.askId = ask.askId;
   row.at = effects.now;
   row.ask = ask;
-  if (row.ask.changeId.empty())
-    row.ask.changeId =
-        self.id + "/" + std::to_string(startedAt.time_since_epoch().count()) + "/" + std::to_string(++askCount);
-  asked[self.id + "/" + std::to_string(++askCount)] = row;
+  std::string life = self.id + "/" + std::to_string(startedAt.time_since_epoch().count());
+  if (row.ask.changeId.empty()) row.ask.changeId = life + "/" + std::to_string(++askCount);
+  asked[life + "/" + std::to_string(++askCount)] = row;
   settleAsked(effects);
 }
 
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <unordered_set>
 
 #include "host.hpp"
@@ -184,12 +185,17 @@
   std::unordered_set<std::shared_ptr<Connection>> connections;
   std::size_t exchanges{0};
   Moment sweepAt{never}, lastSweep{};
+  std::size_t queuedBytes{0};
+  bool shedPosted{false};
 
   Result<void> open();
   void accept();
   void wakeBy(Moment moment);
   void sweep();
   void close();
+  /// Counts bytes that begin to wait; once too many do, the callers that have left most behind are let go.
+  void queue(std::size_t bytes);
+  void shed();
 };
 
 class Gate::Connection : public std::enable_shared_from_this<Connection> {
@@ -212,6 +218,8 @@
   void bytes(std::string_view bytes);
   void end();
   void cut();
+  /// Lets go of a caller that does not take its answer: what waits for it is dropped and it is told nothing more.
+  void abandon();
   std::size_t unwritten() const { return pending.size() + flying.size() - flown + tail.size(); }
   bool hasStarted() const { return answering != Answering::nothing; }
   bool hasEnded() const { return ended; }
@@ -247,6 +255,9 @@
 
   Answering answering{Answering::nothing};
   bool exchanging{false}, ended{false}, keeps{false};
+  /// How long the answer under way promises to keep the connection, and until when an earlier one did.
+  Span promised{0};
+  Moment keptUntil{};
   std::size_t answerLeft{0};
   /// The last bytes of an answer are held back until its end, so that a cut one is never whole.
   std::string tail;
@@ -259,6 +270,9 @@
     deadline = moment;
     if (moment != never) gate->wakeBy(moment);
   }
+  Moment restsUntil() const;
+  void resetOnClose(bool resets);
+  void enqueue(std::string_view bytes);
   void read();
   void watch();
   void onRead(asio::error_code error, std::size_t size);
@@ -394,7 +408,8 @@
   detach(false);
   asio::error_code ignored;
   socket.close(ignored);
-  pending.clear();
+  gate->queuedBytes -= pending.size() + flying.size() - flown;
+  pending = std::string();
   tail.clear();
   gate->connections.erase(self);
 }
@@ -437,7 +452,7 @@
     const auto* expected =
         in.empty() && request.body.empty() && !isHttp10 ? findHeader(request.headers, "Expect") : nullptr;
     if (expected && sameName(*expected, "100-continue") && deadline == never) {
-      pending += "HTTP/1.1 100 Continue\r\n\r\n";
+      enqueue("HTTP/1.1 100 Continue\r\n\r\n");
       flush();
     }
     setDeadline(Clock::now() + limits.headerWait);
@@ -452,7 +467,7 @@
     skippedBlank = true;
     if (in.empty()) {
       phase = Phase::idle;
-      setDeadline(Clock::now() + (gate->leaving ? limits.idleClose : limits.idleWait));
+      setDeadline(restsUntil());
       return Taken::part;
     }
   }
@@ -583,8 +598,8 @@
   deadline = never;
   in = std::string();
   request = GateRequest{};
-  pending += "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) +
-             "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  enqueue("HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) +
+          "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
   flush();
   read();
   return Taken::refused;
@@ -615,40 +630,43 @@
   else
     answering = isHttp10 ? Answering::untilClose : Answering::chunks;
   answerLeft = length.value_or(0);
-  keeps = mayKeep && !gate->leaving && answering != Answering::untilClose;
-
-  pending += "HTTP/1.1 ";
-  pending += std::to_string(status);
-  pending += ' ';
-  pending += reasonOf(status);
-  pending += "\r\n";
+  bool hasReadMore = !in.empty();
+  keeps = mayKeep && (!gate->leaving || hasReadMore) && answering != Answering::untilClose;
+  if (answering == Answering::untilClose) resetOnClose(true);
+
+  std::string text = "HTTP/1.1 ";
+  text += std::to_string(status);
+  text += ' ';
+  text += reasonOf(status);
+  text += "\r\n";
   for (const auto& [name, value] : headers) {
     if (isHopByHop(name) || !isToken(name) || hasControl(value)) continue;
-    pending += name;
-    pending += ": ";
-    pending += value;
-    pending += "\r\n";
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
   }
   if (length && !bare) {
-    pending += "Content-Length: ";
-    pending += std::to_string(*length);
-    pending += "\r\n";
+    text += "Content-Length: ";
+    text += std::to_string(*length);
+    text += "\r\n";
   } else if (!bare && !isHttp10) {
-    pending += "Transfer-Encoding: chunked\r\n";
+    text += "Transfer-Encoding: chunked\r\n";
   }
   if (keeps) {
-    auto whole = std::chrono::duration_cast<std::chrono::seconds>(gate->limits.idleWait).count();
-    pending += "Connection: keep-alive\r\nKeep-Alive: timeout=";
-    pending += std::to_string(std::max<std::int64_t>(1, whole));
-    pending += "\r\n";
+    auto whole = std::chrono::duration_cast<std::chrono::seconds>(gate->limits.idleWait);
+    promised = gate->leaving ? Span(0) : Span(whole);
+    text += "Connection: keep-alive\r\n";
+    if (promised > Span(0)) text += "Keep-Alive: timeout=" + std::to_string(whole.count()) + "\r\n";
   } else {
-    pending += "Connection: close\r\n";
+    text += "Connection: close\r\n";
   }
   if (answering == Answering::empty)
     tail = "\r\n";
   else
-    pending += "\r\n";
+    text += "\r\n";
   if (answering == Answering::chunks) tail = "0\r\n\r\n";
+  enqueue(text);
   postFlush();
 }
 
@@ -665,17 +683,17 @@
         tail = bytes.back();
         bytes.remove_suffix(1);
       }
-      pending += bytes;
+      enqueue(bytes);
       break;
     case Answering::chunks: {
       char size[2 * sizeof(std::size_t) + 3];
-      pending.append(size, static_cast<std::size_t>(std::snprintf(size, sizeof size, "%zx\r\n", bytes.size())));
-      pending += bytes;
-      pending += "\r\n";
+      enqueue({size, static_cast<std::size_t>(std::snprintf(size, sizeof size, "%zx\r\n", bytes.size()))});
+      enqueue(bytes);
+      enqueue("\r\n");
       break;
     }
     case Answering::untilClose:
-      pending += bytes;
+      enqueue(bytes);
       break;
   }
   postFlush();
@@ -686,7 +704,7 @@
   if (phase != Phase::exchange || ended) return;
   if (answering == Answering::nothing || (answering == Answering::length && answerLeft > 0)) return cut();
   ended = true;
-  pending += tail;
+  enqueue(tail);
   tail.clear();
   flush();
   if (flying.empty()) onFlushed();
@@ -698,25 +716,45 @@
   auto dropped = std::move(gone);
   detach(false);
   tail.clear();
-  if (answering == Answering::untilClose) {
-    asio::error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    return close();
-  }
-  if (answering == Answering::nothing) return close();
+  if (answering == Answering::untilClose || answering == Answering::nothing) return close();
   phase = Phase::cutting;
   flush();
   if (flying.empty()) close();
 }
 
+void Gate::Connection::abandon() {
+  if (phase == Phase::closed) return;
+  resetOnClose(true);
+  onFailure();
+}
+
+Moment Gate::Connection::restsUntil() const {
+  if (gate->leaving) return Clock::now() + gate->limits.idleClose;
+  return std::max(Clock::now() + gate->limits.idleWait, keptUntil);
+}
+
+/// Where the end of the connection is the end of the answer, whatever ends the connection before that, even a kill of
+/// the process, must reset it.
+void Gate::Connection::resetOnClose(bool resets) {
+  asio::error_code ignored;
+  socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
+void Gate::Connection::enqueue(std::string_view bytes) {
+  pending += bytes;
+  gate->queue(bytes.size());
+}
+
 void Gate::Connection::finishExchange() {
   detach(false);
+  if (answering == Answering::untilClose) resetOnClose(false);
   if (sawEnd) return close();
   if (!keeps) return drain();
   phase = Phase::idle;
   skippedBlank = false;
   if (in.empty() && in.capacity() > keptCapacity) in = std::string();
-  setDeadline(Clock::now() + (gate->leaving ? gate->limits.idleClose : gate->limits.idleWait));
+  keptUntil = Clock::now() + promised;
+  setDeadline(restsUntil());
   parse();
 }
 
@@ -740,6 +778,7 @@
   if (phase == Phase::closed) return;
   if (error) return onFailure();
   flown += size;
+  gate->queuedBytes -= size;
   if (flown < flying.size())
     return socket.async_write_some(asio::buffer(flying.data() + flown, flying.size() - flown),
                                    [self = shared_from_this()](asio::error_code failure, std::size_t written) {
@@ -827,6 +866,25 @@
   if (next != never) wakeBy(next);
 }
 
+void Gate::Inner::queue(std::size_t bytes) {
+  queuedBytes += bytes;
+  if (queuedBytes <= limits.queuedBytes || shedPosted) return;
+  shedPosted = true;
+  asio::post(io, [self = shared_from_this()] {
+    self->shedPosted = false;
+    self->shed();
+  });
+}
+
+void Gate::Inner::shed() {
+  while (queuedBytes > limits.queuedBytes && !connections.empty()) {
+    auto most = *std::max_element(connections.begin(), connections.end(), [](const auto& one, const auto& other) {
+      return one->unwritten() < other->unwritten();
+    });
+    most->abandon();
+  }
+}
+
 void Gate::Inner::close() {
   if (closed) return;
   closed = true;
@@ -855,5 +913,6 @@
 void Gate::close() { inner->close(); }
 std::size_t Gate::connections() const { return inner->connections.size(); }
 std::size_t Gate::exchanges() const { return inner->exchanges; }
+std::size_t Gate::queued() const { return inner->queuedBytes; }
 
 }  // namespace tt
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -21,6 +21,8 @@
   Span idleWait{15s};
   /// How long an idle connection is kept once the gate is leaving.
   Span idleClose{300ms};
+  /// How many bytes of answers may wait, over all connections, for callers to take them.
+  std::size_t queuedBytes{64u << 20};
 };
 
 /// One whole and sound request; the body is decoded from its chunks.
@@ -72,6 +74,8 @@
   std::size_t connections() const;
   /// Exchanges under way: handed over, and their answers not yet wholly taken by the socket.
   std::size_t exchanges() const;
+  /// Bytes of answers that wait for callers to take them.
+  std::size_t queued() const;
 
  private:
   struct Inner;
