The client of calls trusts no unsound head, no surplus, and lets no call leave too late

Cause: framing was left to libcurl 7.88, which takes two lengths, HTTP/2, statuses of 600 and more, and keeps a connection on which more came after a chunked or empty answer. A call started under a lease was written whenever its connection stood, also after a hanging connect or a freeze of the process. Ruled out: the library's own resend of calls marked once; the guards hold in all cases of tests/calls.cpp. Change: status line and framing are read strictly; a connection with surplus is closed; HttpCall has mayLeave, asked in the instant before the write, and alone, for calls with a connection of their own that is reset afterwards; an end says whether a kept connection was forgotten.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -54,6 +54,39 @@
   return std::nullopt;
 }
 
+/// The status of a sound status line of HTTP/1, or 0.
+int statusOfLine(std::string_view line) {
+  constexpr std::string_view version = "HTTP/1.";
+  constexpr std::size_t statusAt = version.size() + 2;
+  if (line.substr(0, version.size()) != version || line.size() < statusAt + 3) return 0;
+  auto digits = line.substr(statusAt, 3);
+  if (line[statusAt - 1] != ' ' || digits.find_first_not_of("0123456789") != std::string_view::npos) return 0;
+  if (line.size() > statusAt + 3 && line[statusAt + 3] != ' ') return 0;
+  int status = (digits[0] - '0') * 100 + (digits[1] - '0') * 10 + (digits[2] - '0');
+  return status >= 100 && status <= 599 && status != 101 ? status : 0;
+}
+/// Where a head says that its body ends; nothing if it says so twice, or not in a way that all readers take alike.
+enum class BodyEnd { told, byClose, unsound };
+BodyEnd bodyEndOf(const HttpHead& head, std::string_view method) {
+  const std::string *length = nullptr, *coding = nullptr;
+  for (const auto& [name, value] : head.headers) {
+    if (sameName(name, "Content-Length")) {
+      if (length && *length != value) return BodyEnd::unsound;
+      length = &value;
+    } else if (sameName(name, "Transfer-Encoding")) {
+      if (coding || !sameName(value, "chunked")) return BodyEnd::unsound;
+      coding = &value;
+    }
+  }
+  if (length && coding) return BodyEnd::unsound;
+  constexpr std::size_t mostDigits = 15;
+  if (length &&
+      (length->empty() || length->size() > mostDigits || length->find_first_not_of("0123456789") != std::string::npos))
+    return BodyEnd::unsound;
+  bool bare = method == "HEAD" || head.status == 204 || head.status == 304;
+  return length || coding || bare ? BodyEnd::told : BodyEnd::byClose;
+}
+
 }  // namespace
 
 const std::string* HttpHead::find(std::string_view name) const { return findHeader(headers, name); }
@@ -68,6 +101,8 @@
     bool reading{false}, writing{false}, closed{false};
     /// Both ends' addresses, once a request has gone out.
     std::string ends;
+    /// Closing resets, so that the system sends nothing of what was given up.
+    bool resets{false};
   };
   struct Row {
     Inner* owner{nullptr};
@@ -80,7 +115,14 @@
     CURL* easy{nullptr};
     curl_slist* headers{nullptr};
     bool added{false}, headWhole{false}, sent{false}, resendRefused{false}, dropped{false}, foundStale{false};
+    bool keptConnection{false}, heard{false}, unsound{false}, leaveRefused{false};
     curl_socket_t newSocket{CURL_SOCKET_BAD};
+    /// Takes no more of an answer that nobody could be sure to read right; what a callback says to end the transfer.
+    std::size_t refuseAnswer() {
+      unsound = true;
+      head = {};
+      return 0;
+    }
     char errorText[CURL_ERROR_SIZE]{};
   };
 
@@ -165,6 +207,7 @@
     int socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (socket < 0) return CURL_SOCKET_BAD;
     auto watch = std::make_shared<Watch>(self->io);
+    watch->resets = row->call.alone;
     asio::error_code error;
     watch->descriptor.assign(socket, error);
     if (error) {
@@ -188,6 +231,8 @@
     auto found = self->watches.find(socket);
     if (found != self->watches.end()) {
       found->second->closed = true;
+      linger resetting{1, 0};
+      if (found->second->resets) ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &resetting, sizeof resetting);
       found->second->descriptor.release();
       if (auto named = self->socketOf.find(found->second->ends);
           named != self->socketOf.end() && named->second == socket)
@@ -205,15 +250,22 @@
       row->resendRefused = true;
       return CURL_PREREQFUNC_ABORT;
     }
+    if (row->call.mayLeave && !row->call.mayLeave()) {
+      row->leaveRefused = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     std::string ends =
         std::string(localIp) + " " + std::to_string(localPort) + " " + peerIp + " " + std::to_string(peerPort);
     if (auto fresh = std::exchange(row->newSocket, CURL_SOCKET_BAD); fresh != CURL_SOCKET_BAD) {
       ++self->opened;
       self->socketOf[ends] = fresh;
       if (auto found = self->watches.find(fresh); found != self->watches.end()) found->second->ends = ends;
+      row->keptConnection = false;
     } else if (self->isStale(ends)) {
       row->foundStale = true;
       return CURL_PREREQFUNC_ABORT;
+    } else {
+      row->keptConnection = true;
     }
     row->sent = true;
     return CURL_PREREQFUNC_OK;
@@ -229,18 +281,19 @@
   static std::size_t onHeader(char* start, std::size_t size, std::size_t count, void* owner) {
     auto* row = static_cast<Row*>(owner);
     std::size_t bytes = size * count;
-    if (row->dropped) return 0;
+    if (row->dropped || row->unsound) return 0;
+    row->heard = true;
     if (row->headWhole) return bytes;
     std::string_view line(start, bytes);
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.remove_suffix(1);
     if (line.empty()) {
       row->owner->finishHead(*row);
-      return row->dropped ? 0 : bytes;
+      return row->dropped || row->unsound ? 0 : bytes;
     }
     auto& headers = row->head.headers;
     if (row->head.status == 0) {
-      auto space = line.find(' ');
-      if (space != std::string_view::npos) row->head.status = std::atoi(std::string(line.substr(space + 1, 3)).c_str());
+      row->head.status = statusOfLine(line);
+      if (row->head.status == 0) return row->refuseAnswer();
     } else if ((line[0] == ' ' || line[0] == '\t') && !headers.empty()) {
       headers.back().second += " " + std::string(trimmed(line));
     } else if (auto colon = line.find(':'); colon != std::string_view::npos) {
@@ -253,7 +306,14 @@
       row.head = {};
       return;
     }
+    auto bodyEnd = bodyEndOf(row.head, row.call.method);
+    if (bodyEnd == BodyEnd::unsound) {
+      row.refuseAnswer();
+      return;
+    }
+    row.head.delimited = bodyEnd == BodyEnd::told;
     row.headWhole = true;
+    curl_easy_setopt(row.easy, CURLOPT_VERBOSE, 1L);
     if (auto* told = row.head.find("Keep-Alive"))
       if (auto seconds = keepAliveTimeout(*told)) {
         keepAlive[row.call.address] = *seconds;
@@ -264,11 +324,22 @@
   static std::size_t onBody(char* start, std::size_t size, std::size_t count, void* owner) {
     auto* row = static_cast<Row*>(owner);
     std::size_t bytes = size * count;
-    if (row->dropped) return 0;
+    if (row->dropped || row->unsound) return 0;
+    if (!row->headWhole) return row->refuseAnswer();
     if (row->onBytes) row->onBytes(std::string_view(start, bytes));
     return row->dropped ? 0 : bytes;
   }
 
+  /// Hears, from the head's end on, what the library notes of a transfer: libcurl 7.88 keeps a connection on which more
+  /// came after a chunked or an empty answer, and says so only here.
+  static int onNote(CURL* easy, curl_infotype kind, char* start, std::size_t size, void*) {
+    if (kind != CURLINFO_TEXT) return 0;
+    std::string_view note(start, size);
+    for (std::string_view surplus : {"Leftovers after chunking", "Excess found"})
+      if (note.substr(0, surplus.size()) == surplus) curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    return 0;
+  }
+
   void act(curl_socket_t socket, int events) {
     insideLibrary = true;
     timerSet = false;
@@ -315,7 +386,14 @@
     HttpEnd end;
     end.how = code == CURLE_OK && row->headWhole ? HttpHow::whole : row->sent ? HttpHow::broken : HttpHow::unsent;
     end.head = std::move(row->head);
-    if (row->resendRefused) {
+    bool ended =
+        row->resendRefused || code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR;
+    end.forgotten = end.how == HttpHow::broken && row->keptConnection && !row->heard && ended;
+    if (row->leaveRefused) {
+      end.trouble = "the call could not leave in time";
+    } else if (row->unsound) {
+      end.trouble = "the answer is not sound HTTP/1";
+    } else if (row->resendRefused) {
       end.trouble = "the connection ended without an answer, and the call is not sent again";
     } else if (code != CURLE_OK) {
       end.trouble = row->errorText[0] ? row->errorText : curl_easy_strerror(code);
@@ -399,6 +477,10 @@
     if (call.connectWait > Span(0)) curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, wholeMs(call.connectWait));
     if (call.wholeWait > Span(0)) curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, wholeMs(call.wholeWait));
 
+    if (call.alone) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     auto told = keepAlive.find(call.address);
     long keep = told == keepAlive.end() ? keepAliveUntold : told->second - 1;
     if (keep <= 0) {
@@ -416,6 +498,7 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &row);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Inner::onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &row);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &Inner::onNote);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Inner::onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &row);
 
--- a/src/net/calls.hpp
+++ b/src/net/calls.hpp
@@ -18,10 +18,18 @@
   Span connectWait{1s}, wholeWait{0};
   /// The other side must never get this call a second time through the library's own resend.
   bool once{false};
+  /// Takes a connection of its own that is reset afterwards: nothing said to another call can be taken for its answer,
+  /// and nothing of a call that was given up is sent any more.
+  bool alone{false};
+  /// Asked in the instant before the request is written, also after a connect that took long or a freeze of this
+  /// process; a call that may not leave ends unsent.
+  std::function<bool()> mayLeave;
 };
 struct HttpHead {
   int status{0};
   HttpHeaders headers;
+  /// Whether the head tells where the body ends; otherwise an answer that was cut cannot be told from a whole one.
+  bool delimited{false};
   /// The first value under a name in any case, or null.
   const std::string* find(std::string_view name) const;
 };
@@ -31,6 +39,8 @@
   HttpHow how{HttpHow::broken};
   HttpHead head;
   std::string trouble;
+  /// The call went over a kept connection that ended without a byte of answer: the peer may have forgotten it.
+  bool forgotten{false};
 };
 
 /// An HTTP/1.1 client on an io_context, with kept connections and no thread of its own: libcurl's multi socket
--- /dev/null
+++ b/tests/call_faults.cpp
@@ -0,0 +1,205 @@
+#include "raw_server.hpp"
+
+using namespace tt;
+using namespace raw;
+
+namespace {
+
+std::string chunked(const std::string& body, const std::string& headers = {}) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", body.size());
+  return "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body +
+         "\r\n0\r\n\r\n";
+}
+HttpCall once(HttpCall call) {
+  call.once = true;
+  return call;
+}
+
+}  // namespace
+
+Test(call_faults, bytes_after_a_whole_answer_end_the_connection) {
+  const std::string surplus = okay("surplus");
+  for (const std::string& answer : {okay("fine"), okay(""), chunked("fine"), chunked("fine", "X-A: 1\r\n")}) {
+    for (std::size_t cut : {std::size_t(1), std::size_t(17), surplus.size()}) {
+      Bench bench;
+      RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+        if (request.find("/first") != std::string::npos) return held->say(answer + surplus.substr(0, cut));
+        if (held->number == 0) held->say(surplus.substr(cut));
+        held->say(okay("own"));
+      });
+      auto first = bench.finish(bench.call(server, "/first"));
+      cr_assert(first->end.how == HttpHow::whole);
+      auto second = bench.finish(once(bench.call(server, "/second", "POST", "body")));
+      cr_assert(second->end.how == HttpHow::whole, "%s", second->end.trouble.c_str());
+      cr_assert_eq(second->body, "own");
+      cr_assert_eq(bench.calls.connectionsOpened(), 2u, "the connection that said too much is not used again");
+    }
+  }
+}
+
+Test(call_faults, an_answer_whose_end_cannot_be_trusted_is_broken_and_gives_no_bytes) {
+  const std::vector<std::string> unsound{
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nbytes",
+      "HTTP/1.1 000 Nothing\r\nContent-Length: 4\r\n\r\nfour",
+      "HTTP/1.1 099 Low\r\nContent-Length: 4\r\n\r\nfour",
+      "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nfour",
+      "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\nfour",
+      "HTTP/2 200 OK\r\nContent-Length: 4\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfour",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nfour",
+  };
+  for (const auto& text : unsound) {
+    Bench bench;
+    RawServer server(bench.io, [&](const RawServer::Held& held, const std::string&) {
+      held->say(text);
+      held->close();
+    });
+    auto seen = bench.finish(once(bench.call(server)));
+    cr_expect(seen->end.how == HttpHow::broken, "must be broken: %s", text.c_str());
+    cr_expect_eq(seen->heads, 0, "no head of: %s", text.c_str());
+    cr_expect_eq(seen->body, "", "no bytes of: %s", text.c_str());
+  }
+}
+
+Test(call_faults, an_answer_tells_whether_its_end_can_be_known) {
+  Bench bench;
+  std::string text;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string&) {
+    held->say(text);
+    if (text.find("until") != std::string::npos) held->close();
+  });
+  for (auto [said, delimited] : {std::pair(okay("fine"), true),
+                                 {chunked("fine"), true},
+                                 {std::string("HTTP/1.1 204 No Content\r\n\r\n"), true},
+                                 {std::string("HTTP/1.1 200 OK\r\n\r\nuntil the close"), false}}) {
+    text = said;
+    auto seen = bench.finish(bench.call(server));
+    cr_assert(seen->end.how == HttpHow::whole);
+    cr_assert_eq(seen->head.delimited, delimited, "%s", said.c_str());
+  }
+}
+
+Test(call_faults, an_answer_before_the_whole_request_was_taken_leaves_no_connection_behind) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("own")); });
+  server.onPiece = [](const RawServer::Held& held) {
+    if (held->got.find("/big") == std::string::npos || held->ended) return;
+    held->say("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    held->ended = true;
+  };
+  auto big = bench.finish(once(bench.call(server, "/big", "POST", std::string(8u << 20, 'x'))));
+  cr_assert_eq(big->head.status, 503);
+  auto next = bench.finish(once(bench.call(server, "/next", "POST", "body")));
+  cr_assert_eq(next->body, "own");
+  cr_assert_eq(bench.calls.connectionsOpened(), 2u);
+}
+
+Test(call_faults, a_call_that_may_not_leave_any_more_when_its_connection_stands_is_unsent) {
+  for (bool kept : {false, true}) {
+    Bench bench;
+    RawServer server(bench.io, [](const RawServer::Held& held, const std::string&) { held->say(okay("fine")); });
+    if (kept) bench.finish(bench.call(server, "/first"));
+    bool leaseGood = true;
+    int asked = 0;
+    auto call = once(bench.call(server, "/order", "POST", "body"));
+    call.mayLeave = [&] { return ++asked, leaseGood; };
+    auto seen = bench.start(call);
+    leaseGood = false;
+    cr_assert(bench.until([&] { return seen->ends > 0; }));
+    bench.pass(20ms);
+    cr_expect(seen->end.how == HttpHow::unsent);
+    cr_expect_eq(server.copies("/order"), 0u, "not a byte of it was written");
+    cr_expect_geq(asked, 1);
+    leaseGood = true;
+    auto next = bench.finish(call);
+    cr_expect(next->end.how == HttpHow::whole);
+    cr_expect_eq(server.copies("/order"), 1u);
+  }
+}
+
+Test(call_faults, a_connect_that_stands_late_is_asked_whether_its_call_may_still_leave) {
+  Bench bench;
+  asio::ip::tcp::acceptor full(bench.io, asio::ip::tcp::v4());
+  full.bind(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  full.listen(0);
+  std::vector<asio::ip::tcp::socket> filling;
+  for (int count = 0; count < 4; ++count) {
+    filling.emplace_back(bench.io);
+    filling.back().async_connect(full.local_endpoint(), [](const asio::error_code&) {});
+  }
+  bench.pass(5ms);
+  HttpCall call;
+  call.address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+  call.target = "/order";
+  call.connectWait = 10s;
+  bool leaseGood = true;
+  call.mayLeave = [&] { return leaseGood; };
+  auto seen = bench.start(call);
+  bench.pass(20ms);
+  cr_assert_eq(seen->ends, 0, "the connection hangs");
+  leaseGood = false;
+  std::string got;
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>> accepted;
+  std::array<char, 4096> space{};
+  std::function<void()> accept = [&] {
+    full.async_accept([&](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      accepted.push_back(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+      accepted.back()->async_read_some(asio::buffer(space), [&](const asio::error_code& failed, std::size_t bytes) {
+        if (!failed) got.append(space.data(), bytes);
+      });
+      accept();
+    });
+  };
+  accept();
+  cr_assert(bench.until([&] { return seen->ends > 0; }, 9s));
+  bench.pass(20ms);
+  cr_expect(seen->end.how == HttpHow::unsent);
+  cr_expect_eq(got, "");
+  asio::error_code ignored;
+  full.close(ignored);
+}
+
+Test(call_faults, a_call_alone_uses_no_kept_connection_and_leaves_none) {
+  Bench bench;
+  RawServer server(bench.io, [](const RawServer::Held& held, const std::string& request) {
+    held->say(okay(request.find("/order") != std::string::npos ? "order" : "other"));
+  });
+  bench.finish(bench.call(server, "/first"));
+  auto call = once(bench.call(server, "/order", "POST", "body"));
+  call.alone = true;
+  cr_assert_eq(bench.finish(call)->body, "order");
+  cr_assert_eq(bench.finish(call)->body, "order");
+  cr_assert_eq(bench.finish(bench.call(server, "/second"))->body, "other");
+  cr_assert_eq(bench.calls.connectionsOpened(), 3u);
+  cr_assert_eq(server.connections[0]->requests, 2u, "the kept connection serves the others");
+  cr_assert_eq(server.connections[1]->requests, 1u);
+  cr_assert_eq(server.connections[2]->requests, 1u);
+}
+
+Test(call_faults, a_kept_connection_that_ends_without_an_answer_is_told_apart) {
+  for (bool byReset : {false, true})
+    for (bool begun : {false, true}) {
+      Bench bench;
+      RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+        if (request.find("/first") != std::string::npos) return held->say(okay("fine"));
+        if (begun) held->say("HTTP/1.1 200 OK\r\n");
+        byReset ? held->reset() : held->close();
+      });
+      auto fresh = bench.finish(once(bench.call(server, "/second", "POST", "body")));
+      cr_assert(fresh->end.how == HttpHow::broken);
+      cr_assert_not(fresh->end.forgotten, "a new connection cannot have been forgotten");
+      bench.finish(bench.call(server, "/first"));
+      auto kept = bench.finish(once(bench.call(server, "/second", "POST", "body")));
+      cr_assert(kept->end.how == HttpHow::broken, "it may have run");
+      if (!begun) cr_assert(kept->end.forgotten);
+      if (begun && !byReset) cr_assert_not(kept->end.forgotten);
+    }
+}
