--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -151,7 +151,16 @@
 Result<Entry> decodeEntry(std::string_view bytes);
 
 /// How a worker's order ended.
-enum class Outcome : int { done = 0, denied = 1, brokenUnsent = 2, broken = 3, failed = 4, silent = 5 };
+enum class Outcome : int {
+  done = 0,
+  denied = 1,
+  brokenUnsent = 2,
+  broken = 3,
+  failed = 4,
+  silent = 5,
+  /// Broken like the others, and it may have run; but only a kept connection is known to have ended, not its worker.
+  forgotten = 6
+};
 /// What an entry in the log is.
 enum class EntryKind : int { empty = 0, change = 1, members = 2, whole = 3 };
 /// What a report tells of: all, the kept blocks only, or the worker's condition only.
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -16,6 +16,8 @@
 constexpr long connectionsKept = 1024;
 constexpr std::size_t easyHandlesKept = 256;
 constexpr long keepAliveUntold = 15;
+/// How long a peer is taken for one that forgets idle connections early.
+constexpr Span forgetfulFor = 30s;
 
 std::string_view trimmed(std::string_view text) {
   auto from = text.find_first_not_of(" \t");
@@ -103,6 +105,8 @@
     std::string ends;
     /// Closing resets, so that the system sends nothing of what was given up.
     bool resets{false};
+    /// When it last carried something of a call.
+    Moment usedAt{};
   };
   struct Row {
     Inner* owner{nullptr};
@@ -116,7 +120,8 @@
     curl_slist* headers{nullptr};
     bool added{false}, headWhole{false}, sent{false}, resendRefused{false}, dropped{false}, foundStale{false};
     bool keptConnection{false}, heard{false}, unsound{false}, leaveRefused{false};
-    curl_socket_t newSocket{CURL_SOCKET_BAD};
+    curl_socket_t newSocket{CURL_SOCKET_BAD}, usedSocket{CURL_SOCKET_BAD};
+    Span idle{};
     /// Takes no more of an answer that nobody could be sure to read right; what a callback says to end the transfer.
     std::size_t refuseAnswer() {
       unsound = true;
@@ -137,6 +142,13 @@
   std::vector<CURL*> freeHandles;
   std::vector<std::uint64_t> starting, dropping;
   std::unordered_map<std::string, long> keepAlive;
+  /// Peers that forgot a kept connection: how long one may be idle there to be used again, and since when that is
+  /// known.
+  struct Forgetful {
+    Span idleMost{};
+    Moment since{};
+  };
+  std::unordered_map<std::string, Forgetful> forgetful;
   std::uint64_t lastId{0}, opened{0};
   bool insideLibrary{false}, timerSet{false};
 
@@ -261,11 +273,13 @@
       self->socketOf[ends] = fresh;
       if (auto found = self->watches.find(fresh); found != self->watches.end()) found->second->ends = ends;
       row->keptConnection = false;
-    } else if (self->isStale(ends)) {
+      row->usedSocket = fresh;
+    } else if (self->isStale(ends) || self->mayBeForgotten(*row, ends)) {
       row->foundStale = true;
       return CURL_PREREQFUNC_ABORT;
     } else {
       row->keptConnection = true;
+      row->usedSocket = self->socketOf.at(ends);
     }
     row->sent = true;
     return CURL_PREREQFUNC_OK;
@@ -278,6 +292,24 @@
     auto got = ::recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
+  /// Whether the peer lately forgot a connection that had been idle for not much longer than this one.
+  bool mayBeForgotten(Row& row, const std::string& ends) {
+    Moment now = Clock::now();
+    auto watch = watches.find(socketOf.at(ends));
+    row.idle = watch == watches.end() ? Span(0) : now - watch->second->usedAt;
+    auto peer = forgetful.find(row.call.address);
+    if (peer == forgetful.end()) return false;
+    if (now - peer->second.since > forgetfulFor) {
+      forgetful.erase(peer);
+      return false;
+    }
+    return row.idle >= peer->second.idleMost;
+  }
+  void noteUse(const Row& row, bool forgotten) {
+    Moment now = Clock::now();
+    if (auto watch = watches.find(row.usedSocket); watch != watches.end()) watch->second->usedAt = now;
+    if (forgotten) forgetful[row.call.address] = Forgetful{row.idle / 2, now};
+  }
   static std::size_t onHeader(char* start, std::size_t size, std::size_t count, void* owner) {
     auto* row = static_cast<Row*>(owner);
     std::size_t bytes = size * count;
@@ -389,6 +421,7 @@
     bool ended =
         row->resendRefused || code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR;
     end.forgotten = end.how == HttpHow::broken && row->keptConnection && !row->heard && ended;
+    noteUse(*row, end.forgotten);
     if (row->leaveRefused) {
       end.trouble = "the call could not leave in time";
     } else if (row->unsound) {
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -879,13 +879,15 @@
   order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   order.mayHaveRun = true;
-  order.retryAsked = order.tries < mostTriesOf(order) && mayRetry(effects.now) && !overdue(order, effects.now);
+  bool mayGoOn = !order.lastPiece.empty();
+  order.retryAsked =
+      mayGoOn && order.tries < mostTriesOf(order) && mayRetry(effects.now) && !overdue(order, effects.now);
   if (!order.retryAsked) verdict(effects, order, "failed", Code::workerBroke, order.plan.worker);
 }
 
 void Edge::weighBroken(Effects& effects, Order& order) {
   freeWorker(effects, order);
-  order.tried.insert(order.plan.worker);
+  if (static_cast<Outcome>(order.end.outcome) != Outcome::forgotten) order.tried.insert(order.plan.worker);
   orderBySend.erase(order.sendId);
   order.mayHaveRun = settings.defences.stands(Defence::unknownOnceSent);
   bool mayRepeat = order.ask.repeatable || !settings.defences.stands(Defence::retryOnlyRepeatable);
--- a/tests/call_faults.cpp
+++ b/tests/call_faults.cpp
@@ -203,3 +203,33 @@
       if (begun && !byReset) cr_assert_not(kept->end.forgotten);
     }
 }
+
+Test(call_faults, connections_idle_like_one_that_the_peer_forgot_are_not_used) {
+  Bench bench;
+  std::vector<RawServer::Held> waiting;
+  bool forgets = false;
+  RawServer server(bench.io, [&](const RawServer::Held& held, const std::string& request) {
+    if (request.find("/first") != std::string::npos) {
+      waiting.push_back(held);
+      if (waiting.size() < 4) return;
+      for (const auto& each : waiting) each->say(okay("fine"));
+      return;
+    }
+    if (forgets && held->number < 4) return held->reset();
+    held->say(okay("own"));
+  });
+  std::vector<std::shared_ptr<Seen>> firsts;
+  for (int count = 0; count < 4; ++count) firsts.push_back(bench.start(bench.call(server, "/first")));
+  cr_assert(bench.until(
+      [&] { return std::all_of(firsts.begin(), firsts.end(), [](const auto& each) { return each->ends == 1; }); }));
+  forgets = true;
+  bench.pass(5ms);
+  auto lost = bench.finish(once(bench.call(server, "/second", "POST", "body")));
+  cr_assert(lost->end.how == HttpHow::broken);
+  cr_assert(lost->end.forgotten);
+  for (int count = 0; count < 4; ++count) {
+    auto next = bench.finish(once(bench.call(server, "/third", "POST", "body")));
+    cr_expect(next->end.how == HttpHow::whole, "only one request is lost to them");
+    cr_expect_eq(next->body, "own");
+  }
+}
--- /dev/null
+++ b/tests/proxy_bench.hpp
@@ -0,0 +1,230 @@
+#pragma once
+#include "edge.hpp"
+#include "exchanges.hpp"
+#include "raw_server.hpp"
+
+/// A proxy's whole way between callers and workers, over real sockets: gate, logic, calls, and workers that answer with
+/// scripts of raw bytes. Only its agent is played.
+namespace raw {
+
+/// What a caller got.
+struct Got {
+  int status{0};
+  HttpHeaders headers;
+  std::string body, text;
+  /// The answer's end came as its head said that it would.
+  bool whole{false};
+  std::string header(const std::string& name) const {
+    const auto* found = findHeader(headers, name);
+    return found ? *found : std::string();
+  }
+};
+
+inline Got readAnswer(const std::string& text) {
+  Got got;
+  got.text = text;
+  auto end = text.find("\r\n\r\n");
+  if (text.rfind("HTTP/1.1 ", 0) != 0 || end == std::string::npos) return got;
+  got.status = std::stoi(text.substr(9, 3));
+  for (std::size_t line = text.find("\r\n") + 2; line < end + 2;) {
+    auto stop = text.find("\r\n", line);
+    auto colon = text.find(": ", line);
+    got.headers.emplace_back(text.substr(line, colon - line), text.substr(colon + 2, stop - colon - 2));
+    line = stop + 2;
+  }
+  std::string rest = text.substr(end + 4);
+  if (got.header("Transfer-Encoding") != "chunked") {
+    got.body = rest;
+    got.whole = rest.size() == std::stoul("0" + got.header("Content-Length"));
+    return got;
+  }
+  while (true) {
+    auto line = rest.find("\r\n");
+    if (line == std::string::npos) return got;
+    std::size_t size = std::stoul(rest.substr(0, line), nullptr, 16);
+    if (size == 0) {
+      got.whole = rest == "0\r\n\r\n";
+      return got;
+    }
+    got.body += rest.substr(line + 2, size);
+    if (rest.size() < line + 2 + size + 2) return got;
+    rest.erase(0, line + 2 + size + 2);
+  }
+}
+
+inline std::string headerIn(const std::string& request, const std::string& name) {
+  auto at = request.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  at += name.size() + 4;
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+/// The two headers that every answer of a worker to this request carries.
+inline std::string stamped(const std::string& request, const std::string& seal = "seal-1") {
+  return "X-Attempt-Id: " + headerIn(request, "X-Attempt-Id") + "\r\nX-Server-Seal: " + seal + "\r\n";
+}
+
+class ProxyBench {
+ public:
+  using Script = std::function<void(const RawServer::Held& held, const std::string& request)>;
+
+  explicit ProxyBench(std::size_t workers = 2) {
+    EdgeSettings settings;
+    settings.name = "proxy-1";
+    settings.address = "proxy-1:1";
+    settings.locality = "north-a";
+    settings.agentAddress = "agent:1";
+    settings.pendingMost = 256;
+    settings.sourceRides = settings.openGoOn = true;
+    settings.retryLeast = 10000;
+    edge = std::make_unique<Edge>(settings);
+    host = std::make_unique<Host>(*edge, io, 20ms);
+    calls = std::make_unique<HttpCalls>(io);
+    exchanges = std::make_unique<Exchanges>(
+        *calls, "proxy-1", [this](const std::string& from, const Message& message) { host->take(from, message); },
+        [this] { return edge->fresh(Clock::now()); });
+    gate = std::make_unique<Gate>(io, "127.0.0.1:0", [this](GateRequest request, std::shared_ptr<GateAnswer> answer) {
+      exchanges->take(std::move(request), std::move(answer));
+    });
+    host->carry = [this](const std::string& to, Message&& message) {
+      if (exchanges->carry(to, message)) return;
+      if (auto* ask = std::get_if<FeedAsk>(&message); ask && feeds)
+        asio::post(io, [this, sentAt = ask->sentAt] {
+          host->take("agent:1", FeedReply{sentAt, 0, edge->configuration().index(), true});
+        });
+    };
+    for (std::size_t number = 0; number < workers; ++number)
+      servers.push_back(
+          std::make_unique<RawServer>(io, [this](const RawServer::Held& held, const std::string& request) {
+            ++arrivals;
+            script(held, request);
+          }));
+    cr_assert(bool(gate->open()));
+    host->start();
+    declare();
+    tellWorkers();
+    cr_assert(until([&] { return edge->ready(Clock::now()); }));
+  }
+  ~ProxyBench() {
+    host->stop();
+    gate->close();
+    calls.reset();
+  }
+  bool until(const std::function<bool()>& done, Span most = 5s) {
+    auto limit = Clock::now() + most;
+    while (!done() && Clock::now() < limit) {
+      io.restart();
+      io.run_one_until(limit);
+    }
+    return done();
+  }
+  void pass(Span span) {
+    until([] { return false; }, span);
+  }
+
+  struct Client {
+    explicit Client(asio::io_context& context) : socket(context) {}
+    asio::ip::tcp::socket socket;
+    std::string text;
+    std::array<char, 16384> piece{};
+    bool ended{false};
+  };
+  std::shared_ptr<Client> begin(const std::string& target, const std::string& headers = {},
+                                const std::string& body = "body") {
+    auto client = std::make_shared<Client>(io);
+    client->socket.connect({asio::ip::address_v4::loopback(), gate->port()});
+    std::string id = "X-Attempt-Id: a-" + std::to_string(++lastAttempt) + "\r\n";
+    if (headers.find("X-Attempt-Id") != std::string::npos) id.clear();
+    std::string deadline = headers.find("X-Deadline-Ms") == std::string::npos ? "X-Deadline-Ms: 4000\r\n" : "";
+    std::string text = "POST " + target + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n" + id + deadline +
+                       headers + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                       body;
+    asio::write(client->socket, asio::buffer(text));
+    read(client);
+    return client;
+  }
+  Got finish(const std::shared_ptr<Client>& client) {
+    cr_assert(until([&] { return client->ended; }), "the caller's connection must end");
+    return readAnswer(client->text);
+  }
+  Got ask(const std::string& target, const std::string& headers = {}, const std::string& body = "body") {
+    return finish(begin(target, headers, body));
+  }
+  std::size_t copies(const std::string& marker) const {
+    std::size_t count = 0;
+    for (const auto& server : servers) count += server->copies(marker);
+    return count;
+  }
+  void tellWorkers() {
+    CellNews news;
+    news.locality = "north-a";
+    news.term = 1;
+    news.sequence = ++newsCount;
+    std::vector<Machine> machines;
+    for (std::size_t number = 0; number < servers.size(); ++number) {
+      WorkerView row;
+      row.name = "w" + std::to_string(number);
+      row.address = servers[number]->address();
+      row.locality = "north-a";
+      row.kind = "language";
+      row.slots = 64;
+      row.alive = row.confirmed = true;
+      row.service = "mill";
+      news.workers.push_back(row);
+      Machine machine;
+      machine.name = row.name;
+      machine.address = row.address;
+      machine.locality = row.locality;
+      machine.kind = "language";
+      machine.service = "mill";
+      machines.push_back(machine);
+    }
+    host->take("agent:1", news);
+    host->take("agent:1", MarksMsg{0, machines});
+  }
+
+  asio::io_context io;
+  std::unique_ptr<Edge> edge;
+  std::unique_ptr<Host> host;
+  std::unique_ptr<HttpCalls> calls;
+  std::unique_ptr<Exchanges> exchanges;
+  std::unique_ptr<Gate> gate;
+  std::vector<std::unique_ptr<RawServer>> servers;
+  Script script;
+  std::size_t arrivals{0};
+  bool feeds{true};
+
+ private:
+  int lastAttempt{0};
+  Count newsCount{0};
+
+  void declare() {
+    Configuration view;
+    auto patch = view.preparePatch(
+        R"({"services":{"mill":{}},"tenants":{"asp":{"secrets":["key-a"]}},
+  "routes":{"once":{"host":"h","prefix":"/once/","service":"mill","repeat":"once","tries":2,"timeoutMs":4000},
+    "safe":{"host":"h","prefix":"/safe/","service":"mill","repeat":"safe","tries":3,"timeoutMs":4000},
+    "single":{"host":"h","prefix":"/single/","service":"mill","repeat":"safe","tries":1,"timeoutMs":4000},
+    "stream":{"host":"h","prefix":"/stream/","service":"mill","repeat":"stream","tries":3,"timeoutMs":4000},
+    "resume":{"host":"h","prefix":"/resume/","service":"mill","repeat":"stream","resumable":true,"tries":3,"timeoutMs":4000}}})",
+        Manner::patch);
+    cr_assert(bool(patch));
+    view.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 1});
+    NewsMsg news;
+    news.commit = 1;
+    news.snapshots.push_back(view.snapshot());
+    host->take("agent:1", news);
+  }
+  void read(const std::shared_ptr<Client>& client) {
+    client->socket.async_read_some(asio::buffer(client->piece),
+                                   [this, client](const asio::error_code& error, std::size_t bytes) {
+                                     client->text.append(client->piece.data(), bytes);
+                                     if (error) {
+                                       client->ended = true;
+                                       return;
+                                     }
+                                     read(client);
+                                   });
+  }
+};
+
+}  // namespace raw
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -47,6 +47,12 @@
       for (auto at = held->got.find(marker); at != std::string::npos; at = held->got.find(marker, at + 1)) ++count;
     return count;
   }
+  /// Takes no more connections, as a process that is gone.
+  void shut() {
+    asio::error_code ignored;
+    acceptor.close(ignored);
+    for (const auto& held : connections) held->close();
+  }
   std::vector<Held> connections;
   Script script;
   std::function<void(const Held&)> onPiece;
