--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -99,10 +99,12 @@
   X(ReportAsk, ((Count, after))((std::string, incarnation))((bool, whole))((int, scope))((std::string, worker)))                                        \
   X(Report, ((std::string, worker))((std::string, incarnation))((std::string, weights))((std::string, model))       \
                 ((int, running))((int, slots))((Count, sequence))((std::vector<KeptEvent>, events))((bool, whole))  \
-                ((Hashes, kept))((bool, draining))((Count, term))((int, scope))((bool, gaps))((bool, lost))((int, waiting))((int, memory)))                                                 \
+                ((Hashes, kept))((bool, draining))((Count, term))((int, scope))((bool, gaps))((bool, lost))((int, waiting))((int, memory))\
+                ((bool, countsOrders))((Count, orders)))                                                           \
   X(ControlAsk, ((Count, term))((std::string, holder))((std::string, action))((std::string, model))                 \
-                    ((std::string, weights))((std::string, incarnation))((std::string, worker)))                    \
-  X(ControlReply, ((std::string, worker))((Count, term))((int, code)))                                              \
+                    ((std::string, weights))((std::string, incarnation))((std::string, worker))                     \
+                    ((Count, number))((bool, expects))((Count, expected)))                                          \
+  X(ControlReply, ((std::string, worker))((Count, term))((int, code))((Count, number)))                                              \
   X(PullAsk, ((std::string, pullId))((Hashes, hashes)))                                                             \
   X(PullReply, ((std::string, pullId))((Hashes, hashes))((Strings, origins)))                                       \
   X(StoreMsg, ((Hashes, hashes))((Strings, origins)))                                                               \
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -204,6 +204,10 @@
     row = effects.now - row->second > followerKept ? followers.erase(row) : std::next(row);
 }
 
+bool Core::mayCommand(const ControlAsk& command, Moment now) const {
+  return std::any_of(cells.begin(), cells.end(), [&](const auto& row) { return row.second->mayCommand(command, now); });
+}
+
 void Core::take(Effects& effects, const std::string& from, const Message& message) {
   if (auto* ask = std::get_if<LogEndRequest>(&message)) {
     onEnds(effects, from, *ask);
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -32,6 +32,8 @@
   /// The host's word on how long the oldest write has waited for its sync.
   void diskWaits(Span span) { diskWait = span; }
   const std::string& id() const { return self.id; }
+  /// Whether a command to a worker may still leave at this moment.
+  bool mayCommand(const ControlAsk& command, Moment now) const;
   /// Whether what this core would read back of the configuration is known to be complete.
   bool readsConfirmed(Moment now) const { return clusterView->fresh(now); }
 
--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -20,6 +20,8 @@
   Span listEvery{300ms}, listOld{300ms};
   /// How long a new holder of a cell sends no commands, so that holders never take turns at a worker.
   Span commandRest{0};
+  /// How long a command may be on its way to a worker.
+  Span commandWait{2s};
   /// How long workers with old weights may be drawn after new ones are named.
   Span rolloutMost{18s};
   /// How long a voter must be silent before it is taken out for good, and how many voters must stay; 0 takes none out.
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -74,6 +74,7 @@
     keeper.summaryStale = true;
     keeper.heardAt = effects.now;
     keeper.known = false;
+    keeper.last.countsOrders = false;
     keeper.conditionAt = keeper.conditionAskedAt = Moment{};
   }
   rollouts.clear();
@@ -166,6 +167,8 @@
   keeper.last.memory = report.memory;
   keeper.last.slots = report.slots;
   keeper.last.draining = report.draining;
+  keeper.last.countsOrders = report.countsOrders;
+  keeper.last.orders = report.orders;
   newsDue = newsDue || changed;
   moveRollouts(effects, *lastConfiguration);
 }
@@ -291,8 +294,15 @@
   auto& rollout = rollouts[worker];
   rollout.sentAt = effects.now;
   if (found == rows.end() || !election.holds(effects.now) || effects.now - wonAt < timing.commandRest) return;
-  effects.send(found->second.machine.address, ControlAsk{election.term(), selfId, action, rollout.model,
-                                                         rollout.weights, found->second.last.incarnation, worker});
+  const auto& last = found->second.last;
+  rollout.commandNumber = ++lastCommand;
+  effects.send(found->second.machine.address,
+               ControlAsk{election.term(), selfId, action, rollout.model, rollout.weights, last.incarnation, worker,
+                          rollout.commandNumber, last.countsOrders, last.orders});
+}
+
+bool Cell::mayCommand(const ControlAsk& command, Moment now) const {
+  return rows.count(command.worker) > 0 && command.term == election.term() && election.holds(now);
 }
 
 void Cell::hold(Effects& effects, const std::string& worker) {
@@ -604,8 +614,12 @@
     if (watches.size() < 4096) watches[watch->moveId] = std::move(made);
   } else if (auto* reply = std::get_if<ControlReply>(&message)) {
     if (reply->code == static_cast<int>(Code::termOld)) election.seeTerm(effects, reply->term);
-    if (reply->code == static_cast<int>(Code::done))
-      if (auto rollout = rollouts.find(reply->worker); rollout != rollouts.end()) rollout->second.takenAt = effects.now;
+    auto rollout = rollouts.find(reply->worker);
+    if (reply->code != static_cast<int>(Code::done) || rollout == rollouts.end()) return;
+    bool answersLast =
+        reply->term == election.term() && (reply->number == 0 || reply->number == rollout->second.commandNumber);
+    if (!answersLast) return effects.note("command answered late", reply->worker);
+    rollout->second.takenAt = effects.now;
   } else {
     election.take(effects, from, message);
   }
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -66,6 +66,8 @@
   const std::map<std::string, CellNews>* allNews{nullptr};
   const std::string& locality() const { return place; }
   const std::map<std::string, Keeper>& keepers() const { return rows; }
+  /// Whether a command may still leave: asked again in the instant before it is written to its worker.
+  bool mayCommand(const ControlAsk& command, Moment now) const;
   std::string rolloutState(const std::string& worker) const;
   std::int64_t unconfirmedCount() const;
 
@@ -74,6 +76,8 @@
     std::string weights, model;
     Moment since{}, sentAt{}, readyAt{};
     std::uint64_t markSequence{0};
+    /// The number of the last command, which its answer brings back.
+    Count commandNumber{0};
     /// When the worker last said that it has taken the command.
     Moment takenAt{};
     bool failed{false};
@@ -103,6 +107,7 @@
   };
   std::map<std::pair<std::string, std::string>, Speed> speeds;
   std::uint64_t sequence{0};
+  Count lastCommand{0};
   /// What the last news said, so that the next need only say what has changed.
   std::map<std::string, WorkerView> said;
   Moment publishedAt{}, summariesAt{}, sweptAt{};
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -230,8 +230,11 @@
     row->newSocket = socket;
     return socket;
   }
-  static int onTune(void*, curl_socket_t socket, curlsocktype) {
+  static int onTune(void* owner, curl_socket_t socket, curlsocktype) {
+    const auto& call = static_cast<Row*>(owner)->call;
     int on = 1, idle = 5, every = 1, unanswered = 2000;
+    if (call.alone && call.wholeWait > Span(0))
+      unanswered = static_cast<int>(std::min<std::int64_t>(unanswered, inMs(call.wholeWait)));
     ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
     ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
@@ -525,6 +528,7 @@
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Inner::onOpen);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &row);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Inner::onTune);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &row);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Inner::onClose);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Inner::onRequest);
--- a/src/sim/standin.cpp
+++ b/src/sim/standin.cpp
@@ -193,12 +193,12 @@
 void KeeperNode::onControl(Effects& effects, const std::string& from, const ControlAsk& ask) {
   if (ask.incarnation != incarnation && given.defences.stands(Defence::incarnationFence)) {
     effects.note("command denied", given.name + " " + ask.holder + " incarnation", static_cast<std::int64_t>(ask.term));
-    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::incarnationOld)});
+    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::incarnationOld), ask.number});
     return;
   }
   if (ask.term < highestTerm && given.defences.stands(Defence::termFence)) {
     effects.note("command denied", given.name + " " + ask.holder + " term", static_cast<std::int64_t>(ask.term));
-    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::termOld)});
+    effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::termOld), ask.number});
     return;
   }
   highestTerm = std::max(highestTerm, ask.term);
@@ -219,7 +219,7 @@
   } else if (ask.action == "admit") {
     if (loadDue == Moment{} && currentWeights == ask.weights) drains = false;
   }
-  effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::done)});
+  effects.send(from, ControlReply{given.name, highestTerm, static_cast<int>(Code::done), ask.number});
 }
 
 void KeeperNode::tick(Effects& effects) {
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -114,8 +114,11 @@
       made.method = "POST";
       made.url = "http://" + to + "/v1/control";
       made.body = writeControl(*control);
-      call(to, made, [&, to](const std::string& body) {
-        if (auto reply = readControlReply(body)) host.take(to, reply.value());
+      call(to, made, [&, to, number = control->number](const std::string& body) {
+        auto reply = readControlReply(body);
+        if (!reply) return;
+        reply.value().number = number;
+        host.take(to, reply.value());
       });
     } else if (auto* reply = std::get_if<OperatorResponse>(&message)) {
       if (auto answer = answers.remove(to))
--- a/tests/cells.cpp
+++ b/tests/cells.cpp
@@ -31,7 +31,8 @@
 
 struct TestWorker {
   std::string name, weights{"moss/3"}, incarnation{"1"};
-  Count sequence{100}, fence{0};
+  Count sequence{100}, fence{0}, orders{0};
+  bool countsOrders{false};
   std::set<BlockHash> kept;
   std::vector<KeptEvent> events;
   bool answers{true}, answersCommands{true}, obeys{true}, lost{false};
@@ -150,6 +151,8 @@
         report.weights = worker.weights;
         report.model = "moss";
         report.draining = !worker.loading.empty();
+        report.countsOrders = worker.countsOrders;
+        report.orders = worker.orders;
         return answer(worker, from, report);
       }
       report.gaps = true;
@@ -176,7 +179,8 @@
     }
     if (worker.answersCommands)
       answer(worker, from,
-             ControlReply{worker.name, control->term, static_cast<int>(old ? Code::termOld : Code::done)});
+             ControlReply{worker.name, control->term, static_cast<int>(old ? Code::termOld : Code::done),
+                          control->number});
   }
   void step() {
     now += 10ms;
@@ -460,6 +464,71 @@
   cr_expect_eq(bench.all<ControlAsk>().size(), total, "done is done");
 }
 
+Test(cells, an_answer_to_an_earlier_command_does_not_stand_for_the_last_one) {
+  CellBench bench;
+  bench.list(1);
+  auto& mute = bench.workers["w1"];
+  mute.answersCommands = mute.obeys = false;
+  bench.runToHolder();
+  bench.run(4s);
+  bench.name("moss/4");
+  while (bench.commandsTo("w1").empty()) bench.step();
+  auto first = std::get<ControlAsk>(bench.commandsTo("w1")[0].message);
+  bench.name("moss/5");
+  while (std::get<ControlAsk>(bench.commandsTo("w1").back().message).weights != "moss/5") bench.step();
+  auto last = std::get<ControlAsk>(bench.commandsTo("w1").back().message);
+  std::size_t sent = bench.commandsTo("w1").size();
+  auto late = [&](Count term, Count number) { return ControlReply{"w1", term, static_cast<int>(Code::done), number}; };
+  bench.run(100ms);
+  for (const auto& reply : {late(first.term, first.number), late(last.term - 1, last.number)})
+    bench.with(bench.holder(), [&](Effects& effects, Cell& cell) { cell.take(effects, "w1:80", reply); });
+  bench.run(600ms);
+  cr_assert_gt(bench.commandsTo("w1").size(), sent, "the last command is still unanswered and is sent again");
+  last = std::get<ControlAsk>(bench.commandsTo("w1").back().message);
+  cr_expect_eq(last.weights, "moss/5");
+  sent = bench.commandsTo("w1").size();
+  bench.with(bench.holder(),
+             [&](Effects& effects, Cell& cell) { cell.take(effects, "w1:80", late(last.term, last.number)); });
+  bench.run(400ms);
+  cr_expect_eq(bench.commandsTo("w1").size(), sent, "its own answer is taken");
+}
+
+Test(cells, a_command_expects_the_count_that_the_worker_last_told_of) {
+  CellBench bench;
+  bench.list(2);
+  bench.workers["w2"].countsOrders = true;
+  bench.workers["w2"].orders = 7;
+  bench.runToHolder();
+  bench.run(4s);
+  bench.name("moss/4");
+  bench.run(8s);
+  cr_assert_not(bench.commandsTo("w1").empty());
+  cr_assert_not(bench.commandsTo("w2").empty());
+  cr_expect_not(std::get<ControlAsk>(bench.commandsTo("w1")[0].message).expects, "it never told");
+  auto counted = std::get<ControlAsk>(bench.commandsTo("w2")[0].message);
+  cr_expect(counted.expects);
+  cr_expect_eq(counted.expected, 7u);
+}
+
+Test(cells, a_command_may_leave_only_under_its_own_term_and_while_the_lease_is_good) {
+  CellBench bench(3);
+  bench.list(1);
+  bench.runToHolder();
+  auto address = bench.holder();
+  auto& cell = *bench.cores.at(address).cell;
+  ControlAsk command{cell.election.term(), "holder", "load", "moss", "moss/4", "1", "w1"};
+  cr_expect(cell.mayCommand(command, bench.now));
+  auto older = command;
+  --older.term;
+  cr_expect_not(cell.mayCommand(older, bench.now));
+  auto unlisted = command;
+  unlisted.worker = "w9";
+  cr_expect_not(cell.mayCommand(unlisted, bench.now));
+  cr_expect_not(cell.mayCommand(command, bench.now + timing.lease), "this is asked after a freeze");
+  for (auto& [other, core] : bench.cores)
+    if (other != address) cr_expect_not(core.cell->mayCommand(command, bench.now));
+}
+
 Test(cells, only_the_holder_commands_and_holders_do_not_take_turns) {
   CellBench bench(3);
   bench.list(6);
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -17,7 +17,7 @@
     std::string got, unread;
     std::array<char, 16384> piece{};
     std::size_t number{0}, requests{0};
-    bool ended{false};
+    bool ended{false}, wasReset{false};
     void say(const std::string& text) {
       asio::error_code error;
       asio::write(socket, asio::buffer(text), error);
@@ -75,6 +75,7 @@
                                  [this, held](const asio::error_code& error, std::size_t bytes) {
                                    if (error) {
                                      held->ended = true;
+                                     held->wasReset = error == asio::error::connection_reset;
                                      return;
                                    }
                                    held->got.append(held->piece.data(), bytes);
