Ring: batches that are whole or absent; a torn end is told from damage

Cause: a sound record behind a missing one counted as damage, though a disk may keep any subset of the pages that were not synced; half a batch was kept; a process that ended before its sync counted records in the cache as synced; a refused write at the start emptied the ring; a stopped wipe could leave an older state.

--- a/src/net/process.cpp
+++ b/src/net/process.cpp
@@ -148,6 +148,16 @@
   return 2;
 }
 
+int failDisk(const Fault& fault) {
+  logWarning("Disk failed (" + fault.subject + ": " + fault.text + "), ending.");
+  return 3;
+}
+
+void noteRingDamage(Journal& journal, const Fault& damage) {
+  logWarning("Ring damaged (" + damage.subject + ": " + damage.text + "), starting empty under a new id.");
+  journal.append(Clock::now(), "ring damaged", damage.subject);
+}
+
 void runPool(asio::io_context& context, std::size_t threads, const std::function<void()>& stopping) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::signal_set signals(context, SIGTERM, SIGINT);
--- a/src/net/process.hpp
+++ b/src/net/process.hpp
@@ -47,5 +47,9 @@
 void runPool(asio::io_context& context, std::size_t threads, const std::function<void()>& stopping);
 /// Ends the program with exit code 2 after saying what is wrong.
 int failStart(const Fault& fault);
+/// Says that the disk cannot be read or written, and gives the exit code for it: 3. Nothing on the disk is given up.
+int failDisk(const Fault& fault);
+/// Says that a ring was emptied for its damage, and counts it.
+void noteRingDamage(Journal& journal, const Fault& damage);
 
 }  // namespace tt
--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -166,18 +166,14 @@
   auto& actor = *actors.at(name);
   Moment now = actor.local(clock);
   if (starts(name, "core-")) {
-    auto opened = Ring::open(*actor.disk);
-    if (!opened) {
-      ++counts["ring damaged"];
-      (void)Ring::wipe(*actor.disk);
-      opened = Ring::open(*actor.disk);
-    }
+    auto opened = Ring::openOrEmpty(*actor.disk);
     if (!opened) {
       ++counts["disk failed"];
       actor.alive = false;
       return;
     }
-    actor.ring = std::move(opened).value();
+    if (opened.value().damage) ++counts["ring damaged"];
+    actor.ring = std::move(opened.value().ring);
     CoreSettings settings;
     settings.name = "core-" + std::to_string(std::min(numberOf(name), shape.cores));
     settings.address = actor.address;
--- a/src/storage/ring.cpp
+++ b/src/storage/ring.cpp
@@ -1,5 +1,8 @@
 #include "ring.hpp"
 
+#include "ring_format.hpp"
+#include "ring_recovery.hpp"
+
 #include <fstream>
 #include <thread>
 
@@ -7,84 +10,15 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include <boost/crc.hpp>
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
 namespace tt {
 namespace {
 
-struct Header {
-  std::uint32_t magic;
-  std::uint32_t kind;
-  std::uint64_t generation;
-  std::uint64_t sequence;
-  std::uint32_t length;
-  std::uint32_t sum;
-};
-constexpr std::uint32_t magicWord = 0x54544c59;
-
-std::uint32_t sumOf(Header header, std::string_view bytes) {
-  header.sum = 0;
-  boost::crc_32_type sum;
-  sum.process_bytes(&header, sizeof header);
-  sum.process_bytes(bytes.data(), bytes.size());
-  return sum.checksum();
-}
-
-struct Scan {
-  std::uint64_t generation{0};
-  std::uint64_t newestFound{0};
-  bool checkpoint{false};
-  bool damaged{false};
-  bool torn{false};
-  std::size_t end{0};
-  std::uint64_t nextSequence{1};
-  Recovered sum;
-};
-
-std::optional<Header> soundAt(const std::string& bytes, std::size_t at) {
-  if (at + sizeof(Header) > bytes.size()) return std::nullopt;
-  Header header;
-  std::memcpy(&header, bytes.data() + at, sizeof header);
-  if (header.magic != magicWord || header.length > bytes.size() - at - sizeof header) return std::nullopt;
-  if (sumOf(header, std::string_view(bytes).substr(at + sizeof header, header.length)) != header.sum)
-    return std::nullopt;
-  return header;
-}
-
-Scan scanFile(const std::string& bytes) {
-  Scan scan;
-  std::size_t at = 0;
-  while (auto header = soundAt(bytes, at)) {
-    if (at == 0) {
-      scan.generation = header->generation;
-      scan.nextSequence = header->sequence;
-    }
-    if (header->generation != scan.generation || header->sequence != scan.nextSequence) break;
-    Record record{static_cast<RecordKind>(header->kind), bytes.substr(at + sizeof(Header), header->length)};
-    if (!scan.sum.fold(record)) {
-      scan.damaged = true;
-      return scan;
-    }
-    scan.checkpoint = scan.checkpoint || record.kind == RecordKind::checkpointEnd;
-    at += sizeof(Header) + header->length;
-    ++scan.nextSequence;
-  }
-  scan.end = at;
-  Header next{};
-  if (at + sizeof next <= bytes.size()) std::memcpy(&next, bytes.data() + at, sizeof next);
-  scan.torn = next.magic == magicWord && next.generation == scan.generation;
-  std::string word(reinterpret_cast<const char*>(&magicWord), sizeof magicWord);
-  for (std::size_t found = bytes.find(word, at + 1); found != std::string::npos; found = bytes.find(word, found + 1)) {
-    auto header = soundAt(bytes, found);
-    if (!header) continue;
-    scan.newestFound = std::max(scan.newestFound, header->generation);
-    if (header->generation >= scan.generation && header->sequence > scan.nextSequence) scan.damaged = true;
-  }
-  scan.newestFound = std::max(scan.newestFound, scan.generation);
-  return scan;
-}
+/// The smallest piece that a disk keeps or loses as one.
+constexpr std::size_t sectorBytes = 512;
 
 Fault diskFault(const std::string& what) { return fault(Code::diskFault, what, std::strerror(errno)); }
 
@@ -170,92 +104,132 @@
   return inner.sync(file);
 }
 
-std::string Ring::pack(const Record& record) {
-  Header header{magicWord,      static_cast<std::uint32_t>(record.kind),         currentGeneration,
-                nextSequence++, static_cast<std::uint32_t>(record.bytes.size()), 0};
-  header.sum = sumOf(header, record.bytes);
-  return std::string(reinterpret_cast<const char*>(&header), sizeof header) + record.bytes;
+namespace {
+
+std::size_t usedIn(const std::string& bytes) {
+  std::size_t last = bytes.find_last_not_of('\0');
+  return last == std::string::npos ? 0 : last + 1;
 }
 
-Result<std::unique_ptr<Ring>> Ring::open(RingFiles& files) {
-  std::unique_ptr<Ring> ring(new Ring(files));
-  std::vector<Scan> scans;
+Result<std::vector<std::string>> readFiles(RingFiles& files) {
+  std::vector<std::string> contents;
   for (int file = 0; file < files.count(); ++file) {
     auto bytes = files.readAll(file);
     if (!bytes) return bytes.error();
-    scans.push_back(scanFile(bytes.value()));
+    contents.push_back(std::move(bytes).value());
   }
-  Scan* best = nullptr;
-  std::uint64_t newest = 0;
-  for (int file = 0; file < files.count(); ++file) {
-    auto& scan = scans[file];
-    if (scan.damaged) continue;
-    newest = std::max(newest, scan.generation);
-    if (scan.checkpoint && (!best || scan.generation > best->generation)) {
-      ring->currentFile = file;
-      best = &scan;
-    }
-  }
-  for (int file = 0; file < files.count(); ++file)
-    if (scans[file].damaged && (!best || scans[file].newestFound > best->generation))
-      return fault(Code::diskFault, "ring-" + std::to_string(file), "damaged");
-  int following = (ring->currentFile + 1) % files.count();
-  if (best && best->generation >= static_cast<std::uint64_t>(files.count()) && scans[following].newestFound == 0)
-    return fault(Code::diskFault, "ring-" + std::to_string(following), "its records are gone");
-  if (best) {
-    if (newest > best->generation + 1) return fault(Code::diskFault, "ring", "a file is missing");
-    ring->mirror = std::move(best->sum);
-    ring->currentGeneration = best->generation;
-    ring->nextSequence = best->nextSequence;
-    ring->offset = best->end;
-    ring->torn = best->torn || newest > best->generation;
-    if (ring->torn) {
-      ring->currentGeneration = newest;
-      auto turned = ring->turn();
-      if (!turned) return turned.error();
-    }
-  } else {
-    ring->currentGeneration = newest;
-    ring->offset = files.size();
-  }
-  return ring;
+  return contents;
 }
 
-Result<void> Ring::turn() {
-  currentFile = (currentFile + 1) % files.count();
-  ++currentGeneration;
-  std::string bytes;
-  for (const auto& record : mirror.records()) bytes += pack(record);
-  bytes += pack(Record{RecordKind::checkpointEnd, {}});
-  if (bytes.size() > files.size()) return fault(Code::diskFault, "ring", "the checkpoint outgrows a file");
-  offset = bytes.size();
-  bytes.resize(files.size(), '\0');
-  auto written = files.write(currentFile, 0, bytes);
+Result<void> writeZeros(RingFiles& files, int file, std::size_t bytes) {
+  auto written = files.write(file, 0, std::string(bytes, '\0'));
   if (!written) return written.error();
-  return files.sync(currentFile);
+  return files.sync(file);
 }
 
-Result<void> Ring::append(const std::vector<Record>& records) {
-  std::string bytes;
-  for (const auto& record : records) {
-    if (!mirror.fold(record)) return fault(Code::diskFault, "record");
-    bytes += pack(record);
+}  // namespace
+
+Result<std::unique_ptr<Ring>> Ring::open(RingFiles& files) {
+  auto contents = readFiles(files);
+  if (!contents) return contents.error();
+  auto found = recoverRing(contents.value());
+  if (!found) return found.error();
+  std::unique_ptr<Ring> ring(new Ring(files));
+  for (std::size_t file = 0; file < contents.value().size(); ++file)
+    ring->usedBytes[file] = usedIn(contents.value()[file]);
+  auto& state = found.value();
+  ring->offset = files.size();
+  if (!state.any) return ring;
+  ring->mirror = std::move(state.held);
+  ring->currentFile = state.file;
+  ring->currentGeneration = state.generation;
+  ring->nextSequence = state.nextSequence;
+  ring->turns = state.turns;
+  ring->torn = state.torn;
+  if (auto synced = files.sync(state.file); !synced) return synced.error();
+  auto turned = ring->turn(state.syncedGeneration, state.syncedSequence);
+  if (!turned) return turned.error();
+  return ring;
+}
+
+Result<Ring::Opened> Ring::openOrEmpty(RingFiles& files) {
+  Opened opened;
+  auto ring = open(files);
+  if (!ring && ring.error().code == Code::ringDamaged) {
+    opened.damage = ring.error();
+    if (auto wiped = wipe(files); !wiped) return wiped.error();
+    ring = open(files);
   }
-  if (offset + bytes.size() > files.size()) return turn();
-  auto written = files.write(currentFile, offset, bytes);
+  if (!ring) return ring.error();
+  opened.ring = std::move(ring).value();
+  return opened;
+}
+
+Result<void> Ring::writeThrough(int file, std::size_t at, std::string_view bytes) {
+  auto& used = usedBytes[static_cast<std::size_t>(file)];
+  used = std::max(used, at + bytes.size());
+  auto written = files.write(file, at, bytes);
   if (!written) return written.error();
+  return files.sync(file);
+}
+
+Result<void> Ring::turn(std::uint64_t syncedGeneration, std::uint64_t syncedSequence) {
+  auto records = mirror.records();
+  records.push_back(Record{RecordKind::checkpointEnd, {}});
+  BatchMark mark;
+  mark.generation = currentGeneration + 1;
+  mark.sequence = nextSequence;
+  mark.syncedGeneration = syncedGeneration;
+  mark.syncedSequence = syncedSequence;
+  mark.turns = turns + 1;
+  std::string bytes = packBatch(mark, records);
+  if (bytes.size() > files.size()) return fault(Code::diskFault, "ring", "the checkpoint outgrows a file");
+  int following = (currentFile + 1) % files.count();
+  auto& used = usedBytes[static_cast<std::size_t>(following)];
+  std::size_t checkpointBytes = bytes.size();
+  bytes.resize(std::max(used, checkpointBytes), '\0');
+  if (auto written = writeThrough(following, 0, bytes); !written) return written.error();
+  used = checkpointBytes;
+  offset = checkpointBytes;
+  currentFile = following;
+  currentGeneration = mark.generation;
+  turns = mark.turns;
+  ++nextSequence;
+  return boost::outcome_v2::success();
+}
+
+Result<void> Ring::writeBatch(const std::vector<Record>& records) {
+  for (const auto& record : records)
+    if (!mirror.fold(record)) return fault(Code::diskFault, "record");
+  BatchMark mark;
+  mark.generation = mark.syncedGeneration = currentGeneration;
+  mark.sequence = nextSequence;
+  mark.syncedSequence = nextSequence - 1;
+  mark.turns = turns;
+  std::string bytes = packBatch(mark, records);
+  if (offset + bytes.size() > files.size()) return turn(mark.syncedGeneration, mark.syncedSequence);
+  if (auto written = writeThrough(currentFile, offset, bytes); !written) return written.error();
   offset += bytes.size();
-  return files.sync(currentFile);
+  ++nextSequence;
+  return boost::outcome_v2::success();
+}
+
+Result<void> Ring::append(const std::vector<Record>& records) {
+  if (failed) return fault(Code::diskFault, "ring", "an earlier write failed");
+  if (records.empty()) return boost::outcome_v2::success();
+  auto written = writeBatch(records);
+  failed = !written;
+  return written;
 }
 
 Result<void> Ring::wipe(RingFiles& files) {
-  std::string nothing(files.size(), '\0');
-  for (int file = 0; file < files.count(); ++file) {
-    auto written = files.write(file, 0, nothing);
-    if (!written) return written.error();
-    auto synced = files.sync(file);
-    if (!synced) return synced.error();
-  }
+  auto contents = readFiles(files);
+  if (!contents) return contents.error();
+  auto order = oldestFirst(contents.value());
+  for (int file : order)
+    if (auto done = writeZeros(files, file, std::min(sectorBytes, files.size())); !done) return done.error();
+  for (int file : order)
+    if (auto done = writeZeros(files, file, files.size()); !done) return done.error();
   return boost::outcome_v2::success();
 }
 
--- a/src/storage/ring.hpp
+++ b/src/storage/ring.hpp
@@ -49,31 +49,49 @@
 
 /// A ring of preallocated files. Each file starts with a checkpoint of all that still counts and goes on with
 /// records; a full file is left for the next one, whose old content is no longer needed.
+///
+/// What is appended at once is one batch: after a loss of power it is there whole or not at all. Each batch says which
+/// one before it had surely been synced, so that recovery tells a batch that was never synced from real damage.
 class Ring {
  public:
-  /// Reads what the files hold. A torn end is dropped; damage with sound records behind it is a fault.
+  /// Reads what the files hold, syncs it and writes it down afresh in the next file. An unsynced end is dropped. Real
+  /// damage is `ringDamaged`; files that cannot be read or written are `diskFault`.
   static Result<std::unique_ptr<Ring>> open(RingFiles& files);
+  /// What `openOrEmpty` came to: the ring, and the damage for which it had to be emptied.
+  struct Opened;
+  /// Opens a ring; one that is damaged is emptied for good, so that its owner joins anew. A disk that cannot be read or
+  /// written at the moment empties nothing.
+  static Result<Opened> openOrEmpty(RingFiles& files);
   const Recovered& held() const { return mirror; }
-  /// Writes records and syncs them all at once.
+  /// Writes records and syncs them all at once. After a failure the ring takes nothing more: it is to be opened again.
   Result<void> append(const std::vector<Record>& records);
   bool tornEnd() const { return torn; }
   std::uint64_t generation() const { return currentGeneration; }
   /// How many bytes one checkpoint may take.
   std::size_t room() const { return files.size() / 2; }
-  /// Empties the ring for good, as a core does that finds it damaged.
+  /// Empties the ring for good. A stop in the middle never leaves an older state that can be opened.
   static Result<void> wipe(RingFiles& files);
 
  private:
-  explicit Ring(RingFiles& ringFiles) : files(ringFiles) {}
+  explicit Ring(RingFiles& ringFiles) : files(ringFiles), usedBytes(static_cast<std::size_t>(ringFiles.count()), 0) {}
   RingFiles& files;
   Recovered mirror;
+  /// Up to where each file may hold bytes other than zero.
+  std::vector<std::size_t> usedBytes;
   int currentFile{0};
   std::uint64_t currentGeneration{0};
   std::uint64_t nextSequence{1};
+  std::uint32_t turns{0};
   std::size_t offset{0};
-  bool torn{false};
-  std::string pack(const Record& record);
-  Result<void> turn();
+  bool torn{false}, failed{false};
+  Result<void> turn(std::uint64_t syncedGeneration, std::uint64_t syncedSequence);
+  Result<void> writeBatch(const std::vector<Record>& records);
+  Result<void> writeThrough(int file, std::size_t at, std::string_view bytes);
+};
+
+struct Ring::Opened {
+  std::unique_ptr<Ring> ring;
+  std::optional<Fault> damage;
 };
 
 }  // namespace tt
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -56,20 +56,16 @@
                                  static_cast<std::size_t>(given.ringFileKiB) * 1024);
   if (!files) return failStart(files.error());
   FaultyFiles ringFiles(*files.value(), given.diskFaults);
-  auto ring = Ring::open(ringFiles);
-  if (!ring) {
-    logWarning("Ring damaged (" + ring.error().subject + ": " + ring.error().text + "), starting empty.");
-    if (auto wiped = Ring::wipe(ringFiles); !wiped) return failStart(wiped.error());
-    ring = Ring::open(ringFiles);
-    if (!ring) return failStart(ring.error());
-  }
-  if (ring.value()->tornEnd()) logInfo("Torn end dropped.");
-  given.settings.recordRoom = ring.value()->room() / 2;
+  auto opened = Ring::openOrEmpty(ringFiles);
+  if (!opened) return failDisk(opened.error());
+  auto& ring = opened.value().ring;
+  if (ring->tornEnd()) logInfo("Torn end dropped.");
+  given.settings.recordRoom = ring->room() / 2;
   if (given.settings.localities.empty()) given.settings.localities.push_back(given.settings.locality);
 
   asio::io_context context;
   std::mt19937_64 randomSource(std::random_device{}());
-  Core core(given.settings, ring.value()->held(), randomSource, Clock::now());
+  Core core(given.settings, ring->held(), randomSource, Clock::now());
   WebCalls calls;
   OpenAnswers answers;
   Host host(core, context, 20ms);
@@ -83,12 +79,9 @@
       if (result.reached && (result.status == 200 || result.status == 409)) onBody(result.body);
     });
   };
-  host.ring = ring.value().get();
+  host.ring = ring.get();
   host.diskWaits = [&](Span span) { core.diskWaits(span); };
-  host.diskFailed = [](const Fault& trouble) {
-    logWarning("Disk failed (" + trouble.subject + ": " + trouble.text + "), ending.");
-    std::_Exit(3);
-  };
+  host.diskFailed = [](const Fault& trouble) { std::_Exit(failDisk(trouble)); };
   host.carry = [&](const std::string& to, Message&& message) {
     if (auto* machinesAsk = std::get_if<MachinesAsk>(&message)) {
       WebCall made;
@@ -139,6 +132,8 @@
       logInfo(event.kind + ": " + event.subject + " (" + std::to_string(event.number) + ").");
   });
 
+  if (opened.value().damage) noteRingDamage(core.journal, *opened.value().damage);
+
   WebServer server(context, given.operatorAddress, [&](WebAsk ask, std::shared_ptr<WebAnswer> answer) {
     auto deny = [&](const Fault& trouble) { answer->finish(codeStatus(trouble.code), faultBody(trouble)); };
     if (ask.path == "/v1/counters" && ask.method == "GET") {
