--- a/src/base/effects.cpp
+++ b/src/base/effects.cpp
@@ -64,6 +64,7 @@
 Record entryRecord(const Entry& entry) { return {RecordKind::entry, encodeEntry(entry)}; }
 Record cutRecord(std::uint64_t firstGone) { return {RecordKind::cut, std::to_string(firstGone)}; }
 Record snapshotRecord(const Snapshot& snapshot) { return {RecordKind::snapshot, encodeSnapshot(snapshot)}; }
+Record installedRecord(const Snapshot& snapshot) { return {RecordKind::installed, encodeSnapshot(snapshot)}; }
 
 bool Recovered::fold(const Record& record) {
   switch (record.kind) {
@@ -99,6 +100,13 @@
       entries = std::move(kept);
       return true;
     }
+    case RecordKind::installed: {
+      auto made = decodeSnapshot(record.bytes);
+      if (!made) return false;
+      snapshot = std::move(made).value();
+      entries.clear();
+      return true;
+    }
     case RecordKind::checkpointEnd:
       return true;
   }
--- a/src/base/effects.hpp
+++ b/src/base/effects.hpp
@@ -31,7 +31,15 @@
 };
 
 /// One record for the ring.
-enum class RecordKind : int { identity = 1, vote = 2, entry = 3, cut = 4, snapshot = 5, checkpointEnd = 6 };
+enum class RecordKind : int {
+  identity = 1,
+  vote = 2,
+  entry = 3,
+  cut = 4,
+  snapshot = 5,
+  checkpointEnd = 6,
+  installed = 7
+};
 struct Record {
   RecordKind kind{RecordKind::identity};
   std::string bytes;
@@ -55,6 +63,8 @@
 Record entryRecord(const Entry& entry);
 Record cutRecord(std::uint64_t firstGone);
 Record snapshotRecord(const Snapshot& snapshot);
+/// A snapshot that takes the place of the whole log, entries behind it included: one record, so it is done or not.
+Record installedRecord(const Snapshot& snapshot);
 
 /// What a part of the logic may do: send, save, look at the clock, throw random source. The host carries it out.
 struct Effects {
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -16,7 +16,10 @@
       selfRow(std::move(self)),
       room(recordRoom),
       defences(defencesGiven) {
-  election.logEnd = [this] { return std::make_pair(termAt(syncedIndex), syncedIndex); };
+  election.logEnd = [this] {
+    std::uint64_t end = std::max(syncedIndex, base.index);
+    return std::make_pair(termAt(end), end);
+  };
   election.changed = [this](Effects& effects, bool won) { whenLeads(effects, won); };
 }
 
--- a/src/consensus/snapshot.cpp
+++ b/src/consensus/snapshot.cpp
@@ -46,8 +46,7 @@
   (void)applied.adopt(base);
   commitIndex = base.index;
   std::uint64_t index = base.index;
-  if (!agrees) effects.save(cutRecord(0));
-  effects.save(snapshotRecord(base), [this, from, index](Effects& later) {
+  effects.save(agrees ? snapshotRecord(base) : installedRecord(base), [this, from, index](Effects& later) {
     if (base.index != index) return;
     syncedIndex = std::max(syncedIndex, index);
     later.send(from, AppendResponse{election.term(), selfRow.id, true, index});
