An acknowledgement waits for readers that restarts and changes of members made unknown

Cause: the early acknowledgement trusts that any quorum that has an entry, with the leader, has heard every reader that may be fresh without it. That did not hold where a core of the quorum had restarted since (it forgot whom it answered), where the wait after a change of members ran from its writing and not from its agreement, and where an entry before an open removal was agreed by the quorum of the staying members only (`agreed >= passing->index` skipped the old quorum for entries below the removal). Ruled out: the 30 ms between freshness and wait (steady clocks; a pause only lengthens the wait). Change: a core that just started is not counted; the wait runs from the newest of written, agreed, started; nothing is early while a change of members is open or before the asked core has applied the change; every entry needs both quorums while members change.

--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -31,7 +31,7 @@
 }
 
 Core::Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now)
-    : settings(std::move(coreSettings)), startedAt(now) {
+    : settings(std::move(coreSettings)), startedAt(now), membersMovedAt(now) {
   std::string id = recovered.identity;
   if (id.empty()) {
     char mark[20];
@@ -50,6 +50,7 @@
     if (duty.rfind("cell/", 0) == 0) cellFor(duty.substr(5)).election.restore(vote, now);
   replicatedLog->entryApplied = [this](Effects& effects, const Entry& entry) {
     effects.note("applied", self.id, static_cast<std::int64_t>(entry.index));
+    if (entry.kind == static_cast<int>(EntryKind::members)) membersMovedAt = effects.now;
     if (entry.kind == static_cast<int>(EntryKind::whole)) return;
     spread(effects, NewsMsg{replicatedLog->commit(), {entry}, {}});
   };
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -73,7 +73,9 @@
   Count cellDigest{0}, storesDigest{0};
   std::map<std::string, HelloResponse> hellos;
   std::map<std::string, Asked> asked;
-  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{}, membersMovedAt{};
+  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{};
+  /// When this core last started, or took in or applied a change of members.
+  Moment membersMovedAt{};
   bool idSynced{false}, diskStalled{false}, platformHeard{false};
   Span diskWait{};
   std::uint64_t askCount{0};
@@ -86,8 +88,12 @@
   void onOperator(Effects& effects, const std::string& from, const OperatorRequest& ask);
   void onChangeReply(Effects& effects, const std::string& from, const ChangeResponse& reply);
   void settleAsked(Effects& effects);
+  /// Whether every reader that may still be fresh is known to have a change. Sound only if this core's members are
+  /// those under which the change was agreed, and readers that know earlier members only have gone stale.
   bool readersHave(const Asked& row, Moment now) const;
   void askReaders(Effects& effects);
+  /// Names the readers heard lately. A core that started less than a readers' wait ago has forgotten whom it answered
+  /// before, so it does not count among those that have the entry.
   void onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask);
   void onReadersReply(Effects& effects, const std::string& from, const ReadersResponse& reply);
   void takeMarks(Effects& effects);
--- a/src/cluster/core_operators.cpp
+++ b/src/cluster/core_operators.cpp
@@ -107,7 +107,9 @@
 }
 
 bool Core::readersHave(const Asked& row, Moment now) const {
-  if (membersMovedAt != Moment{} && now - membersMovedAt < timing.readersWait) return false;
+  if (now - membersMovedAt < timing.readersWait || replicatedLog->commit() < row.index ||
+      replicatedLog->memberChangePending())
+    return false;
   if (row.term != replicatedLog->election.term() || round.index < row.index ||
       round.having.size() < replicatedLog->election.quorum() || !round.answered.count(row.leaderAddress))
     return false;
@@ -128,7 +130,8 @@
 }
 
 void Core::onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask) {
-  ReadersResponse reply{ask.roundId, self.id, replicatedLog->hasSynced(ask.index, ask.term), {}};
+  bool knowsReaders = effects.now - startedAt >= timing.readersWait;
+  ReadersResponse reply{ask.roundId, self.id, knowsReaders && replicatedLog->hasSynced(ask.index, ask.term), {}};
   for (const auto& [address, row] : agents)
     if (effects.now - row.at < timing.readersWait)
       reply.readers.push_back(Reader{address, row.applied, (effects.now - row.at).count()});
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -162,10 +162,10 @@
   std::uint64_t agreed = agreedAmong(memberRows);
   auto passing = std::find_if(log.rbegin(), log.rend(),
                               [](const Entry& entry) { return entry.kind == static_cast<int>(EntryKind::members); });
-  if (passing != log.rend() && passing->index > commitIndex && agreed >= passing->index &&
-      defences.stands(Defence::jointMembers)) {
+  if (passing != log.rend() && passing->index > commitIndex && defences.stands(Defence::jointMembers)) {
     auto before = membersBefore(passing->index);
-    if (!before.empty() && agreedAmong(before) < passing->index) agreed = passing->index - 1;
+    std::uint64_t agreedBefore = before.empty() ? agreed : agreedAmong(before);
+    if (agreedBefore < passing->index) agreed = std::min(agreed, agreedBefore);
   }
   if (agreed > commitIndex && termAt(agreed) == election.term()) {
     applyUpTo(effects, agreed);
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -19,6 +19,8 @@
 
   bool formed() const { return !memberRows.empty(); }
   const std::vector<Member>& members() const { return memberRows; }
+  /// Whether the log ends with a change of members that is not agreed yet.
+  bool memberChangePending() const;
   const Member& self() const { return selfRow; }
   std::string leaderAddress() const;
   bool leads(Moment now) const { return election.holds(now); }
@@ -88,7 +90,6 @@
   void onInstallSnapshot(Effects& effects, const std::string& from, const InstallSnapshot& message);
   void onReply(Effects& effects, const AppendResponse& reply);
   void onJoin(Effects& effects, const std::string& from, const JoinRequest& ask);
-  bool memberChangePending() const;
   void setMembers(Effects& effects, std::vector<Member> rows);
   std::map<std::string, Moment> heardFrom;
 };
