Reading back the configuration takes a majority that is asked after the read came

Cause: a core answered reads as long as its view had been complete less than `freshFor` ago. On the platform that is 4 s (10 s without RevokeGlobal) while an acknowledgement waits 0.67 s for silent readers, so a core that was cut off read back an old configuration for seconds after a newer one was acknowledged; and between agreement and acknowledgement two cores could answer in the wrong order. Ruled out: clocks, a wrong completeness of the view; an answer that leaves late is no fault, as the read holds at a moment between its coming and its answer. ClusterView tells the moment for a majority apart from the moment for freshness (half of an even number is enough for that).

--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -122,7 +122,9 @@
   X(OperatorRequest, ((std::string, askId))((std::string, body))((bool, whole))((std::int64_t, ifRevision))             \
                      ((std::string, changeId))((std::int64_t, sinceRevision))((int, manner))((std::int64_t, toRevision)))                                      \
   X(OperatorResponse, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
-                       ((Count, revision))((Count, reached)))
+                       ((Count, revision))((Count, reached)))                                                       \
+  X(ReadRequest, ((std::string, askId)))                                                                            \
+  X(ReadResponse, ((std::string, askId))((bool, confirmed))((Count, revision))((Count, index)))
 
 /* clang-format on */
 #define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -100,31 +100,42 @@
   return ends[quorum - silent - 1];
 }
 
-void ClusterView::weigh(Moment now, const Configuration& view) {
-  if (!settings.defences.stands(Defence::freshnessWeighed)) {
-    completeUntil = view.members().empty() ? Moment{} : now;
-    return;
-  }
+std::vector<const ClusterView::CoreRow*> ClusterView::heardOf(const std::vector<Member>& members) const {
   std::vector<const CoreRow*> heard;
-  std::size_t voters = 0;
-  for (const auto& member : view.members()) {
+  for (const auto& member : members) {
     if (!member.votes) continue;
-    ++voters;
     const CoreRow* newest = nullptr;
     for (const auto& [address, core] : cores)
       if (core.heard && core.reply.core == member.id && (!newest || core.askedAt > newest->askedAt)) newest = &core;
     if (newest) heard.push_back(newest);
   }
-  if (voters == 0) return;
   std::sort(heard.begin(), heard.end(),
             [](const CoreRow* one, const CoreRow* other) { return one->askedAt > other->askedAt; });
-  for (std::size_t number = 1; number <= heard.size(); ++number) {
+  return heard;
+}
+
+Moment ClusterView::completeBy(const std::vector<const CoreRow*>& heard, std::size_t least, std::size_t voters,
+                               Count applied) const {
+  for (std::size_t number = least; number <= heard.size(); ++number) {
     std::vector<const CoreRow*> newest(heard.begin(), heard.begin() + static_cast<std::ptrdiff_t>(number));
     auto needed = neededBy(newest, voters);
-    if (!needed || *needed > view.index()) continue;
-    completeUntil = std::max(completeUntil, newest.back()->askedAt);
-    break;
+    if (needed && *needed <= applied) return newest.back()->askedAt;
   }
+  return Moment{};
+}
+
+void ClusterView::weigh(Moment now, const Configuration& view) {
+  if (!settings.defences.stands(Defence::freshnessWeighed)) {
+    completeUntil = majorityUntil = view.members().empty() ? Moment{} : now;
+    return;
+  }
+  std::size_t voters = static_cast<std::size_t>(
+      std::count_if(view.members().begin(), view.members().end(), [](const Member& member) { return member.votes; }));
+  if (voters == 0) return;
+  std::size_t quorum = voters / 2 + 1;
+  auto heard = heardOf(view.members());
+  completeUntil = std::max(completeUntil, completeBy(heard, voters - quorum + 1, voters, view.index()));
+  majorityUntil = std::max(majorityUntil, completeBy(heard, quorum, voters, view.index()));
 }
 
 }  // namespace tt
--- a/src/cluster/cluster_view.hpp
+++ b/src/cluster/cluster_view.hpp
@@ -28,6 +28,9 @@
   bool offerMarks(const std::vector<Machine>& machines, Moment askedAt);
   /// The moment up to which the view is known to be complete.
   Moment stamp() const { return completeUntil; }
+  /// The moment up to which the view is known to be complete by the word of more than half of the voters. Enough for
+  /// completeness is half of an even number; reading back takes a majority.
+  Moment majorityStamp() const { return majorityUntil; }
   bool fresh(Moment now) const { return completeUntil != Moment{} && now < completeUntil + timing.freshFor; }
   Strings coreAddresses(const Configuration& view) const;
   /// The core that has lately told of the highest commit beyond an index; empty if none has.
@@ -53,9 +56,15 @@
   Strings toldAddresses, watchRows;
   std::vector<Machine> machineRows;
   Count digest{0}, askCount{0}, highestCommit{0}, toldCommit{0};
-  Moment marksAskedAt{}, completeUntil{};
+  Moment marksAskedAt{}, completeUntil{}, majorityUntil{};
   bool outOfTouch{true};
+  /// What was heard of the voters, newest first.
+  std::vector<const CoreRow*> heardOf(const std::vector<Member>& members) const;
+  /// Up to which index a reader must have applied, by the word of some of the voters; none if these are too few.
   std::optional<Count> neededBy(const std::vector<const CoreRow*>& heard, std::size_t voters) const;
+  /// When the oldest was asked of the newest words, at least so many, by which an index is complete.
+  Moment completeBy(const std::vector<const CoreRow*>& heard, std::size_t least, std::size_t voters,
+                    Count applied) const;
 };
 
 }  // namespace tt
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -193,9 +193,9 @@
     effects.send(settings.platformAddress, MachinesAsk{inNs(effects.now)});
   }
   if (replicatedLog->formed() && effects.now - endsAt >= timing.roundEvery) {
-    endsAt = effects.now;
-    clusterView->ask(effects, replicatedLog->configuration().index(), {}, replicatedLog->configuration());
+    askLogEnds(effects);
   }
+  settleReads(effects);
   takeMarks(effects);
   settleAsked(effects);
   askReaders(effects);
@@ -236,12 +236,15 @@
   } else if (auto* ends = std::get_if<LogEndResponse>(&message)) {
     clusterView->take(effects, from, *ends, replicatedLog->configuration());
     takeMarks(effects);
+    settleReads(effects);
   } else if (auto* readersAsk = std::get_if<ReadersRequest>(&message)) {
     onReadersAsk(effects, from, *readersAsk);
   } else if (auto* readersReply = std::get_if<ReadersResponse>(&message)) {
     onReadersReply(effects, from, *readersReply);
   } else if (auto* operatorAsk = std::get_if<OperatorRequest>(&message)) {
     onOperator(effects, from, *operatorAsk);
+  } else if (auto* read = std::get_if<ReadRequest>(&message)) {
+    onRead(effects, from, *read);
   } else if (auto* change = std::get_if<ChangeRequest>(&message)) {
     replicatedLog->takeChange(effects, from, *change);
   } else if (auto* changeReply = std::get_if<ChangeResponse>(&message)) {
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -32,7 +32,8 @@
   /// The host's word on how long the oldest write has waited for its sync.
   void diskWaits(Span span) { diskWait = span; }
   const std::string& id() const { return self.id; }
-  /// Whether what this core would read back of the configuration is known to be complete.
+  /// Whether this core's view of the configuration is fresh, as an agent's is. What is read back to an operator takes
+  /// more: see ReadRequest and settleReads().
   bool readsConfirmed(Moment now) const { return clusterView->fresh(now); }
 
  private:
@@ -53,6 +54,11 @@
     bool agreed{false};
     Moment sentAt{};
   };
+  /// A read of the configuration that waits until this core knows all that was agreed before it was asked for.
+  struct PendingRead {
+    std::string from, askId;
+    Moment at{};
+  };
   CoreSettings settings;
   Member self;
   std::unique_ptr<ReplicatedLog> replicatedLog;
@@ -73,6 +79,7 @@
   Count cellDigest{0}, storesDigest{0};
   std::map<std::string, HelloResponse> hellos;
   std::map<std::string, Asked> asked;
+  std::deque<PendingRead> pendingReads;
   Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{};
   /// When this core last started, or took in or applied a change of members.
   Moment membersMovedAt{};
@@ -96,6 +103,10 @@
   /// before, so it does not count among those that have the entry.
   void onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask);
   void onReadersReply(Effects& effects, const std::string& from, const ReadersResponse& reply);
+  void onRead(Effects& effects, const std::string& from, const ReadRequest& ask);
+  /// Confirms the reads that a majority, asked after they came, shows to be complete; turns away those that wait long.
+  void settleReads(Effects& effects);
+  void askLogEnds(Effects& effects);
   void takeMarks(Effects& effects);
   std::vector<Machine> machinesWithStores() const;
   void spread(Effects& effects, const Message& message);
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -14,6 +14,12 @@
   double ringFiles{4}, ringFileKiB{4096}, threads{3};
 };
 
+std::string blueprintBody(const Core& core, bool confirmed) {
+  const auto& view = core.agreement().configuration();
+  return "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) +
+         ",\"confirmed\":" + (confirmed ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
+}
+
 std::string operatorBody(const OperatorResponse& reply) {
   JsonObject body;
   body["code"] = jsonNumber(reply.code);
@@ -124,6 +130,12 @@
             codeStatus(static_cast<Code>(reply->code)) == 429 || codeStatus(static_cast<Code>(reply->code)) == 503
                 ? 1000
                 : 0);
+    } else if (auto* read = std::get_if<ReadResponse>(&message)) {
+      auto answer = answers.remove(to);
+      if (!answer) return;
+      if (read->confirmed) return answer->finish(200, blueprintBody(core, true));
+      auto trouble = fault(Code::readUnconfirmed, "blueprint");
+      answer->finish(codeStatus(trouble.code), faultBody(trouble), 500);
     } else if (to == given.settings.address) {
       asio::post(context, [&, message = std::move(message)] { host.take(given.settings.address, message); });
     } else {
@@ -158,19 +170,13 @@
     }
     if (ask.path != "/v1/blueprint") return deny(fault(Code::unknownPath, ask.path));
     if (ask.method == "GET") {
-      bool anyAge = ask.query.count("unconfirmed") > 0, confirmed = false;
-      std::string text;
-      host.with([&](Effects& effects) {
-        const auto& view = core.agreement().configuration();
-        confirmed = core.readsConfirmed(effects.now);
-        text = "{\"revision\":" + std::to_string(view.revision()) + ",\"index\":" + std::to_string(view.index()) +
-               ",\"confirmed\":" + (confirmed ? "true" : "false") + ",\"blueprint\":" + view.text() + "}";
-      });
-      if (!confirmed && !anyAge) {
-        auto trouble = fault(Code::readUnconfirmed, "blueprint");
-        return answer->finish(codeStatus(trouble.code), faultBody(trouble), 500);
+      if (ask.query.count("unconfirmed") > 0) {
+        std::string text;
+        host.with([&](Effects& effects) { text = blueprintBody(core, core.readsConfirmed(effects.now)); });
+        return answer->finish(200, text);
       }
-      return answer->finish(200, text);
+      ReadRequest read{answers.add(answer)};
+      return host.take(read.askId, read);
     }
     if (ask.method != "PUT" && ask.method != "PATCH") return deny(fault(Code::unknownPath, ask.method));
     if (ask.body.size() > given.settings.recordRoom) return deny(fault(Code::tooLarge, "body"));
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -4,6 +4,7 @@
 
 #include "agent.hpp"
 #include "core.hpp"
+#include "members.hpp"
 
 using namespace tt;
 
@@ -37,6 +38,7 @@
   std::multimap<Moment, std::pair<std::uint64_t, Mail>> due;
   std::set<std::pair<std::string, std::string>> cutLinks;
   std::map<std::string, OperatorResponse> replies;
+  std::map<std::string, ReadResponse> reads;
   std::map<std::string, int> notes;
   std::uint64_t acknowledgedIndex{0};
   int askCount{0};
@@ -118,6 +120,8 @@
     for (auto& [to, message] : effects.sends) {
       if (auto* reply = std::get_if<OperatorResponse>(&message)) {
         replies[reply->askId] = *reply;
+      } else if (auto* read = std::get_if<ReadResponse>(&message)) {
+        reads[read->askId] = *read;
       } else if (to == machine.address) {
         due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
       } else if (auto* other = at(to)) {
@@ -208,6 +212,23 @@
     with(machines.at(name), [&](Effects& effects) { machines.at(name).node->take(effects, "operator", change); });
     return askId;
   }
+  std::string read(const std::string& name) {
+    std::string askId = "read-" + std::to_string(++askCount);
+    with(machines.at(name),
+         [&](Effects& effects) { machines.at(name).node->take(effects, askId, ReadRequest{askId}); });
+    return askId;
+  }
+  ReadResponse readThrough(const std::string& name) {
+    auto askId = read(name);
+    cr_assert(runUntil([&] { return reads.count(askId) > 0; }, 1s), "a read is answered or turned away in time");
+    return reads[askId];
+  }
+  Strings allBut(const std::string& left) {
+    Strings names;
+    for (auto& [name, machine] : machines)
+      if (name != left && machine.core) names.push_back(name);
+    return names;
+  }
   bool acknowledged(const std::string& askId) const {
     auto found = replies.find(askId);
     return found != replies.end() && found->second.code == static_cast<int>(Code::changeTaken);
@@ -287,3 +308,189 @@
   cr_expect(bench.staleReaders.empty(), "fresh without an acknowledged change on %d occasions",
             static_cast<int>(bench.staleReaders.size()));
 }
+
+Test(freshness, a_core_that_is_cut_off_reads_back_nothing_older_than_what_was_acknowledged) {
+  for (int cores : {4, 5, 8}) {
+    FreshnessBench bench;
+    timing.freshFor = 4s;
+    timing.readersWait = 666ms;
+    bench.form(cores);
+    bench.run(2s);
+    for (int round = 0; round < 2; ++round) {
+      std::string leader = bench.leader(), cutOff = bench.followers()[0], name = "late-" + std::to_string(round);
+      cr_assert(bench.readThrough(cutOff).confirmed, "in touch it reads");
+      bench.cutSides({cutOff}, bench.allBut(cutOff));
+      auto askId = bench.ask(leader, name);
+      cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 3s));
+      cr_assert_not(bench.has(cutOff, name));
+      cr_expect_not(bench.readThrough(cutOff).confirmed, "%d cores, round %d: no majority, no read", cores, round);
+      auto kept = bench.readThrough(leader);
+      cr_expect(kept.confirmed && kept.index >= bench.acknowledgedIndex);
+      bench.cutLinks.clear();
+      cr_assert(bench.runUntil([&] { return bench.has(cutOff, name); }, 5s));
+      auto healed = bench.readThrough(cutOff);
+      cr_expect(healed.confirmed && healed.index >= bench.acknowledgedIndex, "%d cores: back in touch it reads", cores);
+    }
+  }
+}
+
+Test(freshness, a_read_needs_a_majority_asked_after_it_came) {
+  FreshnessBench bench;
+  bench.form(4);
+  bench.run(1s);
+  bench.cutSides({"core-1", "core-2"}, {"core-3", "core-4"});
+  for (const char* name : {"core-1", "core-2", "core-3", "core-4"})
+    cr_expect_not(bench.readThrough(name).confirmed, "%s hears two of four", name);
+  bench.cutLinks.clear();
+  cr_assert(bench.runUntil([&] { return !bench.leader().empty(); }, 10s));
+  for (const char* name : {"core-1", "core-2", "core-3", "core-4"}) cr_expect(bench.readThrough(name).confirmed);
+}
+
+Test(freshness, a_leader_that_hears_nobody_reads_refuses_and_confirms_nothing) {
+  for (int cores : {4, 5, 8}) {
+    for (bool hears : {false, true}) {
+      FreshnessBench bench;
+      bench.form(cores);
+      bench.run(2s);
+      std::string old = bench.leader();
+      for (const auto& other : bench.allBut(old)) {
+        bench.cutLinks.insert({other, old});
+        if (!hears) bench.cutLinks.insert({old, other});
+      }
+      auto lone = bench.ask(old, "lone");
+      OperatorRequest stale;
+      stale.askId = "stale";
+      stale.body = R"({"weights":{"stale":{"model":"moss"}}})";
+      stale.ifRevision = 77;
+      stale.changeId = "stale";
+      bench.run(1s);
+      bench.with(bench.machines.at(old),
+                 [&](Effects& effects) { bench.machines.at(old).node->take(effects, "operator", stale); });
+      bench.run(hears ? Span(5s) : Span(12s));
+      cr_expect_not(bench.readThrough(old).confirmed);
+      for (const auto* askId : {&lone, &stale.askId}) {
+        if (!bench.replies.count(*askId)) continue;
+        auto code = static_cast<Code>(bench.replies[*askId].code);
+        cr_expect(code == Code::changeUnsure || code == Code::notLeading, "%d cores: %s answered %s", cores,
+                  askId->c_str(), codeName(code));
+      }
+    }
+  }
+}
+
+Test(freshness, reads_while_links_come_and_go_are_never_older_than_what_was_acknowledged) {
+  int confirmed = 0, deniedReads = 0, acked = 0;
+  for (int cores : {4, 5, 8})
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      FreshnessBench bench(seed);
+      timing.freshFor = 4s;
+      timing.readersWait = 666ms;
+      bench.form(cores);
+      std::map<std::string, std::uint64_t> openReads;
+      Strings openChanges;
+      auto names = bench.allBut({});
+      for (int round = 0; round < 400; ++round) {
+        const auto& one = names[bench.randomSource() % names.size()];
+        const auto& other = names[bench.randomSource() % names.size()];
+        auto roll = bench.randomSource() % 12;
+        if (roll < 2 && one != other) bench.cutLinks.insert({one, other});
+        if (roll == 2) bench.cutSides({one}, bench.allBut(one));
+        if (roll == 3) bench.cutLinks.clear();
+        if (roll == 4) openChanges.push_back(bench.ask(one, "change-" + std::to_string(round)));
+        openReads[bench.read(other)] = bench.acknowledgedIndex;
+        bench.run(std::chrono::milliseconds(25 + bench.randomSource() % 100));
+        for (auto open = openReads.begin(); open != openReads.end();) {
+          auto found = bench.reads.find(open->first);
+          if (found == bench.reads.end()) {
+            ++open;
+            continue;
+          }
+          confirmed += found->second.confirmed;
+          deniedReads += !found->second.confirmed;
+          cr_expect(!found->second.confirmed || found->second.index >= open->second,
+                    "%d cores, seed %d, round %d: read %d after %d was acknowledged", cores, static_cast<int>(seed),
+                    round, static_cast<int>(found->second.index), static_cast<int>(open->second));
+          open = openReads.erase(open);
+        }
+      }
+      for (const auto& askId : openChanges) acked += bench.acknowledged(askId);
+    }
+  cr_expect_gt(confirmed, 3000);
+  cr_expect_gt(deniedReads, 1000);
+  cr_expect_gt(acked, 100);
+  cr_log_info("%d reads confirmed, %d turned away, %d changes acknowledged", confirmed, deniedReads, acked);
+}
+
+namespace {
+/// The words of some voters about one log, as one reader hears them.
+struct HeardVoters {
+  std::size_t voters;
+  Configuration view;
+  ClusterView reader{ReaderSettings{"reader", "reader:1", "north-a", {}, true, {}}};
+  Journal journal;
+  std::mt19937_64 randomSource{1};
+  Moment now{std::chrono::hours(3)};
+
+  explicit HeardVoters(std::size_t count) : voters(count) {
+    std::vector<Member> members;
+    for (std::size_t at = 0; at < voters; ++at)
+      members.push_back(Member{nameOf(at), nameOf(at), nameOf(at) + ":1", "north-a", true});
+    view.apply(Entry{5, 1, static_cast<int>(EntryKind::members), packMembers(members), {}, 0});
+  }
+  static std::string nameOf(std::size_t at) { return "core-" + std::to_string(at); }
+  /// Whether the reader, which has applied up to 5, thinks that complete after these words.
+  bool completeAfter(unsigned heard, const std::function<LogEndResponse(std::size_t)>& wordOf) {
+    reader = ClusterView(ReaderSettings{"reader", "reader:1", "north-a", {}, true, {}});
+    Effects asking{now, randomSource, journal, {}, {}};
+    reader.ask(asking, 5, {}, view);
+    for (const auto& [to, message] : asking.sends)
+      for (std::size_t at = 0; at < voters; ++at) {
+        if (to != nameOf(at) + ":1" || !(heard >> at & 1)) continue;
+        auto word = wordOf(at);
+        word.askId = std::get<LogEndRequest>(message).askId;
+        word.core = nameOf(at);
+        Effects taking{now, randomSource, journal, {}, {}};
+        reader.take(taking, to, word, view);
+      }
+    return reader.stamp() != Moment{};
+  }
+};
+std::size_t countOf(unsigned set) { return static_cast<std::size_t>(__builtin_popcount(set)); }
+}  // namespace
+
+Test(freshness, no_subset_of_voters_makes_a_reader_complete_without_an_entry_that_a_quorum_has) {
+  for (std::size_t voters : {3u, 4u, 5u, 8u}) {
+    HeardVoters bench(voters);
+    std::size_t quorum = voters / 2 + 1, complete = 0;
+    for (unsigned having = 0; having < 1u << voters; ++having) {
+      if (countOf(having) != quorum) continue;
+      for (unsigned heard = 1; heard < 1u << voters; ++heard) {
+        for (std::size_t deposed = 0; deposed <= voters; ++deposed) {
+          if (deposed < voters && having >> deposed & 1) continue;
+          bool done = bench.completeAfter(heard, [&](std::size_t at) {
+            bool has = having >> at & 1;
+            LogEndResponse word;
+            word.term = has ? 2 : 1;
+            word.leads = at == deposed;
+            word.lastIndex = has ? 6 : 5;
+            word.commit = 5;
+            return word;
+          });
+          complete += done;
+          cr_expect_not(done, "%d voters, entry 6 on %x, heard %x, deposed leader %d", static_cast<int>(voters), having,
+                        heard, static_cast<int>(deposed));
+        }
+      }
+    }
+    for (unsigned heard = 1; heard < 1u << voters; ++heard) {
+      bool done = bench.completeAfter(heard, [](std::size_t) {
+        LogEndResponse word;
+        word.term = 1;
+        word.lastIndex = word.commit = 5;
+        return word;
+      });
+      cr_expect_eq(done, countOf(heard) + quorum > voters, "%d voters, nothing beyond, heard %x",
+                   static_cast<int>(voters), heard);
+    }
+  }
+}
