A restarted agent speaks for no proxy until all may have been heard

Cause: for the first 1.6 s of its life an agent tells the cores that it has applied nothing, so that no acknowledgement counts on proxies that its earlier run made fresh; but the first proxy heard ended that, for all the others beside it. Change: the span runs out whoever is heard. Also shown: a host reads the clock after it has waited for the lock, so a lease or a freshness is never judged by a moment from before a wait.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -25,7 +25,7 @@
 }
 
 std::uint64_t Agent::appliedBelow(Moment now) const {
-  if (proxies.empty() && now - startedAt < timing.readersWait + 70ms) return 0;
+  if (now - startedAt < timing.readersWait + 70ms) return 0;
   std::uint64_t applied = view.index();
   for (const auto& [address, at] : proxies)
     if (now - at < timing.readersWait + 70ms) applied = std::min(applied, proxyApplied.at(address));
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -4,6 +4,7 @@
 
 #include "agent.hpp"
 #include "core.hpp"
+#include "host.hpp"
 #include "members.hpp"
 
 using namespace tt;
@@ -494,3 +495,67 @@
     }
   }
 }
+
+Test(freshness, an_agent_that_restarted_does_not_speak_for_proxies_that_it_has_not_heard) {
+  TimingKept kept;
+  AgentSettings settings;
+  settings.name = "edge-1";
+  settings.address = "edge-1:1";
+  settings.seeds = {"core-1:1"};
+  Agent agent(settings);
+  std::mt19937_64 randomSource(1);
+  Moment now{std::chrono::hours(3)};
+  std::optional<Count> told;
+  auto with = [&](const std::function<void(Effects&)>& action) {
+    Effects effects{now, randomSource, agent.journal, {}, {}};
+    action(effects);
+    for (const auto& [to, message] : effects.sends)
+      if (auto* ask = std::get_if<LogEndRequest>(&message)) told = ask->applied;
+  };
+  auto passTime = [&](Span span) {
+    for (Moment until = now + span; now < until; now += 10ms) with([&](Effects& effects) { agent.tick(effects); });
+  };
+  with([&](Effects& effects) { agent.tick(effects); });
+  NewsMsg news;
+  news.commit = 1;
+  news.entries.push_back(
+      Entry{1, 1, static_cast<int>(EntryKind::members), packMembers({Member{"a", "a", "core-1:1", "n", true}}), {}, 0});
+  with([&](Effects& effects) { agent.take(effects, "core-1:1", news); });
+  auto feedFrom = [&](const std::string& proxy, Count applied) {
+    with([&](Effects& effects) { agent.take(effects, proxy, FeedAsk{inNs(now), applied, {}, 0}); });
+  };
+  feedFrom("proxy-1", 1);
+  passTime(300ms);
+  cr_expect_eq(told.value_or(9), 0u, "proxy-2 may still be fresh by the word of this agent's earlier run");
+  passTime(timing.readersWait);
+  feedFrom("proxy-1", 1);
+  passTime(300ms);
+  cr_expect_eq(told.value_or(9), 1u);
+}
+
+Test(freshness, logic_is_given_a_moment_read_after_it_may_run) {
+  struct Clocked : Node {
+    std::vector<Moment> moments;
+    void take(Effects& effects, const std::string&, const Message&) override { moments.push_back(effects.now); }
+    void tick(Effects&) override {}
+  };
+  Clocked node;
+  asio::io_context context;
+  Host host(node, context, 20ms);
+  host.carry = [](const std::string&, Message&&) {};
+  std::atomic<bool> comes{false};
+  Moment released{};
+  std::thread late;
+  host.with([&](Effects&) {
+    late = std::thread([&] {
+      comes = true;
+      host.take("peer", FeedReply{});
+    });
+    while (!comes) std::this_thread::yield();
+    for (int round = 0; round < 1000; ++round) std::this_thread::yield();
+    released = Clock::now();
+  });
+  late.join();
+  cr_assert_eq(node.moments.size(), 1u);
+  cr_expect(node.moments[0] >= released, "a lease is never judged by a moment from before the wait for the lock");
+}
