--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -117,7 +117,7 @@
     id = ::fork();
     if (id == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      setTiming(settings);
+      if (!setTiming(settings)) ::_exit(9);
       ::_exit(runProxy(settings));
     }
     hub = std::make_unique<Hub>(context, at(1), [this](const std::string& from, Message message) {
