--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -31,7 +31,7 @@
 }
 
 Core::Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now)
-    : settings(std::move(coreSettings)), startedAt(now) {
+    : settings(std::move(coreSettings)), startedAt(now), membersMovedAt(now) {
   std::string id = recovered.identity;
   if (id.empty()) {
     char mark[20];
@@ -50,6 +50,7 @@
     if (duty.rfind("cell/", 0) == 0) cellFor(duty.substr(5)).election.restore(vote, now);
   replicatedLog->entryApplied = [this](Effects& effects, const Entry& entry) {
     effects.note("applied", self.id, static_cast<std::int64_t>(entry.index));
+    if (entry.kind == static_cast<int>(EntryKind::members)) membersMovedAt = effects.now;
     if (entry.kind == static_cast<int>(EntryKind::whole)) return;
     spread(effects, NewsMsg{replicatedLog->commit(), {entry}, {}});
   };
@@ -192,9 +193,9 @@
     effects.send(settings.platformAddress, MachinesAsk{inNs(effects.now)});
   }
   if (replicatedLog->formed() && effects.now - endsAt >= timing.roundEvery) {
-    endsAt = effects.now;
-    clusterView->ask(effects, replicatedLog->configuration().index(), {}, replicatedLog->configuration());
+    askLogEnds(effects);
   }
+  settleReads(effects);
   takeMarks(effects);
   settleAsked(effects);
   askReaders(effects);
@@ -239,12 +240,15 @@
   } else if (auto* ends = std::get_if<LogEndResponse>(&message)) {
     clusterView->take(effects, from, *ends, replicatedLog->configuration());
     takeMarks(effects);
+    settleReads(effects);
   } else if (auto* readersAsk = std::get_if<ReadersRequest>(&message)) {
     onReadersAsk(effects, from, *readersAsk);
   } else if (auto* readersReply = std::get_if<ReadersResponse>(&message)) {
     onReadersReply(effects, from, *readersReply);
   } else if (auto* operatorAsk = std::get_if<OperatorRequest>(&message)) {
     onOperator(effects, from, *operatorAsk);
+  } else if (auto* read = std::get_if<ReadRequest>(&message)) {
+    onRead(effects, from, *read);
   } else if (auto* change = std::get_if<ChangeRequest>(&message)) {
     replicatedLog->takeChange(effects, from, *change);
   } else if (auto* changeReply = std::get_if<ChangeResponse>(&message)) {
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -34,7 +34,8 @@
   const std::string& id() const { return self.id; }
   /// Whether a command to a worker may still leave at this moment.
   bool mayCommand(const ControlAsk& command, Moment now) const;
-  /// Whether what this core would read back of the configuration is known to be complete.
+  /// Whether this core's view of the configuration is fresh, as an agent's is. What is read back to an operator takes
+  /// more: see ReadRequest and settleReads().
   bool readsConfirmed(Moment now) const { return clusterView->fresh(now); }
 
  private:
@@ -55,6 +56,11 @@
     bool agreed{false};
     Moment sentAt{};
   };
+  /// A read of the configuration that waits until this core knows all that was agreed before it was asked for.
+  struct PendingRead {
+    std::string from, askId;
+    Moment at{};
+  };
   CoreSettings settings;
   Member self;
   std::unique_ptr<ReplicatedLog> replicatedLog;
@@ -75,7 +81,10 @@
   Count cellDigest{0}, storesDigest{0};
   std::map<std::string, HelloResponse> hellos;
   std::map<std::string, Asked> asked;
-  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{}, membersMovedAt{};
+  std::deque<PendingRead> pendingReads;
+  Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{};
+  /// When this core last started, or took in or applied a change of members.
+  Moment membersMovedAt{};
   bool idSynced{false}, diskStalled{false}, platformHeard{false};
   Span diskWait{};
   std::uint64_t askCount{0};
@@ -88,10 +97,18 @@
   void onOperator(Effects& effects, const std::string& from, const OperatorRequest& ask);
   void onChangeReply(Effects& effects, const std::string& from, const ChangeResponse& reply);
   void settleAsked(Effects& effects);
+  /// Whether every reader that may still be fresh is known to have a change. Sound only if this core's members are
+  /// those under which the change was agreed, and readers that know earlier members only have gone stale.
   bool readersHave(const Asked& row, Moment now) const;
   void askReaders(Effects& effects);
+  /// Names the readers heard lately. A core that started less than a readers' wait ago has forgotten whom it answered
+  /// before, so it does not count among those that have the entry.
   void onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask);
   void onReadersReply(Effects& effects, const std::string& from, const ReadersResponse& reply);
+  void onRead(Effects& effects, const std::string& from, const ReadRequest& ask);
+  /// Confirms the reads that a majority, asked after they came, shows to be complete; turns away those that wait long.
+  void settleReads(Effects& effects);
+  void askLogEnds(Effects& effects);
   void takeMarks(Effects& effects);
   std::vector<Machine> machinesWithStores() const;
   void spread(Effects& effects, const Message& message);
--- /dev/null
+++ b/tests/freshness.cpp
@@ -0,0 +1,561 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "agent.hpp"
+#include "core.hpp"
+#include "host.hpp"
+#include "members.hpp"
+
+using namespace tt;
+
+namespace {
+struct TimingKept {
+  Timing old = timing;
+  ~TimingKept() { timing = old; }
+};
+
+/// Real cores and agents on links that can be cut one by one and in one direction, under one clock that the test moves.
+struct FreshnessBench {
+  struct Mail {
+    std::string from, to;
+    Message message;
+  };
+  struct Machine {
+    std::string name, address;
+    std::unique_ptr<Node> node;
+    Core* core{nullptr};
+    Agent* agent{nullptr};
+    Recovered disk;
+    std::vector<Effects::Save> syncing;
+    Moment syncedAt{};
+    std::uint64_t life{0};
+    bool alive() const { return node != nullptr; }
+  };
+  TimingKept kept;
+  Moment now{std::chrono::hours(3)};
+  std::mt19937_64 randomSource;
+  std::map<std::string, Machine> machines;
+  std::multimap<Moment, std::pair<std::uint64_t, Mail>> due;
+  std::set<std::pair<std::string, std::string>> cutLinks;
+  std::map<std::string, OperatorResponse> replies;
+  std::map<std::string, ReadResponse> reads;
+  std::map<std::string, int> notes;
+  std::uint64_t acknowledgedIndex{0};
+  int askCount{0};
+  /// Readers found fresh without an entry that had been acknowledged.
+  Strings staleReaders;
+
+  explicit FreshnessBench(std::uint64_t seed = 1) : randomSource(seed) {
+    timing.memberGone = 6s;
+    timing.votersLeast = 3;
+  }
+
+  Machine& machineNamed(const std::string& name) {
+    auto& machine = machines[name];
+    machine.name = name;
+    machine.address = name + ":1";
+    return machine;
+  }
+  void startCore(const std::string& name, bool mayForm) {
+    auto& machine = machineNamed(name);
+    CoreSettings settings;
+    settings.name = name;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = {"core-1:1", "core-2:1", "core-3:1"};
+    settings.localities = {"north-a"};
+    settings.mayForm = mayForm;
+    settings.cell.apart = settings.cell.loadsWhole = settings.cell.seedsForm = true;
+    settings.cell.summaries = false;
+    auto core = std::make_unique<Core>(settings, machine.disk, randomSource, now);
+    machine.core = core.get();
+    core->journal.appended.connect([this](const Event& event) {
+      ++notes[event.kind];
+      if (event.kind == "change acked")
+        acknowledgedIndex = std::max(acknowledgedIndex, static_cast<std::uint64_t>(event.number));
+    });
+    machine.node = std::move(core);
+    ++machine.life;
+  }
+  void startAgent(const std::string& name) {
+    auto& machine = machineNamed(name);
+    AgentSettings settings;
+    settings.name = name;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = {"core-1:1", "core-2:1", "core-3:1"};
+    auto agent = std::make_unique<Agent>(settings);
+    machine.agent = agent.get();
+    machine.node = std::move(agent);
+    ++machine.life;
+  }
+  void stop(const std::string& name) {
+    auto& machine = machines.at(name);
+    machine.node.reset();
+    machine.core = nullptr;
+    machine.agent = nullptr;
+    machine.syncing.clear();
+    ++machine.life;
+  }
+  Machine* at(const std::string& address) {
+    for (auto& [name, machine] : machines)
+      if (machine.address == address) return &machine;
+    return nullptr;
+  }
+  void cut(const std::string& one, const std::string& other) {
+    cutLinks.insert({one, other});
+    cutLinks.insert({other, one});
+  }
+  void join(const std::string& one, const std::string& other) {
+    cutLinks.erase({one, other});
+    cutLinks.erase({other, one});
+  }
+  void cutSides(const Strings& oneSide, const Strings& otherSide) {
+    for (const auto& one : oneSide)
+      for (const auto& other : otherSide) cut(one, other);
+  }
+  void with(Machine& machine, const std::function<void(Effects&)>& action) {
+    Effects effects{now, randomSource, machine.node->journal, {}, {}};
+    action(effects);
+    for (auto& [to, message] : effects.sends) {
+      if (auto* reply = std::get_if<OperatorResponse>(&message)) {
+        replies[reply->askId] = *reply;
+      } else if (auto* read = std::get_if<ReadResponse>(&message)) {
+        reads[read->askId] = *read;
+      } else if (to == machine.address) {
+        due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
+      } else if (auto* other = at(to)) {
+        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8),
+                    std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
+      }
+    }
+    for (auto& save : effects.saves) machine.syncing.push_back(std::move(save));
+  }
+  void sync(Machine& machine) {
+    if (machine.syncing.empty() || now < machine.syncedAt) return;
+    machine.syncedAt = now + 6ms;
+    auto saves = std::move(machine.syncing);
+    machine.syncing.clear();
+    for (const auto& save : saves) cr_assert(machine.disk.fold(save.record));
+    with(machine, [&](Effects& effects) {
+      for (auto& save : saves)
+        if (save.then) save.then(effects);
+    });
+  }
+  void deliver(Mail mail, std::uint64_t life) {
+    auto& machine = *at(mail.to);
+    const auto* sender = at(mail.from);
+    if (!machine.alive() || machine.life != life || (sender && cutLinks.count({sender->name, machine.name}))) return;
+    with(machine, [&](Effects& effects) { machine.node->take(effects, mail.from, mail.message); });
+  }
+  void watchReaders() {
+    for (auto& [name, machine] : machines)
+      if (machine.agent && machine.agent->fresh(now) && machine.agent->configuration().index() < acknowledgedIndex)
+        staleReaders.push_back(name);
+  }
+  void step() {
+    now += 5ms;
+    while (!due.empty() && due.begin()->first <= now) {
+      auto [life, mail] = std::move(due.begin()->second);
+      due.erase(due.begin());
+      deliver(std::move(mail), life);
+    }
+    for (auto& [name, machine] : machines) {
+      if (!machine.alive()) continue;
+      with(machine, [&, node = machine.node.get()](Effects& effects) { node->tick(effects); });
+      sync(machine);
+    }
+    watchReaders();
+  }
+  void run(Span span) {
+    for (Moment until = now + span; now < until;) step();
+  }
+  bool runUntil(const std::function<bool()>& reached, Span most) {
+    for (Moment until = now + most; now < until && !reached();) step();
+    return reached();
+  }
+  const ReplicatedLog& logOf(const std::string& name) { return machines.at(name).core->agreement(); }
+  std::size_t votersAt(const std::string& name) {
+    const auto& rows = logOf(name).members();
+    return static_cast<std::size_t>(
+        std::count_if(rows.begin(), rows.end(), [](const Member& row) { return row.votes; }));
+  }
+  std::string leader() {
+    for (auto& [name, machine] : machines)
+      if (machine.core && machine.core->agreement().leads(now)) return name;
+    return {};
+  }
+  Strings followers() {
+    Strings names;
+    for (auto& [name, machine] : machines)
+      if (machine.core && name != leader()) names.push_back(name);
+    return names;
+  }
+  void form(int cores) {
+    for (int number = 1; number <= cores; ++number) startCore("core-" + std::to_string(number), true);
+    cr_assert(runUntil(
+        [&] {
+          for (auto& [name, machine] : machines)
+            if (machine.core && votersAt(name) != static_cast<std::size_t>(cores)) return false;
+          return !leader().empty();
+        },
+        40s));
+  }
+  bool agentFresh(const std::string& name) { return machines.at(name).agent->fresh(now); }
+  std::string ask(const std::string& name, const std::string& changeName) {
+    std::string askId = "ask-" + std::to_string(++askCount);
+    OperatorRequest change;
+    change.askId = askId;
+    change.body = R"({"weights":{")" + changeName + R"(":{"model":"moss"}}})";
+    change.ifRevision = -1;
+    change.changeId = changeName;
+    with(machines.at(name), [&](Effects& effects) { machines.at(name).node->take(effects, "operator", change); });
+    return askId;
+  }
+  std::string read(const std::string& name) {
+    std::string askId = "read-" + std::to_string(++askCount);
+    with(machines.at(name),
+         [&](Effects& effects) { machines.at(name).node->take(effects, askId, ReadRequest{askId}); });
+    return askId;
+  }
+  ReadResponse readThrough(const std::string& name) {
+    auto askId = read(name);
+    cr_assert(runUntil([&] { return reads.count(askId) > 0; }, 1s), "a read is answered or turned away in time");
+    return reads[askId];
+  }
+  Strings allBut(const std::string& left) {
+    Strings names;
+    for (auto& [name, machine] : machines)
+      if (name != left && machine.core) names.push_back(name);
+    return names;
+  }
+  bool acknowledged(const std::string& askId) const {
+    auto found = replies.find(askId);
+    return found != replies.end() && found->second.code == static_cast<int>(Code::changeTaken);
+  }
+  bool has(const std::string& name, const std::string& changeName) {
+    return logOf(name).configuration().section("weights").count(changeName) > 0;
+  }
+};
+}  // namespace
+
+Test(freshness, a_core_that_restarted_does_not_vouch_for_the_readers_that_it_forgot) {
+  FreshnessBench bench;
+  bench.form(4);
+  std::string leader = bench.leader();
+  auto others = bench.followers();
+  std::string restarted = others[0], cutWithReader = others[1], third = others[2];
+  bench.startAgent("edge-1");
+  cr_assert(bench.runUntil([&] { return bench.agentFresh("edge-1"); }, 5s));
+  bench.cutSides({"edge-1", cutWithReader}, {leader, third});
+  bench.run(4s);
+  cr_assert(bench.agentFresh("edge-1"), "two of four are heard");
+  bench.cutSides({"edge-1", cutWithReader}, {restarted});
+  bench.stop(restarted);
+  bench.run(50ms);
+  bench.startCore(restarted, false);
+  bench.run(50ms);
+  auto askId = bench.ask(leader, "late");
+  cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 5s));
+  bench.run(3s);
+  cr_expect(bench.staleReaders.empty(), "fresh without an acknowledged change on %d occasions",
+            static_cast<int>(bench.staleReaders.size()));
+}
+
+Test(freshness, a_change_before_a_removal_that_is_not_agreed_needs_the_quorum_of_the_old_members) {
+  FreshnessBench bench;
+  bench.form(4);
+  std::string leader = bench.leader();
+  auto others = bench.followers();
+  std::string near = others[0], far = others[1], gone = others[2];
+  bench.startAgent("edge-1");
+  cr_assert(bench.runUntil([&] { return bench.agentFresh("edge-1"); }, 5s));
+  bench.cutSides({"edge-1", gone}, {leader, near});
+  bench.cut(gone, far);
+  bench.run(5600ms);
+  cr_assert_eq(bench.leader(), leader);
+  bench.cut(far, leader);
+  bench.cut(far, near);
+  bench.ask(leader, "lone");
+  bench.run(20s);
+  cr_expect(bench.staleReaders.empty(), "fresh without an acknowledged change on %d occasions",
+            static_cast<int>(bench.staleReaders.size()));
+}
+
+Test(freshness, readers_with_the_old_members_are_waited_for_from_when_the_new_ones_are_agreed) {
+  FreshnessBench bench;
+  bench.form(4);
+  bench.startAgent("edge-1");
+  cr_assert(bench.runUntil([&] { return bench.agentFresh("edge-1"); }, 5s));
+  std::string leader = bench.leader();
+  auto others = bench.followers();
+  std::string near = others[0], far = others[1], farther = others[2];
+  bench.cutSides({"edge-1"}, {leader, near, "core-5"});
+  bench.startCore("core-5", false);
+  cr_assert(bench.runUntil([&] { return bench.votersAt(leader) == 5; }, 15s));
+  cr_assert_eq(bench.leader(), leader);
+  std::uint64_t membersIndex = bench.logOf(leader).logEnd();
+  bench.cutSides({far, farther}, {leader, near, "core-5"});
+  bench.run(2s);
+  cr_assert(bench.agentFresh("edge-1"), "two of the four that it knows are heard");
+  cr_assert_lt(bench.logOf(leader).commit(), membersIndex, "two of the four old members do not agree");
+  bench.join(far, leader);
+  cr_assert(bench.runUntil([&] { return bench.logOf(leader).commit() >= membersIndex; }, 2s));
+  bench.cut(far, leader);
+  auto askId = bench.ask(leader, "late");
+  cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 5s));
+  bench.run(3s);
+  cr_expect(bench.staleReaders.empty(), "fresh without an acknowledged change on %d occasions",
+            static_cast<int>(bench.staleReaders.size()));
+}
+
+Test(freshness, a_core_that_is_cut_off_reads_back_nothing_older_than_what_was_acknowledged) {
+  for (int cores : {4, 5, 8}) {
+    FreshnessBench bench;
+    timing.freshFor = 4s;
+    timing.readersWait = 666ms;
+    bench.form(cores);
+    bench.run(2s);
+    for (int round = 0; round < 2; ++round) {
+      std::string leader = bench.leader(), cutOff = bench.followers()[0], name = "late-" + std::to_string(round);
+      cr_assert(bench.readThrough(cutOff).confirmed, "in touch it reads");
+      bench.cutSides({cutOff}, bench.allBut(cutOff));
+      auto askId = bench.ask(leader, name);
+      cr_assert(bench.runUntil([&] { return bench.acknowledged(askId); }, 3s));
+      cr_assert_not(bench.has(cutOff, name));
+      cr_expect_not(bench.readThrough(cutOff).confirmed, "%d cores, round %d: no majority, no read", cores, round);
+      auto kept = bench.readThrough(leader);
+      cr_expect(kept.confirmed && kept.index >= bench.acknowledgedIndex);
+      bench.cutLinks.clear();
+      cr_assert(bench.runUntil([&] { return bench.has(cutOff, name); }, 5s));
+      auto healed = bench.readThrough(cutOff);
+      cr_expect(healed.confirmed && healed.index >= bench.acknowledgedIndex, "%d cores: back in touch it reads", cores);
+    }
+  }
+}
+
+Test(freshness, a_read_needs_a_majority_asked_after_it_came) {
+  FreshnessBench bench;
+  bench.form(4);
+  bench.run(1s);
+  bench.cutSides({"core-1", "core-2"}, {"core-3", "core-4"});
+  for (const char* name : {"core-1", "core-2", "core-3", "core-4"})
+    cr_expect_not(bench.readThrough(name).confirmed, "%s hears two of four", name);
+  bench.cutLinks.clear();
+  cr_assert(bench.runUntil([&] { return !bench.leader().empty(); }, 10s));
+  for (const char* name : {"core-1", "core-2", "core-3", "core-4"}) cr_expect(bench.readThrough(name).confirmed);
+}
+
+Test(freshness, a_leader_that_hears_nobody_reads_refuses_and_confirms_nothing) {
+  for (int cores : {4, 5, 8}) {
+    for (bool hears : {false, true}) {
+      FreshnessBench bench;
+      bench.form(cores);
+      bench.run(2s);
+      std::string old = bench.leader();
+      for (const auto& other : bench.allBut(old)) {
+        bench.cutLinks.insert({other, old});
+        if (!hears) bench.cutLinks.insert({old, other});
+      }
+      auto lone = bench.ask(old, "lone");
+      OperatorRequest stale;
+      stale.askId = "stale";
+      stale.body = R"({"weights":{"stale":{"model":"moss"}}})";
+      stale.ifRevision = 77;
+      stale.changeId = "stale";
+      bench.run(1s);
+      bench.with(bench.machines.at(old),
+                 [&](Effects& effects) { bench.machines.at(old).node->take(effects, "operator", stale); });
+      bench.run(hears ? Span(5s) : Span(12s));
+      cr_expect_not(bench.readThrough(old).confirmed);
+      for (const auto* askId : {&lone, &stale.askId}) {
+        if (!bench.replies.count(*askId)) continue;
+        auto code = static_cast<Code>(bench.replies[*askId].code);
+        cr_expect(code == Code::changeUnsure || code == Code::notLeading, "%d cores: %s answered %s", cores,
+                  askId->c_str(), codeName(code));
+      }
+    }
+  }
+}
+
+Test(freshness, reads_while_links_come_and_go_are_never_older_than_what_was_acknowledged) {
+  int confirmed = 0, deniedReads = 0, acked = 0;
+  for (int cores : {4, 5, 8})
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      FreshnessBench bench(seed);
+      timing.freshFor = 4s;
+      timing.readersWait = 666ms;
+      bench.form(cores);
+      std::map<std::string, std::uint64_t> openReads;
+      Strings openChanges;
+      auto names = bench.allBut({});
+      for (int round = 0; round < 400; ++round) {
+        const auto& one = names[bench.randomSource() % names.size()];
+        const auto& other = names[bench.randomSource() % names.size()];
+        auto roll = bench.randomSource() % 12;
+        if (roll < 2 && one != other) bench.cutLinks.insert({one, other});
+        if (roll == 2) bench.cutSides({one}, bench.allBut(one));
+        if (roll == 3) bench.cutLinks.clear();
+        if (roll == 4) openChanges.push_back(bench.ask(one, "change-" + std::to_string(round)));
+        openReads[bench.read(other)] = bench.acknowledgedIndex;
+        bench.run(std::chrono::milliseconds(25 + bench.randomSource() % 100));
+        for (auto open = openReads.begin(); open != openReads.end();) {
+          auto found = bench.reads.find(open->first);
+          if (found == bench.reads.end()) {
+            ++open;
+            continue;
+          }
+          confirmed += found->second.confirmed;
+          deniedReads += !found->second.confirmed;
+          cr_expect(!found->second.confirmed || found->second.index >= open->second,
+                    "%d cores, seed %d, round %d: read %d after %d was acknowledged", cores, static_cast<int>(seed),
+                    round, static_cast<int>(found->second.index), static_cast<int>(open->second));
+          open = openReads.erase(open);
+        }
+      }
+      for (const auto& askId : openChanges) acked += bench.acknowledged(askId);
+    }
+  cr_expect_gt(confirmed, 3000);
+  cr_expect_gt(deniedReads, 1000);
+  cr_expect_gt(acked, 100);
+  cr_log_info("%d reads confirmed, %d turned away, %d changes acknowledged", confirmed, deniedReads, acked);
+}
+
+namespace {
+/// The words of some voters about one log, as one reader hears them.
+struct HeardVoters {
+  std::size_t voters;
+  Configuration view;
+  ClusterView reader{ReaderSettings{"reader", "reader:1", "north-a", {}, true, {}}};
+  Journal journal;
+  std::mt19937_64 randomSource{1};
+  Moment now{std::chrono::hours(3)};
+
+  explicit HeardVoters(std::size_t count) : voters(count) {
+    std::vector<Member> members;
+    for (std::size_t at = 0; at < voters; ++at)
+      members.push_back(Member{nameOf(at), nameOf(at), nameOf(at) + ":1", "north-a", true});
+    view.apply(Entry{5, 1, static_cast<int>(EntryKind::members), packMembers(members), {}, 0});
+  }
+  static std::string nameOf(std::size_t at) { return "core-" + std::to_string(at); }
+  /// Whether the reader, which has applied up to 5, thinks that complete after these words.
+  bool completeAfter(unsigned heard, const std::function<LogEndResponse(std::size_t)>& wordOf) {
+    reader = ClusterView(ReaderSettings{"reader", "reader:1", "north-a", {}, true, {}});
+    Effects asking{now, randomSource, journal, {}, {}};
+    reader.ask(asking, 5, {}, view);
+    for (const auto& [to, message] : asking.sends)
+      for (std::size_t at = 0; at < voters; ++at) {
+        if (to != nameOf(at) + ":1" || !(heard >> at & 1)) continue;
+        auto word = wordOf(at);
+        word.askId = std::get<LogEndRequest>(message).askId;
+        word.core = nameOf(at);
+        Effects taking{now, randomSource, journal, {}, {}};
+        reader.take(taking, to, word, view);
+      }
+    return reader.stamp() != Moment{};
+  }
+};
+std::size_t countOf(unsigned set) { return static_cast<std::size_t>(__builtin_popcount(set)); }
+}  // namespace
+
+Test(freshness, no_subset_of_voters_makes_a_reader_complete_without_an_entry_that_a_quorum_has) {
+  for (std::size_t voters : {3u, 4u, 5u, 8u}) {
+    HeardVoters bench(voters);
+    std::size_t quorum = voters / 2 + 1, complete = 0;
+    for (unsigned having = 0; having < 1u << voters; ++having) {
+      if (countOf(having) != quorum) continue;
+      for (unsigned heard = 1; heard < 1u << voters; ++heard) {
+        for (std::size_t deposed = 0; deposed <= voters; ++deposed) {
+          if (deposed < voters && having >> deposed & 1) continue;
+          bool done = bench.completeAfter(heard, [&](std::size_t at) {
+            bool has = having >> at & 1;
+            LogEndResponse word;
+            word.term = has ? 2 : 1;
+            word.leads = at == deposed;
+            word.lastIndex = has ? 6 : 5;
+            word.commit = 5;
+            return word;
+          });
+          complete += done;
+          cr_expect_not(done, "%d voters, entry 6 on %x, heard %x, deposed leader %d", static_cast<int>(voters), having,
+                        heard, static_cast<int>(deposed));
+        }
+      }
+    }
+    for (unsigned heard = 1; heard < 1u << voters; ++heard) {
+      bool done = bench.completeAfter(heard, [](std::size_t) {
+        LogEndResponse word;
+        word.term = 1;
+        word.lastIndex = word.commit = 5;
+        return word;
+      });
+      cr_expect_eq(done, countOf(heard) + quorum > voters, "%d voters, nothing beyond, heard %x",
+                   static_cast<int>(voters), heard);
+    }
+  }
+}
+
+Test(freshness, an_agent_that_restarted_does_not_speak_for_proxies_that_it_has_not_heard) {
+  TimingKept kept;
+  AgentSettings settings;
+  settings.name = "edge-1";
+  settings.address = "edge-1:1";
+  settings.seeds = {"core-1:1"};
+  Agent agent(settings);
+  std::mt19937_64 randomSource(1);
+  Moment now{std::chrono::hours(3)};
+  std::optional<Count> told;
+  auto with = [&](const std::function<void(Effects&)>& action) {
+    Effects effects{now, randomSource, agent.journal, {}, {}};
+    action(effects);
+    for (const auto& [to, message] : effects.sends)
+      if (auto* ask = std::get_if<LogEndRequest>(&message)) told = ask->applied;
+  };
+  auto passTime = [&](Span span) {
+    for (Moment until = now + span; now < until; now += 10ms) with([&](Effects& effects) { agent.tick(effects); });
+  };
+  with([&](Effects& effects) { agent.tick(effects); });
+  NewsMsg news;
+  news.commit = 1;
+  news.entries.push_back(
+      Entry{1, 1, static_cast<int>(EntryKind::members), packMembers({Member{"a", "a", "core-1:1", "n", true}}), {}, 0});
+  with([&](Effects& effects) { agent.take(effects, "core-1:1", news); });
+  auto feedFrom = [&](const std::string& proxy, Count applied) {
+    with([&](Effects& effects) { agent.take(effects, proxy, FeedAsk{inNs(now), applied, {}, 0}); });
+  };
+  feedFrom("proxy-1", 1);
+  passTime(300ms);
+  cr_expect_eq(told.value_or(9), 0u, "proxy-2 may still be fresh by the word of this agent's earlier run");
+  passTime(timing.readersWait);
+  feedFrom("proxy-1", 1);
+  passTime(300ms);
+  cr_expect_eq(told.value_or(9), 1u);
+}
+
+Test(freshness, logic_is_given_a_moment_read_after_it_may_run) {
+  struct Clocked : Node {
+    std::vector<Moment> moments;
+    void take(Effects& effects, const std::string&, const Message&) override { moments.push_back(effects.now); }
+    void tick(Effects&) override {}
+  };
+  Clocked node;
+  asio::io_context context;
+  Host host(node, context, 20ms);
+  host.carry = [](const std::string&, Message&&) {};
+  std::atomic<bool> comes{false};
+  Moment released{};
+  std::thread late;
+  host.with([&](Effects&) {
+    late = std::thread([&] {
+      comes = true;
+      host.take("peer", FeedReply{});
+    });
+    while (!comes) std::this_thread::yield();
+    for (int round = 0; round < 1000; ++round) std::this_thread::yield();
+    released = Clock::now();
+  });
+  late.join();
+  cr_assert_eq(node.moments.size(), 1u);
+  cr_expect(node.moments[0] >= released, "a lease is never judged by a moment from before the wait for the lock");
+}
