Operators' clients of real processes race, and the audit checks their history

trouttally-operators lets clients race for the configuration of a real fleet: each reads, changes on what it read, gives up some calls before their answer, sends again through another core under the same change id, and reads through all cores. The small fleet does so with six clients and 120 changes while the accord's holder is killed and comes back.

--- a/scripts/small-fleet.sh
+++ b/scripts/small-fleet.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A small fleet of real processes: loses its accord's holder, an edge and a worker under load, revokes a key, is audited.
+# A small fleet of real processes: loses its accord's holder, an edge and a worker under load, revokes a key, lets operators race; is audited.
 #   scripts/small-fleet.sh [FOLDER]     some twenty seconds; counts and order only, no times are judged
 # Environment as for fleet.sh; BASE is 27000 unless given.
 set -u
@@ -48,6 +48,19 @@
 cat "$folder/load.txt"
 ctl lag --wait 20 || wrong "somebody lags"
 for name in before during; do ctl get | grep -q "\"$name\"" || wrong "change $name is lost"; done
+race() { # operators race, some answers lost, while the accord's holder is killed and comes back; nobody else changes anything
+  "$build/trouttally-operators" --cores "$TROUTTALLY_CORES" --key "$TROUTTALLY_OPERATOR_KEY" --history "$folder/operators.jsonl" \
+    --clients 6 --changes 120 --lose 20 --seed 7 >"$folder/operators.txt" &
+  local racers=$! killed=$(holder accord)
+  sleep 1
+  fleet signal "$killed" KILL "$folder"
+  sleep 3
+  fleet run "$killed" "$folder"
+  wait "$racers" || wrong "the operators' clients failed"
+  cat "$folder/operators.txt"
+  "$build/trouttally-audit" --operators "$folder/operators.jsonl" || wrong "no order explains what operators were told"
+}
+race
 fleet stop "$folder"
 grep -h -i -E "sanitizer|runtime error" "$folder"/logs/* && wrong "a sanitizer spoke"
 audit || failed=1
--- a/src/sim/operators.cpp
+++ b/src/sim/operators.cpp
@@ -90,10 +90,20 @@
 }
 
 RegisterItems watchedItems(const Configuration& configuration) {
+  JsonObject sections;
+  for (const char* name : watchedSections)
+    if (const auto* section = configuration.sectionAt(name)) sections[name] = Json(*section);
+  return watchedItems(sections);
+}
+
+RegisterItems watchedItems(const JsonObject& sections) {
   RegisterItems items;
-  for (const char* section : watchedSections)
-    if (const auto* rows = configuration.sectionAt(section))
-      for (const auto& [name, item] : *rows) items[std::string(section) + "." + name] = watchedItem(section, item);
+  for (const char* name : watchedSections) {
+    auto section = sections.find(name);
+    if (section == sections.end() || !section->second.is<JsonObject>()) continue;
+    for (const auto& [itemName, item] : section->second.get<JsonObject>())
+      items[std::string(name) + "." + itemName] = watchedItem(name, item);
+  }
   return items;
 }
 
--- a/src/sim/operators.hpp
+++ b/src/sim/operators.hpp
@@ -42,6 +42,7 @@
 Operation operationOf(const OperatorRequest& request);
 /// The watched items of a configuration: routes as they are, and whose each key is.
 RegisterItems watchedItems(const Configuration& configuration);
+RegisterItems watchedItems(const JsonObject& sections);
 /// Cuts the number out of weights that are named MODEL/NUMBER; 0 of others.
 std::uint64_t weightsNumber(const std::string& weights);
 
--- a/src/tools/main_audit.cpp
+++ b/src/tools/main_audit.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "audit.hpp"
+#include "history_lines.hpp"
 #include "process.hpp"
 
 using namespace tt;
@@ -19,16 +20,37 @@
   }
   return lines;
 }
+
+/// Checks one register's history, prints what came of it, and says whether it is sound.
+Result<bool> auditOperators(const std::string& file) {
+  auto lines = readLines({file});
+  if (!lines) return lines.error();
+  auto history = readHistory(lines.value());
+  if (!history) return fault(history.error().code, file + ": " + history.error().subject, history.error().text);
+  if (history.value().operations.empty()) return fault(Code::badProps, file, "holds no operation");
+  history.value().readsInOrder = false;
+  auto verdict = checkHistory(history.value());
+  std::cout << "audit: operators: " << verdict.operations << " operations, " << verdict.unclear
+            << " without a clear answer, " << verdict.readsBehind << " reads behind another, " << verdict.steps
+            << " steps: "
+            << (verdict.undecided      ? "UNDECIDED"
+                : verdict.linearizable ? "one order explains them all"
+                                       : "NO ORDER EXPLAINS THEM")
+            << "\n";
+  if (!verdict.trouble.empty()) std::cout << verdict.trouble << "\n";
+  return verdict.linearizable && !verdict.undecided;
+}
 }  // namespace
 
 int main(int count, char** words) {
-  std::vector<std::string> callers, workers, events;
+  std::vector<std::string> callers, workers, events, operators;
   std::string configuration, note, name;
   Settings reader("trouttally-audit",
                   "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
   reader.texts("callers", &callers, "the load generators' records")
       .texts("workers", &workers, "the stand-in back ends' records")
       .texts("events", &events, "what operators and the platform did, and when")
+      .texts("operators", &operators, "histories of trouttally-operators, each of one fleet; may be given alone")
       .text("blueprint", &configuration, "the deployment's blueprint, for its isolated tenants")
       .text("note", &note, "print a line for the events' file instead: revoked, leaving, staying or named")
       .text("of", &name, "what that event is about: a key's secret, a worker or weights");
@@ -50,6 +72,13 @@
     if (!read) return failStart(read.error());
     *lines = read.value();
   }
+  bool sound = true;
+  for (const auto& file : operators) {
+    auto checked = auditOperators(file);
+    if (!checked) return failStart(checked.error());
+    sound = sound && checked.value();
+  }
+  if (!operators.empty() && records.callers.empty() && records.workers.empty()) return sound ? 0 : 1;
   if (records.callers.empty() || records.workers.empty())
     return failStart(fault(Code::badProps, "callers", "an audit needs records of callers and of back ends"));
   if (!configuration.empty()) {
@@ -72,5 +101,5 @@
     std::cout << "audit: " << rows.size() << " " << line << "\n";
     for (std::size_t at = 0; at < rows.size() && at < 5; ++at) std::cout << "       " << rows[at] << "\n";
   }
-  return result.breachCount() == 0 ? 0 : 1;
+  return result.breachCount() == 0 && sound ? 0 : 1;
 }
