--- a/tests/proxy_bench.hpp
+++ b/tests/proxy_bench.hpp
@@ -67,13 +67,14 @@
  public:
   using Script = std::function<void(const RawServer::Held& held, const std::string& request)>;
 
-  explicit ProxyBench(std::size_t workers = 2) {
+  explicit ProxyBench(std::size_t workers = 2, Span pendingWait = 1500ms) {
     EdgeSettings settings;
     settings.name = "proxy-1";
     settings.address = "proxy-1:1";
     settings.locality = "north-a";
     settings.agentAddress = "agent:1";
     settings.pendingMost = 256;
+    settings.pendingWait = pendingWait;
     settings.sourceRides = settings.openGoOn = true;
     settings.retryLeast = 10000;
     edge = std::make_unique<Edge>(settings);
