--- a/tests/call_table.cpp
+++ b/tests/call_table.cpp
@@ -417,3 +417,42 @@
   cr_expect(got.whole);
   cr_expect_eq(got.body, events(1, 5));
 }
+
+Test(call_table, body_being_sent) {
+  for (const char* route : {"/once/x", "/safe/x"}) {
+    ProxyBench bench;
+    bool broken = false;
+    bench.script = [&](const RawServer::Held& held, const std::string& request) { held->say(okayFor(request, "own")); };
+    for (const auto& server : bench.servers)
+      server->onPiece = [&](const RawServer::Held& held) {
+        if (held->got.size() > 60000 && !std::exchange(broken, true)) held->reset();
+      };
+    auto got = bench.ask(route, {}, std::string(2u << 20, 'x'));
+    bool once = std::string(route) == "/once/x";
+    cr_expect_eq(got.status, once ? 502 : 200, "%s told %d", route, got.status);
+    cr_expect_eq(bench.copies("POST " + std::string(route)), once ? 1u : 2u);
+  }
+}
+
+Test(call_table, a_proxy_frozen_between_write_and_read_gives_the_request_its_own_answer_or_none) {
+  for (const char* deadline : {"4000", "20"}) {
+    ProxyBench bench;
+    bench.script = [&](const RawServer::Held& held, const std::string& request) {
+      held->say(okayFor(request, "body of " + headerIn(request, "X-Attempt-Id")));
+    };
+    std::vector<std::shared_ptr<ProxyBench::Client>> clients;
+    for (const char* route : {"/once/x", "/safe/x", "/once/y"})
+      clients.push_back(bench.begin(route, std::string("X-Deadline-Ms: ") + deadline + "\r\n"));
+    cr_assert(bench.until([&] { return bench.arrivals == 3; }));
+    std::this_thread::sleep_for(350ms);
+    for (std::size_t number = 0; number < clients.size(); ++number) {
+      auto got = bench.finish(clients[number]);
+      if (got.status == 200)
+        cr_expect_eq(got.body, "body of a-" + std::to_string(number + 1));
+      else
+        cr_expect_eq(got.status, 502, "told %d", got.status);
+      if (std::string(deadline) == "4000") cr_expect_eq(got.status, 200);
+    }
+    cr_expect_eq(bench.arrivals, 3u, "nothing is sent again");
+  }
+}
