Recorded reads go the way that reads go now: a majority is asked after each came

Cause: the sim's operators read by the view that a core believes fresh, which no longer answers reads. Change: they send ReadRequest and record what the configuration is when it is confirmed.

--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -447,6 +447,7 @@
   }
   if (to == "operator") {
     if (auto* reply = std::get_if<OperatorResponse>(&message)) operatorAnswer(*reply);
+    if (auto* read = std::get_if<ReadResponse>(&message)) readAnswered(from, *read);
     return;
   }
   auto found = nameByAddress.find(to);
