--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -53,9 +53,10 @@
   X(HeartbeatResponse, ((std::string, duty))((Count, term))((std::string, voter))((std::int64_t, sentAt))((bool, granted))) \
   /* the agreed log */                                                                                              \
   X(AppendRequest, ((Count, term))((std::string, leader))((Count, prevIndex))((Count, prevTerm))((Count, commit))       \
-                   ((std::vector<Entry>, entries)))                                                                 \
-  X(AppendResponse, ((Count, term))((std::string, voter))((bool, matched))((Count, index)))                            \
-  X(InstallSnapshot, ((Count, term))((std::string, leader))((Snapshot, snapshot)))                                         \
+                   ((std::vector<Entry>, entries))((Count, round)))                                                                 \
+  X(AppendResponse, ((Count, term))((std::string, voter))((bool, matched))((Count, index))((Count, received))((Count, round))) \
+  X(InstallSnapshot, ((Count, term))((std::string, leader))((Count, index))((Count, snapshotTerm))                  \
+                         ((std::string, digest))((Count, total))((Count, offset))((std::string, bytes))((Count, attempt))) \
   X(HelloRequest, ((Member, self))((bool, formed)))                                                                     \
   X(HelloResponse, ((Member, self))((bool, formed))((std::vector<Member>, members)))                                   \
   X(FormRequest, ((std::vector<Member>, members)))                                                                      \
@@ -126,7 +127,10 @@
   X(OperatorResponse, ((std::string, askId))((int, code))((std::string, subject))((std::string, text))                 \
                        ((Count, revision))((Count, reached)))                                                       \
   X(ReadRequest, ((std::string, askId)))                                                                            \
-  X(ReadResponse, ((std::string, askId))((bool, confirmed))((Count, revision))((Count, index)))
+  X(ReadResponse, ((std::string, askId))((bool, confirmed))((Count, revision))((Count, index))) \
+  /* a snapshot's pieces */                                                                                         \
+  X(InstallSnapshotResponse, ((Count, term))((std::string, voter))((std::string, digest))((Count, offset))          \
+                                 ((Count, attempt)))
 
 /* clang-format on */
 #define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
--- a/src/consensus/change_requests.cpp
+++ b/src/consensus/change_requests.cpp
@@ -30,6 +30,7 @@
   auto patch = head.preparePatch(ask.body, ask.whole ? Manner::whole : static_cast<Manner>(ask.manner));
   if (!patch) return answer(patch.error().code, patch.error().subject, patch.error().text);
   if (head.bytes() + patch.value().size() > room) return answer(Code::blueprintLarge, "body", {});
+  if (bytesAfter(commitIndex) + patch.value().size() > room) return answer(Code::changesFull, "changes", {});
   std::uint64_t revision = ask.toRevision > 0   ? static_cast<std::uint64_t>(ask.toRevision)
                            : ask.toRevision < 0 ? head.revision()
                                                 : 0;
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -83,7 +83,14 @@
 void ReplicatedLog::tellSynced(Effects& effects) {
   auto address = leaderAddress();
   if (address.empty() || verifiedTerm != election.term() || verifiedEnd == 0) return;
-  effects.send(address, AppendResponse{election.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
+  if (!effects.sends.empty() && effects.sends.back().first == address)
+    if (auto* last = std::get_if<AppendResponse>(&effects.sends.back().second); last && last->matched)
+      effects.sends.pop_back();
+  answerAppend(effects, address, std::min(syncedIndex, verifiedEnd));
+}
+
+void ReplicatedLog::answerAppend(Effects& effects, const std::string& to, std::uint64_t index) {
+  effects.send(to, AppendResponse{election.term(), selfRow.id, true, index, verifiedEnd, heardRound});
 }
 
 void ReplicatedLog::append(Effects& effects, EntryKind kind, std::string body, std::string changeId,
@@ -122,21 +129,22 @@
   auto& follower = followers[member.id];
   if (follower.next == 0) follower.next = logEnd() + 1;
   if (follower.pending && !again) return;
+  if (sendSnapshot(effects, member, follower)) return;
   follower.sentAt = effects.now;
-  if (follower.next <= base.index) {
-    follower.pending = true;
-    effects.send(member.address, InstallSnapshot{election.term(), selfRow.id, base});
-    return;
-  }
-  AppendRequest message{election.term(), selfRow.id, follower.next - 1, termAt(follower.next - 1), commitIndex, {}};
+  AppendRequest message{election.term(), selfRow.id, follower.next - 1, termAt(follower.next - 1),
+                        commitIndex,     {},         ++follower.round};
   std::size_t bytes = 0;
-  for (std::uint64_t index = follower.next; index <= logEnd() && message.entries.size() < entriesPerMessage; ++index) {
+  std::uint64_t last = follower.pending ? 0 : logEnd();
+  for (std::uint64_t index = follower.next; index <= last && message.entries.size() < entriesPerMessage; ++index) {
     const auto* entry = entryAt(index);
     bytes += entry->body.size();
     if (!message.entries.empty() && bytes > bytesPerMessage) break;
     message.entries.push_back(*entry);
   }
-  follower.pending = !message.entries.empty();
+  if (!message.entries.empty()) {
+    follower.pending = true;
+    follower.sentEnd = message.entries.back().index;
+  }
   follower.toldCommit = commitIndex;
   effects.send(member.address, std::move(message));
 }
@@ -224,12 +232,14 @@
   election.seeTerm(effects, message.term);
   if (election.won()) return;
   leaderHeard = effects.now;
+  heardRound = message.round;
   if (message.prevIndex > logEnd() ||
       (message.prevIndex >= base.index && termAt(message.prevIndex) != message.prevTerm)) {
     std::uint64_t hint = message.prevIndex > logEnd() ? logEnd() : commitIndex;
     effects.send(from, AppendResponse{election.term(), selfRow.id, false, hint});
     return;
   }
+  if (message.commit > commitIndex) applyUpTo(effects, std::min(message.commit, message.prevIndex));
   std::uint64_t last = message.prevIndex;
   for (const auto& entry : message.entries) {
     last = entry.index;
@@ -252,7 +262,7 @@
   verifiedEnd = verifiedTerm == message.term ? std::max(verifiedEnd, shared) : shared;
   verifiedTerm = message.term;
   if (message.commit > commitIndex) applyUpTo(effects, std::min(message.commit, shared));
-  if (shared <= syncedIndex) effects.send(from, AppendResponse{election.term(), selfRow.id, true, shared});
+  if (shared <= syncedIndex || message.entries.empty()) answerAppend(effects, from, std::min(syncedIndex, verifiedEnd));
 }
 
 void ReplicatedLog::onReply(Effects& effects, const AppendResponse& reply) {
@@ -263,12 +273,16 @@
   if (!election.won() || reply.term != election.term()) return;
   heardFrom[reply.voter] = effects.now;
   auto& follower = followers[reply.voter];
-  follower.pending = false;
   if (reply.matched) {
     follower.matched = std::max(follower.matched, reply.index);
     follower.next = std::max(follower.next, follower.matched + 1);
+    bool lost = reply.round == follower.round && reply.received < follower.sentEnd;
+    if (lost) follower.next = std::max(follower.next, reply.received + 1);
+    if (lost || follower.matched >= follower.sentEnd) follower.pending = false;
     if (follower.next > logEnd() + 1) follower.next = logEnd() + 1;
+    if (follower.transfer && follower.matched >= follower.transfer->image().index) follower.transfer.reset();
   } else {
+    follower.pending = false;
     follower.next = std::max<std::uint64_t>(1, std::min(follower.next - 1, reply.index + 1));
   }
   advance(effects);
@@ -283,7 +297,7 @@
   for (const auto& member : memberRows) {
     if (member.id == selfRow.id) continue;
     auto& follower = followers[member.id];
-    if (effects.now - follower.sentAt >= appendAgain) sendTo(effects, member, true);
+    if (follower.transfer || effects.now - follower.sentAt >= appendAgain) sendTo(effects, member, true);
   }
   advance(effects);
   mendMembers(effects);
@@ -297,6 +311,8 @@
     onReply(effects, *reply);
   else if (auto* snapshot = std::get_if<InstallSnapshot>(&message))
     onInstallSnapshot(effects, from, *snapshot);
+  else if (auto* response = std::get_if<InstallSnapshotResponse>(&message))
+    onSnapshotResponse(effects, *response);
   else if (auto* join = std::get_if<JoinRequest>(&message))
     onJoin(effects, from, *join);
   else
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -2,6 +2,7 @@
 #include "configuration.hpp"
 #include "defences.hpp"
 #include "election.hpp"
+#include "snapshot_transfer.hpp"
 
 namespace tt {
 
@@ -49,7 +50,10 @@
     std::uint64_t matched{0};
     std::uint64_t toldCommit{0};
     Moment sentAt{};
+    /// Whether entries are under way, up to which one, and the number of the last message.
     bool pending{false};
+    std::uint64_t sentEnd{0}, round{0};
+    std::optional<SnapshotSender> transfer;
   };
   struct Waiter {
     std::string from, askId;
@@ -68,6 +72,10 @@
   std::size_t logBytes{0};
   std::uint64_t verifiedTerm{0}, verifiedEnd{0};
   Moment leaderHeard{};
+  /// The number of the last message that this follower had from its leader.
+  std::uint64_t heardRound{0};
+  SnapshotReceiver receiver;
+  std::weak_ptr<const SnapshotImage> newestImage;
 
   std::uint64_t termAt(std::uint64_t index) const;
   const Entry* entryAt(std::uint64_t index) const;
@@ -77,7 +85,17 @@
   void append(Effects& effects, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision = 0);
   void store(Effects& effects, const Entry& entry);
   void tellSynced(Effects& effects);
+  void answerAppend(Effects& effects, const std::string& to, std::uint64_t index);
   void sendTo(Effects& effects, const Member& member, bool again);
+  /// Whether the log reaches back far enough for entries from this index on.
+  bool reachesBackTo(std::uint64_t index) const;
+  /// Sends what is due of a follower's snapshot. Returns false if it needs none.
+  bool sendSnapshot(Effects& effects, const Member& member, Follower& follower);
+  /// The first entry that a follower in touch still needs; entries from there on are kept within a bound of bytes.
+  std::uint64_t firstNeeded(Moment now) const;
+  void dropEntriesBefore(std::uint64_t index);
+  /// The bytes of all entries behind an index.
+  std::size_t bytesAfter(std::uint64_t index) const;
   void sendAll(Effects& effects);
   void advance(Effects& effects);
   void applyUpTo(Effects& effects, std::uint64_t index);
@@ -88,6 +106,8 @@
   void dropGone(Effects& effects);
   void onAppend(Effects& effects, const std::string& from, const AppendRequest& message);
   void onInstallSnapshot(Effects& effects, const std::string& from, const InstallSnapshot& message);
+  void installWhole(Effects& effects, const std::string& from, const Snapshot& snapshot);
+  void onSnapshotResponse(Effects& effects, const InstallSnapshotResponse& response);
   void onReply(Effects& effects, const AppendResponse& reply);
   void onJoin(Effects& effects, const std::string& from, const JoinRequest& ask);
   void setMembers(Effects& effects, std::vector<Member> rows);
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -50,7 +50,7 @@
       .text("operatorKeyHash", &given.operatorKeyHash, "SHA-256 of the operator key, in hex", true)
       .text("dataFolder", &given.dataFolder, "the folder that all files live under", true)
       .number("ringFiles", &given.ringFiles, 3, 64, "how many files the ring has")
-      .number("ringFileKiB", &given.ringFileKiB, 256, 262144, "the size of each ring file")
+      .number("ringFileKiB", &given.ringFileKiB, 3072, 262144, "the size of each ring file")
       .number("threads", &given.threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
--- /dev/null
+++ b/tests/log_fleet.hpp
@@ -0,0 +1,200 @@
+#pragma once
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "members.hpp"
+#include "replicated_log.hpp"
+
+namespace tt {
+
+/// Replicas of the log over links with a rate and a delay, and disks whose syncs take a while, all on simulated time.
+class LogFleet {
+ public:
+  struct Machine {
+    Member self;
+    Journal journal;
+    Recovered disk;
+    std::unique_ptr<ReplicatedLog> log;
+    std::vector<Effects::Save> waiting, syncing;
+    Moment syncedAt{};
+    std::uint64_t life{0};
+    Span syncSpan{2ms};
+    /// How often each entry was written, the most records that waited for the disk, and their bytes.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, int> entryWrites;
+    std::size_t mostWaitingBytes{0}, snapshotWrites{0}, ringBytes{0}, mostLogBytes{0};
+  };
+  struct Link {
+    double bytesPerSecond{10e6};
+    Span delay{1ms};
+    Moment busyUntil{};
+    std::size_t queued{0}, mostQueued{0}, total{0}, messages{0};
+    bool up{true};
+  };
+  Moment now{std::chrono::hours(9)};
+  std::mt19937_64 randomSource;
+  std::map<std::string, Machine> machines;
+  std::map<std::pair<std::string, std::string>, Link> links;
+  std::uint64_t changes{0}, acknowledged{0};
+  std::size_t changeBytes{300};
+  int refused{0};
+
+  explicit LogFleet(std::uint64_t seed, std::size_t recordRoom = 1 << 20) : randomSource(seed), room(recordRoom) {
+    std::vector<Member> members;
+    for (const char* id : {"a", "b", "c"}) members.push_back({id, id, std::string(id) + ":1", "north", true});
+    Recovered held;
+    held.entries.push_back(Entry{1, 1, static_cast<int>(EntryKind::members), packMembers(members), {}, 0});
+    for (const auto& member : members) {
+      held.identity = member.id;
+      machines[member.id].self = member;
+      machines[member.id].disk = held;
+    }
+  }
+  void start(const std::string& id) {
+    auto& machine = machines.at(id);
+    ++machine.life;
+    machine.log = std::make_unique<ReplicatedLog>(machine.self, room);
+    machine.log->restore(machine.disk, now);
+  }
+  void stop(const std::string& id) {
+    auto& machine = machines.at(id);
+    ++machine.life;
+    machine.log.reset();
+    machine.waiting.clear();
+    machine.syncing.clear();
+  }
+  std::string leader() const {
+    for (const auto& [id, machine] : machines)
+      if (machine.log && machine.log->leads(now)) return id;
+    return {};
+  }
+  bool change() {
+    auto id = leader();
+    if (id.empty()) return false;
+    ChangeRequest request;
+    std::string name = "w" + std::to_string(++changes % 400);
+    request.body = R"({"weights":{")" + name + R"(":{"model":")" + std::to_string(changes) + "." +
+                   std::string(changeBytes, 'm') + R"("}}})";
+    request.changeId = "config/" + std::to_string(changes) + "/" + sha256Hex(std::to_string(changes));
+    request.askId = request.changeId;
+    request.ifRevision = -1;
+    with(machines.at(id), [&](Effects& effects, ReplicatedLog& log) { log.takeChange(effects, "operator", request); });
+    return true;
+  }
+  void step() {
+    now += 1ms;
+    ++steps;
+    while (!due.empty() && due.begin()->first <= now) {
+      auto action = std::move(due.begin()->second);
+      due.erase(due.begin());
+      action();
+    }
+    for (auto& [id, machine] : machines) {
+      if (!machine.log) continue;
+      if (steps % 20 == 0) with(machine, [](Effects& effects, ReplicatedLog& log) { log.tick(effects); });
+      runDisk(machine);
+      std::size_t bytes = 0;
+      if (steps % 16 == 0) {
+        for (const auto& entry : machine.log->entries()) bytes += entry.body.size();
+        machine.mostLogBytes = std::max(machine.mostLogBytes, bytes);
+      }
+    }
+  }
+  void run(Span span) {
+    for (Moment until = now + span; now < until;) step();
+  }
+  bool runUntil(const std::function<bool()>& reached, Span most) {
+    for (Moment until = now + most; now < until && !reached();) step();
+    return reached();
+  }
+  void formed() {
+    for (const char* id : {"a", "b", "c"}) start(id);
+    cr_assert(runUntil([&] { return !leader().empty(); }, 20s));
+    cr_assert(runUntil([&] { return machines.at("c").log->commit() > 1; }, 20s));
+  }
+  /// Makes changes as fast as they are agreed.
+  void makeChanges(std::uint64_t many) {
+    std::uint64_t last = changes + many;
+    while (changes < last) {
+      if (auto id = leader(); !id.empty() && machines.at(id).log->pendingChanges() < 64)
+        for (int at = 0; at < 16 && changes < last; ++at) change();
+      run(4ms);
+    }
+    cr_assert(runUntil([&] { return !leader().empty() && machines.at(leader()).log->pendingChanges() == 0; }, 20s));
+  }
+  std::size_t entriesWrittenTwice(const std::string& id) const {
+    std::size_t twice = 0;
+    for (const auto& [entry, times] : machines.at(id).entryWrites) twice += times > 1;
+    return twice;
+  }
+
+ private:
+  std::size_t room;
+  std::uint64_t steps{0};
+  std::multimap<Moment, std::function<void()>> due;
+
+  void with(Machine& machine, const std::function<void(Effects&, ReplicatedLog&)>& action) {
+    Effects effects{now, randomSource, machine.journal, {}, {}};
+    action(effects, *machine.log);
+    for (auto& [to, message] : effects.sends) post(machine, to, std::move(message));
+    std::size_t bytes = 0;
+    for (auto& save : effects.saves) {
+      if (save.record.kind == RecordKind::entry) {
+        auto entry = decodeEntry(save.record.bytes).value();
+        ++machine.entryWrites[{entry.index, entry.term}];
+      }
+      machine.snapshotWrites += save.record.kind == RecordKind::snapshot || save.record.kind == RecordKind::installed;
+      machine.ringBytes += save.record.bytes.size();
+      machine.waiting.push_back(std::move(save));
+    }
+    for (const auto& save : machine.waiting) bytes += save.record.bytes.size();
+    machine.mostWaitingBytes = std::max(machine.mostWaitingBytes, bytes);
+  }
+  void post(Machine& from, const std::string& to, Message message) {
+    if (to == "operator") {
+      auto& response = std::get<ChangeResponse>(message);
+      ++(response.code == static_cast<int>(Code::changeTaken) ? acknowledged : lost);
+      return;
+    }
+    std::string id = to.substr(0, 1);
+    auto& link = links[{from.self.id, id}];
+    if (!link.up) return;
+    std::size_t bytes = encodeMessage(message).size() + 60;
+    link.busyUntil =
+        std::max(link.busyUntil, now) +
+        std::chrono::microseconds(static_cast<std::int64_t>(1e6 * static_cast<double>(bytes) / link.bytesPerSecond));
+    link.queued += bytes;
+    link.mostQueued = std::max(link.mostQueued, link.queued);
+    link.total += bytes;
+    ++link.messages;
+    due.emplace(link.busyUntil + link.delay, [this, id, bytes, sender = from.self, life = machines.at(id).life,
+                                              message = std::move(message)] {
+      auto& way = links[{sender.id, id}];
+      way.queued -= bytes;
+      auto& machine = machines.at(id);
+      if (!machine.log || machine.life != life || !way.up) return;
+      with(machine, [&](Effects& effects, ReplicatedLog& log) { log.take(effects, sender.address, message); });
+    });
+  }
+  void runDisk(Machine& machine) {
+    if (!machine.syncing.empty() && now >= machine.syncedAt) {
+      auto done = std::move(machine.syncing);
+      machine.syncing.clear();
+      for (const auto& save : done) cr_assert(machine.disk.fold(save.record));
+      with(machine, [&](Effects& effects, ReplicatedLog&) {
+        for (auto& save : done)
+          if (save.then) save.then(effects);
+      });
+    }
+    if (machine.syncing.empty() && !machine.waiting.empty()) {
+      machine.syncing = std::move(machine.waiting);
+      machine.waiting.clear();
+      machine.syncedAt = now + machine.syncSpan;
+    }
+  }
+
+ public:
+  std::uint64_t lost{0};
+};
+
+}  // namespace tt
