--- a/src/consensus/change_requests.cpp
+++ b/src/consensus/change_requests.cpp
@@ -91,6 +91,8 @@
   bool weights = static_cast<Manner>(ask.manner) == Manner::weights;
   if (weights && head.revision() == 0) return respond(effects, from, ask, Code::notLeading, "revision");
   auto patch = judge(ask);
+  if (patch && bytesAfter(commitIndex) + patch.value().size() > room)
+    return respond(effects, from, ask, Code::changesFull, "changes");
   if (patch) {
     std::uint64_t revision = ask.toRevision > 0   ? static_cast<std::uint64_t>(ask.toRevision)
                              : ask.toRevision < 0 ? head.revision()
