The bench of control processes in tests has a file of its own

Two test files drive whole control processes by hand. The tests in members.cpp are unchanged; the bench gains machines whose name differs from their label, seeds that a test may set, and a callback after each step.

--- /dev/null
+++ b/tests/core_bench.hpp
@@ -0,0 +1,226 @@
+#pragma once
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "core.hpp"
+
+/// Control processes driven by hand: their mail, their disks and their clock are the test's.
+namespace tt {
+struct TimingKept {
+  Timing old = timing;
+  ~TimingKept() { timing = old; }
+};
+
+struct CoreBench {
+  struct Mail {
+    std::string from, to;
+    Message message;
+  };
+  struct Machine {
+    std::string name, address, nodeName;
+    std::unique_ptr<Core> core;
+    Recovered disk;
+    std::vector<Effects::Save> syncing;
+    Moment syncedAt{};
+    bool alive{false}, mayForm{false};
+    std::uint64_t life{0};
+  };
+  TimingKept kept;
+  Moment now{std::chrono::hours(3)};
+  std::mt19937_64 randomSource;
+  std::map<std::string, Machine> machines;
+  std::multimap<Moment, std::pair<std::uint64_t, Mail>> due;
+  std::set<std::string> cutOff;
+  /// What the next process to start is told.
+  Strings seeds{"core-1:1", "core-2:1", "core-3:1"};
+  std::map<std::string, OperatorResponse> replies;
+  std::map<std::string, int> notes;
+  std::map<std::string, Moment> lastNote;
+  /// Told after each step, for what must hold all the time.
+  std::function<void()> watch;
+  int askCount{0};
+
+  explicit CoreBench(std::uint64_t seed = 1, int count = 5) : randomSource(seed) {
+    timing.memberGone = 6s;
+    timing.votersLeast = 3;
+    for (int at = 1; at <= count; ++at) {
+      std::string name = "core-" + std::to_string(at);
+      addMachine(name, name);
+    }
+  }
+  /// A machine that is off and has an empty disk.
+  void addMachine(const std::string& name, const std::string& nodeName) {
+    auto& machine = machines[name];
+    machine.name = name;
+    machine.nodeName = nodeName;
+    machine.address = name + ":1";
+  }
+  void start(const std::string& name, bool mayForm) {
+    auto& machine = machines.at(name);
+    cr_assert_not(machine.alive);
+    machine.alive = true;
+    ++machine.life;
+    CoreSettings settings;
+    settings.name = machine.nodeName;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = seeds;
+    settings.localities = {"north-a"};
+    settings.mayForm = mayForm;
+    settings.cell.apart = settings.cell.loadsWhole = settings.cell.seedsForm = true;
+    settings.cell.summaries = false;
+    machine.core = std::make_unique<Core>(settings, machine.disk, randomSource, now);
+    machine.core->journal.appended.connect([this](const Event& event) {
+      ++notes[event.kind];
+      lastNote[event.kind] = event.at;
+    });
+  }
+  void stop(const std::string& name) {
+    auto& machine = machines.at(name);
+    machine.alive = false;
+    ++machine.life;
+    machine.syncing.clear();
+    machine.core.reset();
+  }
+  void wipe(const std::string& name) {
+    if (machines.at(name).alive) stop(name);
+    machines.at(name).disk = Recovered();
+  }
+  Machine* at(const std::string& address) {
+    for (auto& [name, machine] : machines)
+      if (machine.address == address) return &machine;
+    return nullptr;
+  }
+  bool cut(const std::string& one, const std::string& other) const {
+    return one != other && (cutOff.count(one) || cutOff.count(other));
+  }
+  void with(Machine& machine, const std::function<void(Effects&, Core&)>& action) {
+    Effects effects{now, randomSource, machine.core->journal, {}, {}};
+    action(effects, *machine.core);
+    for (auto& [to, message] : effects.sends) {
+      if (to.rfind("operator", 0) == 0) {
+        auto& reply = std::get<OperatorResponse>(message);
+        replies[reply.askId] = reply;
+      } else if (to == machine.address) {
+        due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
+      } else if (auto* other = at(to)) {
+        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8),
+                    std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
+      }
+    }
+    for (auto& save : effects.saves) machine.syncing.push_back(std::move(save));
+  }
+  void sync(Machine& machine) {
+    if (machine.syncing.empty() || now < machine.syncedAt) return;
+    machine.syncedAt = now + 6ms;
+    auto saves = std::move(machine.syncing);
+    machine.syncing.clear();
+    for (const auto& save : saves) cr_assert(machine.disk.fold(save.record));
+    with(machine, [&](Effects& effects, Core&) {
+      for (auto& save : saves)
+        if (save.then) save.then(effects);
+    });
+  }
+  void step() {
+    now += 5ms;
+    while (!due.empty() && due.begin()->first <= now) {
+      auto [life, mail] = std::move(due.begin()->second);
+      due.erase(due.begin());
+      auto* receiver = at(mail.to);
+      const auto* sender = at(mail.from);
+      if (!receiver) continue;
+      auto& machine = *receiver;
+      if (!machine.alive || machine.life != life || (sender && cut(sender->name, machine.name))) continue;
+      with(machine, [&, from = mail.from, message = std::move(mail.message)](Effects& effects, Core& core) {
+        core.take(effects, from, message);
+      });
+    }
+    for (auto& [name, machine] : machines) {
+      if (!machine.alive) continue;
+      with(machine, [](Effects& effects, Core& core) { core.tick(effects); });
+      sync(machine);
+    }
+    if (watch) watch();
+  }
+  void run(Span span) {
+    for (Moment until = now + span; now < until;) step();
+  }
+  bool runUntil(const std::function<bool()>& reached, Span most) {
+    for (Moment until = now + most; now < until && !reached();) step();
+    return reached();
+  }
+  std::vector<Member> membersOf(const std::string& name) const { return machines.at(name).core->agreement().members(); }
+  std::size_t votersAt(const std::string& name) const {
+    auto rows = membersOf(name);
+    return static_cast<std::size_t>(
+        std::count_if(rows.begin(), rows.end(), [](const Member& row) { return row.votes; }));
+  }
+  bool votes(const std::string& name, const std::string& id) const {
+    auto rows = membersOf(name);
+    return std::any_of(rows.begin(), rows.end(), [&](const Member& row) { return row.id == id && row.votes; });
+  }
+  bool formed(const std::string& name) const { return machines.at(name).core->agreement().formed(); }
+  std::string leader() const {
+    for (const auto& [name, machine] : machines)
+      if (machine.alive && machine.core->agreement().leads(now)) return name;
+    return {};
+  }
+  bool allVote(const Strings& names) const {
+    for (const auto& name : names) {
+      if (!machines.at(name).alive || !formed(name) || votersAt(name) != names.size()) return false;
+      for (const auto& other : names)
+        if (!votes(name, machines.at(other).core->id())) return false;
+    }
+    return true;
+  }
+  std::string follower() const {
+    for (const auto& [name, machine] : machines)
+      if (machine.alive && name != leader() && formed(name)) return name;
+    return {};
+  }
+  Strings names() const {
+    Strings all;
+    for (const auto& [name, machine] : machines) all.push_back(name);
+    return all;
+  }
+  void formAll() {
+    for (const auto& name : names()) start(name, true);
+    cr_assert(runUntil([&] { return allVote(names()) && !leader().empty(); }, 40s), "%s", told().c_str());
+  }
+  void formFour() {
+    for (const char* name : {"core-1", "core-2", "core-3", "core-4"}) start(name, true);
+    cr_assert(runUntil([&] { return allVote({"core-1", "core-2", "core-3", "core-4"}) && !leader().empty(); }, 20s));
+  }
+  std::string ask(const std::string& name, const std::string& changeName) {
+    std::string askId = "ask-" + std::to_string(++askCount);
+    OperatorRequest change;
+    change.askId = askId;
+    change.body = R"({"weights":{")" + changeName + R"(":{"model":"moss"}}})";
+    change.ifRevision = -1;
+    change.changeId = changeName;
+    with(machines.at(name), [&](Effects& effects, Core& core) { core.take(effects, "operator", change); });
+    return askId;
+  }
+  bool acknowledged(const std::string& askId) const {
+    auto found = replies.find(askId);
+    return found != replies.end() && found->second.code == static_cast<int>(Code::changeTaken);
+  }
+  std::string told() const {
+    std::string text;
+    for (const auto& [name, machine] : machines) {
+      if (!machine.alive) continue;
+      const auto& log = machine.core->agreement();
+      text += "\n" + machine.core->id() + (log.leads(now) ? " leads" : "") + " term " +
+              std::to_string(log.election.term()) + " " + log.election.state() + " holder " + log.election.holder() +
+              " end " + std::to_string(log.logEnd()) + " synced " + std::to_string(log.syncedEnd()) + " commit " +
+              std::to_string(log.commit()) + " of";
+      for (const auto& member : log.members()) text += " " + member.id + (member.votes ? "" : " (learns)");
+    }
+    return text;
+  }
+  bool has(const std::string& name, const std::string& changeName) const {
+    return machines.at(name).core->agreement().configuration().section("weights").count(changeName) > 0;
+  }
+};
+}  // namespace tt
