A replacement of a control machine is one agreed step, settled by a second entry

Cause: an empty replica was ignored until its namesake had been silent for 3 s, asked once a second, became an additional voter, and the silent one was taken out by a further entry (of another name: after 2 x ContactMs). After a restart a change of voters that was agreed looked as if it were passing; with the leader's disk lost at that moment agreement ended. A search over orders of events found three more: the leader's own pause counted as others' silence, what lies before a passing change was agreed by the new voters alone, and a replica that did not know yet that it votes refused a ballot.

Ruled out: lost records. A durable record of what is agreed in place of the second entry: it needs a round and an acknowledgement of its own, which is what an entry is.

Spans come from ContactMs and CatchUpS. A leader that leaves names its successor; a process that leaves counts for no further copy and waits until FaultBudget + 1 other disks hold what it has synced.

--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -56,7 +56,8 @@
   };
   replicatedLog->membersChanged = [this](Effects& effects) {
     membersMovedAt = effects.now;
-    for (auto& [locality, cell] : cells) cell->election.setVoters(replicatedLog->members());
+    for (auto& [locality, cell] : cells)
+      cell->election.setVoters(replicatedLog->members(), replicatedLog->outgoingMembers());
   };
 }
 
@@ -65,7 +66,7 @@
   if (!cell) {
     cell = std::make_unique<Cell>(locality, self, locality == settings.locality, settings.defences, settings.cell);
     cell->election.restore(Vote{}, startedAt);
-    cell->election.setVoters(replicatedLog->members());
+    cell->election.setVoters(replicatedLog->members(), replicatedLog->outgoingMembers());
     cell->setMachines(machinesWithStores());
     cell->allNews = &lastNews;
     cell->publish = [this](Effects& effects, const CellNews& news) { keepNews(effects, news, true); };
@@ -182,8 +183,9 @@
     diskStalled = stalled;
     effects.note(stalled ? "disk stalled" : "disk well", self.id, inMs(diskWait));
   }
-  replicatedLog->election.mayStand = !diskStalled;
-  for (auto& [locality, cell] : cells) cell->election.mayStand = !diskStalled;
+  bool mayStand = !diskStalled && leaveAt == Moment{};
+  replicatedLog->election.mayStand = mayStand;
+  for (auto& [locality, cell] : cells) cell->election.mayStand = mayStand;
   replicatedLog->tick(effects);
   for (auto& [locality, cell] : cells) cell->tick(effects, replicatedLog->configuration());
   bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() ||
@@ -199,6 +201,7 @@
   takeMarks(effects);
   settleAsked(effects);
   askReaders(effects);
+  askCopies(effects);
   for (auto row = agents.begin(); row != agents.end();)
     row = effects.now - row->second.at > 10s ? agents.erase(row) : std::next(row);
   for (auto row = followers.begin(); row != followers.end();)
@@ -244,7 +247,10 @@
   } else if (auto* readersAsk = std::get_if<ReadersRequest>(&message)) {
     onReadersAsk(effects, from, *readersAsk);
   } else if (auto* readersReply = std::get_if<ReadersResponse>(&message)) {
-    onReadersReply(effects, from, *readersReply);
+    if (readersReply->roundId == copiesRound)
+      onCopiesReply(*readersReply);
+    else
+      onReadersReply(effects, from, *readersReply);
   } else if (auto* operatorAsk = std::get_if<OperatorRequest>(&message)) {
     onOperator(effects, from, *operatorAsk);
   } else if (auto* read = std::get_if<ReadRequest>(&message)) {
@@ -282,8 +288,11 @@
 }
 
 void Core::resign(Effects& effects) {
+  if (leaveAt != Moment{}) return;
+  leaveAt = effects.now;
   for (auto& [locality, cell] : cells) cell->election.resign(effects);
-  replicatedLog->election.resign(effects);
+  replicatedLog->leave(effects);
+  askCopies(effects);
 }
 
 }  // namespace tt
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -20,11 +20,16 @@
 /// operators' door.
 class Core : public Node {
  public:
+  /// Marks the round in which a core that leaves asks who holds what it holds.
+  static constexpr Count copiesRound = ~Count{0};
   Core(CoreSettings coreSettings, const Recovered& recovered, std::mt19937_64& randomSource, Moment now);
   void take(Effects& effects, const std::string& from, const Message& message) override;
   void tick(Effects& effects) override;
-  /// Gives up all duties, for a clean stop.
+  /// Gives up all duties, for a clean stop: the lead goes to a fellow that has the whole log, and this core counts for
+  /// no further copy of a change.
   void resign(Effects& effects);
+  /// Whether all that this core has synced is on as many other cores' disks as a change must rest on.
+  bool mayEnd() const;
   const ReplicatedLog& agreement() const { return *replicatedLog; }
   const std::map<std::string, std::unique_ptr<Cell>>& cellsByLocality() const { return cells; }
   /// Everything an operator may want to see, as JSON text.
@@ -85,6 +90,9 @@
   Moment helloAt{}, platformAt{}, joinAt{}, startedAt{}, idSavedAt{}, endsAt{};
   /// When this core last started, or took in or applied a change of members.
   Moment membersMovedAt{};
+  /// Since when this core leaves, when it last asked who holds what it holds, and who does.
+  Moment leaveAt{}, copiesAt{};
+  std::set<std::string> copyHolders;
   bool idSynced{false}, diskStalled{false}, platformHeard{false};
   Span diskWait{};
   std::uint64_t askCount{0};
@@ -101,6 +109,8 @@
   /// those under which the change was agreed, and readers that know earlier members only have gone stale.
   bool readersHave(const Asked& row, Moment now) const;
   void askReaders(Effects& effects);
+  void askCopies(Effects& effects);
+  void onCopiesReply(const ReadersResponse& reply);
   /// Names the readers heard lately. A core that started less than a readers' wait ago has forgotten whom it answered
   /// before, so it does not count among those that have the entry.
   void onReadersAsk(Effects& effects, const std::string& from, const ReadersRequest& ask);
--- a/src/cluster/core_membership.cpp
+++ b/src/cluster/core_membership.cpp
@@ -5,8 +5,7 @@
 namespace tt {
 namespace {
 constexpr Span helloEvery = 300ms;
-constexpr Span joinEvery = 1s;
-constexpr Span leaderSilent = 3s;
+constexpr Span copiesEvery = 50ms;
 }  // namespace
 
 void Core::seekFleet(Effects& effects) {
@@ -21,7 +20,7 @@
   for (const auto& row : replicatedLog->members())
     member = member || (row.id == self.id && row.address == self.address);
   if (replicatedLog->formed() && member &&
-      (replicatedLog->election.won() || effects.now - replicatedLog->heardLeaderAt() < leaderSilent))
+      (replicatedLog->election.won() || effects.now - replicatedLog->heardLeaderAt() < timing.successorWait))
     return;
   if (effects.now - helloAt >= helloEvery) {
     helloAt = effects.now;
@@ -29,13 +28,13 @@
       if (seed != self.address) effects.send(seed, HelloRequest{self, replicatedLog->formed()});
     considerForming(effects);
   }
-  if (effects.now - joinAt < joinEvery) return;
-  joinAt = effects.now;
+  if (effects.now - joinAt < timing.joinEvery || leaveAt != Moment{}) return;
   std::set<std::string> told;
   for (const auto& [seed, hello] : hellos)
     for (const auto& row : hello.members) told.insert(row.address);
   for (const auto& row : replicatedLog->members()) told.insert(row.address);
   told.erase(self.address);
+  if (!told.empty()) joinAt = effects.now;
   for (const auto& address : told) effects.send(address, JoinRequest{self});
 }
 
@@ -58,4 +57,19 @@
   replicatedLog->form(effects, first);
 }
 
+void Core::askCopies(Effects& effects) {
+  if (leaveAt == Moment{} || mayEnd() || effects.now - copiesAt < copiesEvery) return;
+  copiesAt = effects.now;
+  Count end = replicatedLog->syncedEnd();
+  Count term = replicatedLog->election.logEnd().first;
+  for (const auto& member : replicatedLog->members())
+    if (member.votes && member.id != self.id) effects.send(member.address, ReadersRequest{copiesRound, end, term});
+}
+
+void Core::onCopiesReply(const ReadersResponse& reply) {
+  if (reply.has && leaveAt != Moment{} && reply.core != self.id) copyHolders.insert(reply.core);
+}
+
+bool Core::mayEnd() const { return !replicatedLog->formed() || copyHolders.size() >= timing.copiesLeast(); }
+
 }  // namespace tt
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -3,6 +3,29 @@
 #include <algorithm>
 
 namespace tt {
+namespace {
+/// What stands in a heartbeat for the time of sending when its holder gives up: to all alike, to the successor that it
+/// names, and to those who let that one go first.
+constexpr std::int64_t releasedToAll = -1, releasedToSuccessor = -2, releasedToOther = -3;
+
+Strings voterIds(const std::vector<Member>& members) {
+  Strings ids;
+  for (const auto& member : members)
+    if (member.votes) ids.push_back(member.id);
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+}  // namespace
+
+void Timing::setMembers(Span contact, Span catchUp, std::size_t lossBudget) {
+  memberGone = 2 * contact;
+  votersLeast = 2 * lossBudget + 1;
+  successorWait = std::min(contact / 3, catchUp / 4);
+  strangerWait = catchUp / 3;
+  suspectAfter = successorWait / 2;
+  joinEvery = catchUp / 16;
+  learnerGone = 2 * contact;
+}
 
 const ChartWalk<Election, Effects&>::Actions& Election::actions() {
   static const ChartWalk<Election, Effects&>::Actions table{
@@ -23,33 +46,52 @@
   promisedUntil = now + timing.promise;
 }
 
-void Election::setVoters(const std::vector<Member>& members) {
+void Election::setVoters(const std::vector<Member>& members, const std::vector<Member>& outgoing) {
   voters.clear();
   addressById.clear();
+  voterSets = {voterIds(members)};
+  for (const auto& member : outgoing)
+    if (member.votes) addressById[member.id] = member.address;
   for (const auto& member : members)
     if (member.votes) {
       voters.push_back(member);
       addressById[member.id] = member.address;
     }
+  if (auto others = voterIds(outgoing); !others.empty() && others != voterSets.front()) voterSets.push_back(others);
 }
 
 void Election::toOthers(Effects& effects, const Message& message) {
-  for (const auto& voter : voters)
-    if (voter.id != selfId) effects.send(voter.address, message);
+  for (const auto& [id, address] : addressById)
+    if (id != selfId) effects.send(address, message);
+}
+
+bool Election::elected() const {
+  for (const auto& ids : voterSets) {
+    auto granted = std::count_if(ids.begin(), ids.end(), [&](const std::string& id) { return grants.count(id) > 0; });
+    if (static_cast<std::size_t>(granted) <= ids.size() / 2) return false;
+  }
+  return !voterSets.empty();
 }
 
 Moment Election::leaseStart(Moment now) const {
+  Moment start = now;
+  for (const auto& ids : voterSets) start = std::min(start, leaseStart(now, ids));
+  return start;
+}
+
+Moment Election::leaseStart(Moment now, const Strings& voterIds) const {
   std::vector<Moment> starts;
-  for (const auto& voter : voters) {
-    if (voter.id == selfId) {
+  for (const auto& id : voterIds) {
+    if (id == selfId) {
       starts.push_back(now);
-    } else if (auto found = renewals.find(voter.id); found != renewals.end()) {
+    } else if (auto found = renewals.find(id); found != renewals.end()) {
       starts.push_back(found->second);
     }
   }
-  if (starts.size() < quorum()) return Moment{};
+  std::size_t needed = voterIds.size() / 2 + 1;
+  if (starts.size() < needed) return Moment{};
   std::sort(starts.rbegin(), starts.rend());
-  return starts[quorum() - 1];
+  return starts[needed - 1];
 }
 
 bool Election::holds(Moment now) const {
@@ -85,7 +127,7 @@
   grants = {selfId};
   auto end = logEnd ? logEnd() : std::make_pair<std::uint64_t, std::uint64_t>(0, 0);
   toOthers(effects, VoteRequest{dutyName, vote.term + 1, selfId, true, end.first, end.second});
-  if (grants.size() >= quorum()) walk.happen(*this, "granted", effects);
+  if (elected()) walk.happen(*this, "granted", effects);
 }
 
 void Election::voteSelf(Effects& effects) {
@@ -102,7 +144,7 @@
     grants.insert(selfId);
     auto end = logEnd ? logEnd() : std::make_pair<std::uint64_t, std::uint64_t>(0, 0);
     toOthers(later, VoteRequest{dutyName, vote.term, selfId, false, end.first, end.second});
-    if (grants.size() >= quorum()) walk.happen(*this, "granted", later);
+    if (elected()) walk.happen(*this, "granted", later);
   });
 }
 
@@ -136,9 +178,13 @@
   toOthers(effects, Heartbeat{dutyName, vote.term, selfId, inNs(effects.now)});
 }
 
-void Election::resign(Effects& effects) {
+void Election::resign(Effects& effects, const std::string& successor) {
   if (!won()) return;
-  toOthers(effects, Heartbeat{dutyName, vote.term, selfId, -1});
+  for (const auto& [id, address] : addressById) {
+    if (id == selfId) continue;
+    auto release = successor.empty() ? releasedToAll : id == successor ? releasedToSuccessor : releasedToOther;
+    effects.send(address, Heartbeat{dutyName, vote.term, selfId, release});
+  }
   walk.happen(*this, "resigned", effects);
   standAt = effects.now + timing.promise;
 }
@@ -153,7 +199,7 @@
   bool bound = effects.now < promisedUntil && knownHolder != ask.candidate && defences.stands(Defence::promiseBinds);
   bool granted = ask.term > vote.term ||
                  (!ask.probe && ask.term == vote.term && (vote.votedFor.empty() || vote.votedFor == ask.candidate));
-  if (holds(effects.now) || bound || !voter()) granted = false;
+  if (holds(effects.now) || bound) granted = false;
   if (granted && logEnd) {
     auto end = logEnd();
     granted = std::make_pair(ask.lastTerm, ask.lastIndex) >= end;
@@ -179,6 +225,14 @@
   });
 }
 
+void Election::onRelease(Effects& effects, std::int64_t release) {
+  promisedUntil = effects.now;
+  knownHolder.clear();
+  standAt = effects.now + eagerness + std::chrono::milliseconds(effects.roll(100));
+  if (release == releasedToOther) standAt += 2 * timing.voteWait + slowness();
+  if (release == releasedToSuccessor && voter() && mayStand) walk.happen(*this, "named", effects);
+}
+
 void Election::onHold(Effects& effects, const std::string& from, const Heartbeat& hold) {
   if (hold.term < vote.term) {
     effects.send(from, HeartbeatResponse{dutyName, vote.term, selfId, hold.sentAt, false});
@@ -186,11 +240,7 @@
   }
   seeTerm(effects, hold.term);
   if (hold.sentAt < 0) {
-    if (knownHolder == hold.holder) {
-      promisedUntil = effects.now;
-      knownHolder.clear();
-      standAt = effects.now + eagerness + std::chrono::milliseconds(effects.roll(100));
-    }
+    if (knownHolder == hold.holder) onRelease(effects, hold.sentAt);
     return;
   }
   knownHolder = hold.holder;
@@ -213,7 +263,7 @@
         (reply->probe && walk.in("probing")) || (!reply->probe && walk.in("asking") && reply->term == vote.term);
     if (!fits) return;
     grants.insert(reply->voter);
-    if (grants.size() >= quorum() && grants.count(selfId)) walk.happen(*this, "granted", effects);
+    if (elected() && grants.count(selfId)) walk.happen(*this, "granted", effects);
   } else if (auto* hold = std::get_if<Heartbeat>(&message)) {
     onHold(effects, from, *hold);
   } else if (auto* kept = std::get_if<HeartbeatResponse>(&message)) {
--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -27,6 +27,18 @@
   /// How long a voter must be silent before it is taken out for good, and how many voters must stay; 0 takes none out.
   Span memberGone{0};
   std::size_t votersLeast{3};
+  /// How long a voter must be silent before an empty core of its name takes its place, and before one of another name
+  /// does; a voter that is silent for `suspectAfter` keeps others from being added until it is heard or replaced.
+  Span successorWait{1s}, strangerWait{2s}, suspectAfter{500ms};
+  /// How often a core that is no member asks to join.
+  Span joinEvery{250ms};
+  /// How long a learner must be silent before it is dropped.
+  Span learnerGone{9s};
+  /// Sets what rests on how long a machine may be out of touch, how long a new one has to catch up, and how many may be
+  /// lost at once.
+  void setMembers(Span contact, Span catchUp, std::size_t lossBudget);
+  /// On how many disks a change must rest before one that holds it may leave.
+  std::size_t copiesLeast() const { return votersLeast / 2 + 1; }
 };
 inline Timing timing;
 
@@ -37,8 +49,9 @@
   using LogEnd = std::function<std::pair<std::uint64_t, std::uint64_t>()>;
   Election(std::string dutyName, std::string selfId, Span waitBeforeStanding, Defences defencesGiven = {});
   void restore(const Vote& vote, Moment now);
-  /// Who votes, by id and address; the quorum is more than half of them.
-  void setVoters(const std::vector<Member>& members);
+  /// Who votes, by id and address. While a change of members is not known to be agreed, the outgoing ones count too:
+  /// then more than half of each of the two sets is needed, for a ballot and for the lease.
+  void setVoters(const std::vector<Member>& members, const std::vector<Member>& outgoing = {});
   /// Looks at the log's end, where this duty cares whose log is longer.
   LogEnd logEnd;
   /// Whether this core may stand now.
@@ -49,8 +62,9 @@
   bool holds(Moment now) const;
   /// Whether this core won the current term's election, lease good or not.
   bool won() const { return walk.in("holding"); }
-  /// Gives the duty up at once, so that others need not wait for the lease.
-  void resign(Effects& effects);
+  /// Gives the duty up at once, so that others need not wait for the lease. A successor that is named stands at once,
+  /// and the others let it go first.
+  void resign(Effects& effects, const std::string& successor = {});
   /// Learns of a higher term.
   void seeTerm(Effects& effects, std::uint64_t term);
   std::uint64_t term() const { return vote.term; }
@@ -69,6 +83,8 @@
   Defences defences;
   Vote vote;
   std::vector<Member> voters;
+  /// The ids of each set of voters of which more than half is needed; the newest set first.
+  std::vector<Strings> voterSets;
   std::map<std::string, std::string> addressById;
   std::string knownHolder;
   Moment promisedUntil{}, standAt{}, askedAt{}, heldAt{};
@@ -91,7 +107,11 @@
   void sendHolds(Effects& effects);
   void toOthers(Effects& effects, const Message& message);
   Moment leaseStart(Moment now) const;
+  Moment leaseStart(Moment now, const Strings& voterIds) const;
+  /// Whether more than half of each set of voters has granted.
+  bool elected() const;
   void onAsk(Effects& effects, const std::string& from, const VoteRequest& ask);
+  void onRelease(Effects& effects, std::int64_t release);
   void onHold(Effects& effects, const std::string& from, const Heartbeat& hold);
 };
 
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -5,7 +5,21 @@
 
 namespace tt {
 namespace {
-constexpr Span goneAfter = 3s;
+std::vector<Member> without(const std::vector<Member>& rows, const std::string& id) {
+  std::vector<Member> left;
+  for (const auto& row : rows)
+    if (row.id != id) left.push_back(row);
+  return left;
+}
+
+bool sameVoters(const std::vector<Member>& some, const std::vector<Member>& others) {
+  std::set<std::string> ids, otherIds;
+  for (const auto& member : some)
+    if (member.votes) ids.insert(member.id);
+  for (const auto& member : others)
+    if (member.votes) otherIds.insert(member.id);
+  return ids == otherIds;
+}
 }  // namespace
 
 std::string packMembers(const std::vector<Member>& rows) {
@@ -24,16 +38,44 @@
   return base.members;
 }
 
+std::uint64_t ReplicatedLog::newestMembersIndex() const {
+  for (auto entry = log.rbegin(); entry != log.rend(); ++entry)
+    if (entry->kind == static_cast<int>(EntryKind::members)) return entry->index;
+  return 0;
+}
+
 void ReplicatedLog::readMembers(Effects* effects) {
+  std::uint64_t newest = newestMembersIndex();
   memberRows = membersBefore(logEnd() + 1);
-  election.setVoters(memberRows);
+  outgoingRows.clear();
+  if (newest > commitIndex && defences.stands(Defence::jointMembers)) outgoingRows = membersBefore(newest);
+  if (sameVoters(outgoingRows, memberRows)) outgoingRows.clear();
+  election.setVoters(memberRows, outgoingRows);
   if (effects && membersChanged) membersChanged(*effects);
 }
 
-bool ReplicatedLog::memberChangePending() const {
-  for (const auto& entry : log)
-    if (entry.index > commitIndex && entry.kind == static_cast<int>(EntryKind::members)) return true;
-  return false;
+std::vector<Member> ReplicatedLog::replicas() const {
+  auto rows = memberRows;
+  for (const auto& member : outgoingRows)
+    if (std::none_of(rows.begin(), rows.end(),
+                     [&](const Member& row) { return row.id == member.id || row.address == member.address; }))
+      rows.push_back(member);
+  return rows;
+}
+
+bool ReplicatedLog::memberChangePending() const { return newestMembersIndex() > commitIndex; }
+
+bool ReplicatedLog::mayChangeMembers(Moment now) const {
+  return election.holds(now) && !memberChangePending() && speaksForTerm();
+}
+
+bool ReplicatedLog::heardWithin(const Member& member, Span span, Moment now) const {
+  return member.id == selfRow.id || now - lastHeard(member) < span;
+}
+
+Moment ReplicatedLog::lastHeard(const Member& member) const {
+  auto heard = heardFrom.find(member.id);
+  return heard == heardFrom.end() ? Moment{} : heard->second;
 }
 
 void ReplicatedLog::setMembers(Effects& effects, std::vector<Member> rows) {
@@ -42,90 +84,106 @@
   advance(effects);
 }
 
-void ReplicatedLog::onJoin(Effects& effects, const std::string& from, const JoinRequest& ask) {
-  (void)from;
-  if (!election.holds(effects.now) || memberChangePending() || !speaksForTerm()) return;
-  for (const auto& member : memberRows) {
-    if (member.id == ask.self.id) {
-      if (member.address != ask.self.address) {
-        auto rows = memberRows;
-        for (auto& row : rows)
-          if (row.id == ask.self.id) row.address = ask.self.address;
-        effects.note("core moved", ask.self.id);
-        setMembers(effects, rows);
-      }
-      return;
-    }
-    if (member.name == ask.self.name) {
-      auto heard = heardFrom.find(member.id);
-      if (member.id == selfRow.id || (heard != heardFrom.end() && effects.now - heard->second < goneAfter)) return;
-    }
-  }
+bool ReplicatedLog::settleMembers(Effects& effects) {
+  std::uint64_t newest = newestMembersIndex();
+  if (newest == 0) return false;
+  auto before = membersBefore(newest);
+  if (before.empty() || sameVoters(before, memberRows)) return false;
+  effects.note("members settle", selfRow.id, static_cast<std::int64_t>(newest));
+  setMembers(effects, memberRows);
+  return true;
+}
+
+void ReplicatedLog::onJoin(Effects& effects, const JoinRequest& ask) {
+  if (!mayChangeMembers(effects.now)) return;
   auto rows = memberRows;
+  for (auto& row : rows) {
+    if (row.id != ask.self.id) continue;
+    if (row.address == ask.self.address) return;
+    row.address = ask.self.address;
+    effects.note("core moved", row.id);
+    return setMembers(effects, rows);
+  }
   Member learner = ask.self;
   learner.votes = false;
+  rows.erase(std::remove_if(rows.begin(), rows.end(),
+                            [&](const Member& row) {
+                              if (row.votes) return false;
+                              bool sameName = row.name == learner.name;
+                              return row.address == learner.address ||
+                                     (sameName && !heardWithin(row, timing.successorWait, effects.now));
+                            }),
+             rows.end());
   rows.push_back(learner);
+  heardFrom[learner.id] = learnsSince[learner.id] = effects.now;
   effects.note("core joins", learner.id);
   setMembers(effects, rows);
 }
 
 void ReplicatedLog::mendMembers(Effects& effects) {
-  if (!election.holds(effects.now) || memberChangePending() || !speaksForTerm()) return;
+  if (!mayChangeMembers(effects.now) || settleMembers(effects)) return;
+  auto rows = memberRows;
+  for (const auto& member : rows)
+    if (!member.votes && (dropLearner(effects, member) || promote(effects, member))) return;
+}
+
+bool ReplicatedLog::dropLearner(Effects& effects, const Member& learner) {
+  if (heardWithin(learner, timing.learnerGone, effects.now)) return false;
+  effects.note("learner dropped", learner.id);
+  setMembers(effects, without(memberRows, learner.id));
+  return true;
+}
+
+std::optional<std::string> ReplicatedLog::placeFor(const Member& learner, Moment now) const {
+  const Member* namesake = nullptr;
+  const Member* silent = nullptr;
   for (const auto& member : memberRows) {
-    if (member.votes) continue;
-    auto heard = heardFrom.find(member.id);
-    bool alive = heard != heardFrom.end() && effects.now - heard->second < goneAfter;
-    auto rows = memberRows;
-    if (!alive && heard != heardFrom.end() && effects.now - heard->second > 3 * goneAfter) {
-      rows.erase(std::remove_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == member.id; }),
-                 rows.end());
-      effects.note("learner dropped", member.id);
-      setMembers(effects, rows);
-      return;
-    }
-    if (alive && followers[member.id].matched + 4 >= commitIndex && followers[member.id].matched > 0) {
-      for (auto& row : rows)
-        if (row.id == member.id) row.votes = true;
-      effects.note("core votes", member.id);
-      setMembers(effects, rows);
-      return;
-    }
+    if (!member.votes || member.id == selfRow.id) continue;
+    if (member.address == learner.address) return member.id;
+    if (member.name == learner.name && (!namesake || !heardWithin(member, timing.successorWait, now)))
+      namesake = &member;
+    bool longer = !silent || lastHeard(member) < lastHeard(*silent);
+    if (!heardWithin(member, timing.suspectAfter, now) && longer) silent = &member;
   }
-  for (const auto& member : memberRows)
-    for (const auto& other : memberRows) {
-      if (member.id == other.id || member.name != other.name || !member.votes || !other.votes) continue;
-      auto heardMember = heardFrom.find(member.id);
-      auto heardOther = heardFrom.find(other.id);
-      bool memberGone = heardMember == heardFrom.end() || effects.now - heardMember->second > goneAfter;
-      bool otherAlive =
-          other.id == selfRow.id || (heardOther != heardFrom.end() && effects.now - heardOther->second < goneAfter);
-      if (member.id == selfRow.id || !memberGone || !otherAlive) continue;
-      auto rows = memberRows;
-      rows.erase(std::remove_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == member.id; }),
-                 rows.end());
-      effects.note("core replaced", member.id);
-      setMembers(effects, rows);
-      return;
-    }
+  if (learner.name == selfRow.name) return std::nullopt;
+  const Member* replaced = namesake ? namesake : silent;
+  if (!replaced && now < firstKnown(learner) + timing.suspectAfter) return std::nullopt;
+  if (!replaced) return std::string();
+  if (heardWithin(*replaced, namesake ? timing.successorWait : timing.strangerWait, now)) return std::nullopt;
+  return replaced->id;
+}
+
+Moment ReplicatedLog::firstKnown(const Member& learner) const {
+  auto since = learnsSince.find(learner.id);
+  return since == learnsSince.end() ? Moment{} : since->second;
+}
+
+bool ReplicatedLog::promote(Effects& effects, const Member& learner) {
+  std::uint64_t matched = followers[learner.id].matched;
+  if (matched == 0 || matched < commitIndex || !heardWithin(learner, timing.successorWait, effects.now)) return false;
+  auto replaced = placeFor(learner, effects.now);
+  if (!replaced) return false;
+  auto rows = without(memberRows, *replaced);
+  for (auto& row : rows)
+    if (row.id == learner.id) row.votes = true;
+  effects.note("core votes", learner.id);
+  if (!replaced->empty()) effects.note("core replaced", *replaced);
+  setMembers(effects, rows);
+  return true;
 }
 
 void ReplicatedLog::dropGone(Effects& effects) {
-  if (timing.memberGone == Span(0) || !election.holds(effects.now) || memberChangePending() || !speaksForTerm()) return;
+  if (timing.memberGone == Span(0) || !mayChangeMembers(effects.now)) return;
   std::size_t voters = 0;
-  const Member* gone = nullptr;
+  std::string gone;
   for (const auto& member : memberRows) {
     if (!member.votes) continue;
     ++voters;
-    if (member.id == selfRow.id) continue;
-    auto heard = heardFrom.find(member.id);
-    if (heard != heardFrom.end() && effects.now - heard->second > timing.memberGone && !gone) gone = &member;
+    if (gone.empty() && !heardWithin(member, timing.memberGone, effects.now)) gone = member.id;
   }
-  if (!gone || voters <= timing.votersLeast) return;
-  std::string goneId = gone->id;
-  auto rows = memberRows;
-  rows.erase(std::remove_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == goneId; }), rows.end());
-  effects.note("core replaced", goneId);
-  setMembers(effects, rows);
+  if (gone.empty() || voters <= timing.votersLeast) return;
+  effects.note("core replaced", gone);
+  setMembers(effects, without(memberRows, gone));
 }
 
 }  // namespace tt
--- a/src/consensus/replicated_log.cpp
+++ b/src/consensus/replicated_log.cpp
@@ -81,9 +81,8 @@
 }
 
 void ReplicatedLog::tellSynced(Effects& effects) {
-  auto address = leaderAddress();
-  if (address.empty() || verifiedTerm != election.term() || verifiedEnd == 0) return;
-  effects.send(address, AppendResponse{election.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
+  if (leaving || appendedFrom.empty() || verifiedTerm != election.term() || verifiedEnd == 0) return;
+  effects.send(appendedFrom, AppendResponse{election.term(), selfRow.id, true, std::min(syncedIndex, verifiedEnd)});
 }
 
 void ReplicatedLog::append(Effects& effects, EntryKind kind, std::string body, std::string changeId,
@@ -110,9 +109,10 @@
   }
   head = applied;
   for (const auto& entry : log) head.apply(entry);
-  for (const auto& member : memberRows) {
+  for (const auto& member : replicas()) {
     followers[member.id].next = logEnd() + 1;
     heardFrom[member.id] = effects.now;
+    learnsSince[member.id] = effects.now;
   }
   append(effects, EntryKind::empty, {}, {});
   sendAll(effects);
@@ -143,7 +143,7 @@
 
 void ReplicatedLog::sendAll(Effects& effects) {
   if (!election.won()) return;
-  for (const auto& member : memberRows)
+  for (const auto& member : replicas())
     if (member.id != selfRow.id) sendTo(effects, member, false);
 }
 
@@ -163,17 +163,10 @@
 
 void ReplicatedLog::advance(Effects& effects) {
   std::uint64_t agreed = agreedAmong(memberRows);
-  auto passing = std::find_if(log.rbegin(), log.rend(),
-                              [](const Entry& entry) { return entry.kind == static_cast<int>(EntryKind::members); });
-  if (passing != log.rend() && passing->index > commitIndex && defences.stands(Defence::jointMembers)) {
-    auto before = membersBefore(passing->index);
-    std::uint64_t agreedBefore = before.empty() ? agreed : agreedAmong(before);
-    if (agreedBefore < passing->index) agreed = std::min(agreed, agreedBefore);
-  }
-  if (agreed > commitIndex && termAt(agreed) == election.term()) {
-    applyUpTo(effects, agreed);
-    sendAll(effects);
-  }
+  if (!outgoingRows.empty()) agreed = std::min(agreed, agreedAmong(outgoingRows));
+  if (agreed <= commitIndex || termAt(agreed) != election.term()) return;
+  applyUpTo(effects, agreed);
+  if (memberChangePending() || !settleMembers(effects)) sendAll(effects);
 }
 
 void ReplicatedLog::applyUpTo(Effects& effects, std::uint64_t index) {
@@ -184,7 +177,7 @@
     Entry entry = *found;
     ++commitIndex;
     applied.apply(entry);
-    if (entry.kind == static_cast<int>(EntryKind::members)) effects.save(snapshotRecord(applied.snapshot()));
+    if (entry.kind == static_cast<int>(EntryKind::members)) readMembers(&effects);
     if (entryApplied) entryApplied(effects, entry);
   }
   std::vector<Waiter> left;
@@ -252,7 +245,8 @@
   verifiedEnd = verifiedTerm == message.term ? std::max(verifiedEnd, shared) : shared;
   verifiedTerm = message.term;
   if (message.commit > commitIndex) applyUpTo(effects, std::min(message.commit, shared));
-  if (shared <= syncedIndex) effects.send(from, AppendResponse{election.term(), selfRow.id, true, shared});
+  appendedFrom = from;
+  if (shared <= syncedIndex && !leaving) effects.send(from, AppendResponse{election.term(), selfRow.id, true, shared});
 }
 
 void ReplicatedLog::onReply(Effects& effects, const AppendResponse& reply) {
@@ -272,15 +266,25 @@
     follower.next = std::max<std::uint64_t>(1, std::min(follower.next - 1, reply.index + 1));
   }
   advance(effects);
-  if (follower.next <= logEnd() || follower.toldCommit < commitIndex)
-    for (const auto& member : memberRows)
-      if (member.id == reply.voter) sendTo(effects, member, false);
+  auto rows = replicas();
+  auto from = std::find_if(rows.begin(), rows.end(), [&](const Member& row) { return row.id == reply.voter; });
+  if (from == rows.end()) return;
+  if (follower.next <= logEnd() || follower.toldCommit < commitIndex) sendTo(effects, *from, false);
+  if (!from->votes) mendMembers(effects);
+}
+
+void ReplicatedLog::countOwnPause(Moment now) {
+  Span pause = awakeAt == Moment{} ? Span(0) : now - awakeAt;
+  awakeAt = now;
+  if (pause <= timing.suspectAfter) return;
+  for (auto& [id, heard] : heardFrom) heard += pause;
 }
 
 void ReplicatedLog::tick(Effects& effects) {
+  countOwnPause(effects.now);
   election.tick(effects);
   if (!election.won()) return;
-  for (const auto& member : memberRows) {
+  for (const auto& member : replicas()) {
     if (member.id == selfRow.id) continue;
     auto& follower = followers[member.id];
     if (effects.now - follower.sentAt >= appendAgain) sendTo(effects, member, true);
@@ -290,7 +294,24 @@
   dropGone(effects);
 }
 
+void ReplicatedLog::leave(Effects& effects) {
+  leaving = true;
+  std::string successor;
+  std::uint64_t most = 0;
+  for (const auto& member : memberRows) {
+    if (!member.votes || member.id == selfRow.id || !heardWithin(member, timing.suspectAfter, effects.now)) continue;
+    if (std::uint64_t matched = followers[member.id].matched; matched > most) {
+      most = matched;
+      successor = member.id;
+    }
+  }
+  election.resign(effects, successor);
+}
+
 void ReplicatedLog::take(Effects& effects, const std::string& from, const Message& message) {
+  countOwnPause(effects.now);
+  if (auto* kept = std::get_if<HeartbeatResponse>(&message); kept && kept->granted && kept->term == election.term())
+    heardFrom[kept->voter] = effects.now;
   if (auto* append = std::get_if<AppendRequest>(&message))
     onAppend(effects, from, *append);
   else if (auto* reply = std::get_if<AppendResponse>(&message))
@@ -298,7 +319,7 @@
   else if (auto* snapshot = std::get_if<InstallSnapshot>(&message))
     onInstallSnapshot(effects, from, *snapshot);
   else if (auto* join = std::get_if<JoinRequest>(&message))
-    onJoin(effects, from, *join);
+    onJoin(effects, *join);
   else
     election.take(effects, from, message);
 }
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -21,6 +21,8 @@
   const std::vector<Member>& members() const { return memberRows; }
   /// Whether the log ends with a change of members that is not agreed yet.
   bool memberChangePending() const;
+  /// The voters of before, while a change of who votes is not known here to be agreed; else nobody.
+  const std::vector<Member>& outgoingMembers() const { return outgoingRows; }
   const Member& self() const { return selfRow; }
   std::string leaderAddress() const;
   bool leads(Moment now) const { return election.holds(now); }
@@ -38,6 +40,8 @@
   std::size_t pendingChanges() const { return waiters.size(); }
   /// Entries after an index, or a snapshot where the log no longer reaches back that far.
   NewsMsg newsAfter(std::uint64_t index, std::size_t most = 256) const;
+  /// Gives the lead to the voter that has most of the log, and counts for no further copy, for a clean stop.
+  void leave(Effects& effects);
   Election election;
   /// Told of each entry as it is applied.
   std::function<void(Effects&, const Entry&)> entryApplied;
@@ -60,7 +64,7 @@
   Defences defences;
   std::vector<Entry> log;
   Snapshot base;
-  std::vector<Member> memberRows;
+  std::vector<Member> memberRows, outgoingRows;
   Configuration applied, head;
   std::uint64_t commitIndex{0}, syncedIndex{0};
   std::map<std::string, Follower> followers;
@@ -68,11 +72,18 @@
   std::size_t logBytes{0};
   std::uint64_t verifiedTerm{0}, verifiedEnd{0};
   Moment leaderHeard{};
+  /// Where the newest entries came from: a learner hears no heartbeats, so this is all that it knows of the leader.
+  std::string appendedFrom;
+  bool leaving{false};
 
   std::uint64_t termAt(std::uint64_t index) const;
   const Entry* entryAt(std::uint64_t index) const;
   void readMembers(Effects* effects);
   std::vector<Member> membersBefore(std::uint64_t index) const;
+  /// The index of the newest entry of members in the log; 0 if there is none.
+  std::uint64_t newestMembersIndex() const;
+  /// Whom the leader sends to: the members and, while a change passes, the outgoing ones.
+  std::vector<Member> replicas() const;
   std::uint64_t agreedAmong(const std::vector<Member>& voters) const;
   void append(Effects& effects, EntryKind kind, std::string body, std::string changeId, std::uint64_t revision = 0);
   void store(Effects& effects, const Entry& entry);
@@ -83,15 +94,32 @@
   void applyUpTo(Effects& effects, std::uint64_t index);
   void whenLeads(Effects& effects, bool won);
   void trim(Effects& effects);
+  /// Takes the next step of mending who the members are, if one is due.
   void mendMembers(Effects& effects);
+  /// Writes the newest members a second time if who votes has changed. An entry of members follows another only once
+  /// that is agreed, so whoever has the second knows this of the first, also after a restart.
+  bool settleMembers(Effects& effects);
+  bool dropLearner(Effects& effects, const Member& learner);
+  bool promote(Effects& effects, const Member& learner);
+  /// Whom a learner is to replace: a voter's id, or nobody if it is an additional voter; no value if it must wait.
+  std::optional<std::string> placeFor(const Member& learner, Moment now) const;
+  bool mayChangeMembers(Moment now) const;
+  bool heardWithin(const Member& member, Span span, Moment now) const;
+  Moment lastHeard(const Member& member) const;
+  Moment firstKnown(const Member& learner) const;
   /// Takes a voter out that has long been silent, while enough stay.
   void dropGone(Effects& effects);
   void onAppend(Effects& effects, const std::string& from, const AppendRequest& message);
   void onInstallSnapshot(Effects& effects, const std::string& from, const InstallSnapshot& message);
   void onReply(Effects& effects, const AppendResponse& reply);
-  void onJoin(Effects& effects, const std::string& from, const JoinRequest& ask);
+  void onJoin(Effects& effects, const JoinRequest& ask);
   void setMembers(Effects& effects, std::vector<Member> rows);
   std::map<std::string, Moment> heardFrom;
+  Moment awakeAt{};
+  /// Does not count the time in which this core itself stood still as others' silence.
+  void countOwnPause(Moment now);
+  /// Since when this leader knows each learner.
+  std::map<std::string, Moment> learnsSince;
 };
 
 }  // namespace tt
