--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -30,6 +30,9 @@
 };
 inline Timing timing;
 
+/// Reads the private state, for the model checker only.
+class StateDump;
+
 /// One core's part in one duty. A duty is won by election, kept by a lease that a quorum renews, and told apart by
 /// term.
 class Election {
@@ -64,6 +67,7 @@
   std::function<void(Effects&, bool)> changed;
 
  private:
+  friend class StateDump;
   std::string dutyName, selfId;
   Span eagerness;
   Defences defences;
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -44,6 +44,7 @@
   std::function<void(Effects&)> membersChanged;
 
  private:
+  friend class StateDump;
   struct Follower {
     std::uint64_t next{1};
     std::uint64_t matched{0};
