A header whose name only begins like a framing field is passed on

Cause: http_parser takes a name that begins with Transfer-Encoding for that field and refused a Content-Length beside it with 400, a request that is proper.

Ruled out: that a body was framed by such a name; the gate frames by whole names only.

Change: the parser leaves that check to the gate, which has looked at every byte of the head and refuses two framings itself.

--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -153,6 +153,13 @@
   return settings;
 }
 
+/// The parser takes a name that only begins with Transfer-Encoding for that field and refuses a length beside it. The
+/// gate has checked every byte of the head before, and checks the framing fields by their whole names itself.
+void leaveFramingToGate(http_parser& parser) {
+  parser.lenient_http_headers = 1;
+  parser.allow_chunked_length = 1;
+}
+
 void tune(Tcp::socket& socket) {
   asio::error_code ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
@@ -495,6 +502,7 @@
   HeadReader reader{request};
   http_parser parser;
   http_parser_init(&parser, HTTP_REQUEST);
+  leaveFramingToGate(parser);
   parser.data = &reader;
   std::size_t parsed = http_parser_execute(&parser, &headSettings(), raw.data(), raw.size());
   if (HTTP_PARSER_ERRNO(&parser) == HPE_HEADER_OVERFLOW) return refuse(431);
--- a/tests/gate_faults.cpp
+++ b/tests/gate_faults.cpp
@@ -417,6 +417,18 @@
   cr_assert(has(got, "GET /outer [" + inner + "]") && has(got, "GET /x []"));
 }
 
+Test(gate_faults, a_name_that_only_begins_like_a_framing_field_frames_nothing) {
+  Door door(echo);
+  Caller caller(door.port);
+  for (const char* name :
+       {"Transfer-EncodingX: chunked\r\n", "Content-LengthX: 9\r\n", "X-Transfer-Encoding: chunked\r\n"}) {
+    caller.send(post(std::string(name) + "Content-Length: 5\r\n", "hello"));
+    auto got = caller.until("]");
+    cr_assert_eq(statusOf(got), 200, "%s: got \"%s\"", name, got.c_str());
+    cr_assert(has(got, "[hello]"));
+  }
+}
+
 Test(gate_faults, nothing_behind_a_refused_request_is_passed_on) {
   std::atomic<int> handled{0};
   Door door([&](GateRequest request, std::shared_ptr<GateAnswer> answer) {
