--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -154,6 +154,8 @@
       }
       if (key == "spares")
         shape.spares = static_cast<int>(value);
+      else if (key == "cores")
+        shape.cores = static_cast<int>(value);
       else if (key == "edges")
         shape.edges = static_cast<int>(value);
       else if (key == "workers")
