--- a/src/model/model_world.cpp
+++ b/src/model/model_world.cpp
@@ -9,7 +9,6 @@
 const Moment startOfTime = Moment(std::chrono::hours(100));
 const std::string clientAddress = "client";
 constexpr Span roundSpan = 20ms;
-constexpr Span joinEvery = 1s;
 constexpr Span leaderSilent = 3s;
 constexpr Span livenessSpan = 15s, livenessStep = 500ms;
 /// A longer wait, in which nothing happens at all, is no calm.
@@ -370,7 +369,7 @@
   Moment until = clock + span;
   while (clock < until && !broken()) {
     clock += roundSpan;
-    bool joins = (clock - startOfTime) % joinEvery < roundSpan;
+    bool joins = (clock - startOfTime) % timing.joinEvery < roundSpan;
     for (int number = 0; number < worldSetup.machines(); ++number) {
       auto& machine = machines[static_cast<std::size_t>(number)];
       if (allUp && machine.frozen) {
@@ -483,7 +482,7 @@
       return true;
     case ChoiceKind::leave:
       if (!awake) return false;
-      drive(number, [&](Effects& effects) { machine.log->election.resign(effects); });
+      drive(number, [&](Effects& effects) { machine.log->leave(effects); });
       halt(number, 1, false);
       return true;
   }
--- a/src/model/state_dump.cpp
+++ b/src/model/state_dump.cpp
@@ -57,14 +57,24 @@
   out.number(log.syncedIndex);
   out.number(log.verifiedTerm);
   out.number(log.verifiedEnd);
+  out.number(log.heardRound);
+  out.number(log.leaving);
+  out.word(log.appendedFrom);
+  out.groups.emplace_back();
+  for (const auto& member : log.outgoingRows) out.groups.back().push_back(rowOf(member.id, {member.votes}));
+  out.groups.emplace_back();
+  for (const auto& voters : election.voterSets)
+    for (const auto& voter : voters) out.groups.back().push_back(rowOf(voter, {voters.size()}));
   if (!election.won()) return out;
   out.number(log.head.index());
   out.number(log.head.revision());
   out.groups.emplace_back();
   for (const auto& [id, follower] : log.followers)
-    out.groups.back().push_back(rowOf(id, {follower.next, follower.matched, follower.toldCommit, follower.pending}));
+    out.groups.back().push_back(rowOf(id, {follower.next, follower.matched, follower.toldCommit, follower.pending,
+                                           follower.sentEnd, follower.round, follower.transfer.has_value()}));
   for (const auto& waiter : log.waiters) {
-    out.word(waiter.askId);
+    out.word(waiter.response.askId);
+    out.number(static_cast<std::uint64_t>(waiter.response.code));
     out.number(waiter.index);
   }
   return out;
@@ -78,6 +88,8 @@
                          {election.askedAt, timing.voteWait + election.slowness(), {}},
                          {log.leaderHeard, leaderSilence, {}}};
   if (!election.won()) return rows;
+  rows.push_back({log.awakeAt, longest, {}});
+  for (const auto& [id, at] : log.learnsSince) rows.push_back({at, longest, id});
   rows.push_back({election.heldAt, timing.holdEvery, {}});
   for (const auto& [id, at] : election.renewals) rows.push_back({at, timing.lease, id});
   for (const auto& [id, at] : log.heardFrom) rows.push_back({at, longest, id});
