--- a/tests/order_faults.cpp
+++ b/tests/order_faults.cpp
@@ -150,7 +150,7 @@
     for (Span lease : {600ms, 3000ms, 9000ms}) {
       settings.bounds.fenceChecked = checked;
       settings.bounds.lease = lease;
-      setTiming(settings);
+      cr_expect(bool(setTiming(settings)));
       cr_expect(timing.commandWait < lease);
       cr_expect(timing.commandRest >= lease + settings.bounds.thawSlack);
       if (!checked) cr_expect(timing.commandRest >= lease + timing.commandWait);
