--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -92,6 +92,7 @@
   for (const auto& snapshot : news.snapshots) {
     if (snapshot.index <= view.index()) continue;
     if (!view.adopt(snapshot)) continue;
+    clusterView.noteVersions(view);
     recent.clear();
     spread(effects, NewsMsg{news.commit, {}, {snapshot}});
     effects.note("capture taken", settings.name, static_cast<std::int64_t>(snapshot.index));
@@ -100,6 +101,7 @@
   for (const auto& entry : news.entries) {
     if (entry.index != view.index() + 1) continue;
     view.apply(entry);
+    clusterView.noteVersions(view);
     recent.push_back(entry);
     if (recent.size() > recentMost) recent.pop_front();
     passed.entries.push_back(entry);
@@ -191,8 +193,8 @@
     if (lags) onNewsAsk(effects, from, feed->applied, feed->cells);
     if (clusterView.marksKnown() && feed->marksDigest != clusterView.marksDigest())
       effects.send(from, MarksMsg{(effects.now - clusterView.marksAt()).count(), clusterView.machines()});
-    effects.send(from,
-                 FeedReply{feed->sentAt, known ? (effects.now - clusterView.stamp()).count() : 0, view.index(), known});
+    effects.send(from, FeedReply{feed->sentAt, known ? (effects.now - clusterView.stamp()).count() : 0, view.index(),
+                                 known, clusterView.versions().tell(effects.now, timing.versionMost, false)});
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
     auto cell = cells.find(lookup->locality);
     if (cell == cells.end()) return;
--- a/src/base/defences.hpp
+++ b/src/base/defences.hpp
@@ -35,6 +35,8 @@
   X(brokenSaysSo, "an answer that broke off is never called done")                        \
   X(commandAgain, "a command to a worker is sent again until its report shows it done")   \
   X(oldWeightsEnd, "workers with old weights are drawn only while a roll-out may last")   \
+  X(endFromFirstNewer, "an old version's use ends a span after the first newer one was named") \
+  X(unbegunDropped, "an order that has not begun when its version's use ends is taken back") \
   X(failedNotCounted, "a worker that cannot load does not hold up the others")            \
   X(listOrder, "lists of machines are ordered by when the platform was asked for them")
 
--- a/src/base/effects.cpp
+++ b/src/base/effects.cpp
@@ -35,7 +35,6 @@
     kept.sequence = news.sequence;
     kept.holder = news.holder;
     kept.links = news.links;
-    kept.givenUp = news.givenUp;
     return true;
   }
   CellNews taken = news;
--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -31,6 +31,8 @@
 TT_STRUCT(Member, ((std::string, id))((std::string, name))((std::string, address))((std::string, locality))((bool, votes)))
 TT_STRUCT(Machine, ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))((bool, leaving))
                    ((std::string, service))((std::string, model))((std::string, weights))((int, slots)))
+/// Weights that were named for a model, and how long ago in ns; -1 where that is unknown.
+TT_STRUCT(VersionNaming, ((std::string, model))((std::string, weights))((std::int64_t, age)))
 TT_STRUCT(CellMark, ((std::string, locality))((Count, term))((Count, sequence)))
 TT_STRUCT(WorkerView,
           ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))
@@ -74,16 +76,18 @@
                  ((std::vector<CellMark>, cells))((bool, fresh))((bool, relays))((Count, marksDigest)))             \
   X(LogEndResponse, ((Count, askId))((std::string, core))((Count, term))((bool, leads))((Count, lastIndex))              \
                    ((Count, commit))((std::vector<Member>, members))((Strings, watch))((bool, marksKnown))          \
-                   ((std::int64_t, marksAge))((Count, marksDigest))((std::vector<Machine>, machines)))              \
+                   ((std::int64_t, marksAge))((Count, marksDigest))((std::vector<Machine>, machines))               \
+                   ((std::vector<VersionNaming>, namings)))              \
   X(ReadersRequest, ((Count, roundId))((Count, index))((Count, term)))                                                  \
   X(ReadersResponse, ((Count, roundId))((std::string, core))((bool, has))((std::vector<Reader>, readers)))             \
   X(NewsAsk, ((std::string, agent))((Count, applied))((std::vector<CellMark>, cells)))                              \
   X(NewsMsg, ((Count, commit))((std::vector<Entry>, entries))((std::vector<Snapshot>, snapshots)))                    \
   X(CellNews, ((std::string, locality))((Count, term))((Count, sequence))((std::string, holder))                    \
-                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Strings, givenUp))((Count, base))((Strings, gone)))        \
+                  ((std::vector<WorkerView>, workers))((std::vector<LinkSpeed>, links))((bool, light))((Count, base))((Strings, gone)))        \
   X(MarksMsg, ((std::int64_t, age))((std::vector<Machine>, machines)))                                              \
   X(FeedAsk, ((std::int64_t, sentAt))((Count, applied))((std::vector<CellMark>, cells))((Count, marksDigest)))      \
-  X(FeedReply, ((std::int64_t, sentAt))((std::int64_t, age))((Count, needed))((bool, known)))                       \
+  X(FeedReply, ((std::int64_t, sentAt))((std::int64_t, age))((Count, needed))((bool, known))                        \
+               ((std::vector<VersionNaming>, namings)))                                                            \
   /* kept blocks */                                                                                                 \
   X(LookupMsg, ((std::string, lookupId))((std::string, locality))((std::string, keeper))((std::string, weights))    \
                    ((Hashes, hashes))((std::string, replyTo)))                                                      \
@@ -96,7 +100,7 @@
                      ((Strings, parts))((Hashes, hashes))((int, maxTokens))((bool, moves))((std::string, transferId))\
                      ((std::string, sourceAddress))((std::string, tenant))((bool, app))((std::string, params))       \
                      ((std::string, callerOrderId))((std::string, worker))((std::string, sinkAddress))((int, urgency)) \
-                     ((std::int64_t, deadlineMs))((std::string, resumeAfter))((bool, once)))                        \
+                     ((std::int64_t, deadlineMs))((std::string, resumeAfter))((bool, once))((std::int64_t, leaveBy)))                        \
   X(WorkerDrop, ((std::string, orderId)))                                                                           \
   X(WorkerLoad, ((std::string, orderId))((int, running))((int, waiting))((int, slots)))                                      \
   X(WorkerChunk, ((std::string, orderId))((std::string, text))((std::string, piece)))                                                    \
@@ -134,7 +138,9 @@
   X(ReadResponse, ((std::string, askId))((bool, confirmed))((Count, revision))((Count, index))) \
   /* a snapshot's pieces */                                                                                         \
   X(InstallSnapshotResponse, ((Count, term))((std::string, voter))((std::string, digest))((Count, offset))          \
-                                 ((Count, attempt)))
+                                 ((Count, attempt)))                                                               \
+  /* when weights were named, for who has forgotten it */                                                           \
+  X(NamingsMsg, ((std::vector<VersionNaming>, namings)))
 
 /* clang-format on */
 #define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -54,6 +54,7 @@
     core.reply.machines.clear();
     core.heard = true;
   }
+  learnFrom(effects, from, reply, askedAt);
   highestCommit = std::max(highestCommit, reply.commit);
   if (reply.commit >= toldCommit) {
     toldCommit = reply.commit;
@@ -124,7 +125,39 @@
   return Moment{};
 }
 
+void ClusterView::noteVersions(const Configuration& view) {
+  if (view.index() == notedIndex) return;
+  notedIndex = view.index();
+  const auto* models = view.sectionAt("models");
+  if (!models) return;
+  auto complete = completeUntil == Moment{} ? std::nullopt : std::optional<Moment>(completeUntil);
+  for (const auto& [model, item] : *models) timeline.observe(model, textOr(item, "weights"), complete);
+}
+
+void ClusterView::learnFrom(Effects& effects, const std::string& from, const LogEndResponse& reply, Moment askedAt) {
+  timeline.learn(reply.namings, askedAt);
+  for (const auto& mine : timeline.knownNewest(effects.now))
+    if (forgot(reply, mine)) return effects.send(from, NamingsMsg{timeline.tellAll(effects.now)});
+}
+
+bool ClusterView::forgot(const LogEndResponse& reply, const VersionNaming& newest) {
+  return std::any_of(reply.namings.begin(), reply.namings.end(), [&](const VersionNaming& naming) {
+    return naming.model == newest.model && naming.weights == newest.weights && naming.age < 0;
+  });
+}
+
+void ClusterView::settleForgotten(Moment startedAt, const Configuration& view) {
+  for (const auto& newest : timeline.unknownNewest()) {
+    std::size_t voters = 0, forgetful = 0;
+    for (const auto& member : view.members()) voters += member.votes;
+    for (const auto* core : heardOf(view.members())) forgetful += forgot(core->reply, newest);
+    if (voters > 0 && forgetful >= voters / 2 + 1) timeline.settleUnknown(newest.model, startedAt);
+  }
+}
+
 void ClusterView::weigh(Moment now, const Configuration& view) {
+  noteVersions(view);
+  timeline.forgetEnded(now, timing.versionMost);
   if (!settings.defences.stands(Defence::freshnessWeighed)) {
     completeUntil = majorityUntil = view.members().empty() ? Moment{} : now;
     return;
--- a/src/cluster/cluster_view.hpp
+++ b/src/cluster/cluster_view.hpp
@@ -2,6 +2,7 @@
 #include "configuration.hpp"
 #include "defences.hpp"
 #include "election.hpp"
+#include "version_timeline.hpp"
 
 namespace tt {
 
@@ -41,6 +42,15 @@
   bool marksKnown() const { return marksAskedAt != Moment{}; }
   Moment marksAt() const { return marksAskedAt; }
   Count marksDigest() const { return digest; }
+  /// When weights were named. The view's own namings are noted at each weigh(); to be called besides after each entry,
+  /// while the view is known to be complete up to just before it.
+  void noteVersions(const Configuration& view);
+  const VersionTimeline& versions() const { return timeline; }
+  /// Learns when weights were named from a reader that remembers it.
+  void learnVersions(const std::vector<VersionNaming>& namings, Moment now) { timeline.learn(namings, now); }
+  /// Gives namings a moment of which, by their own word, more than half of the voters have forgotten when they were
+  /// made: these voters have all begun anew since, at `startedAt` or so.
+  void settleForgotten(Moment startedAt, const Configuration& view);
   /// Learns of a commit by another way than an answer of its own.
   void seeCommit(Count commit) { highestCommit = std::max(highestCommit, commit); }
 
@@ -58,8 +68,14 @@
   Count digest{0}, askCount{0}, highestCommit{0}, toldCommit{0};
   Moment marksAskedAt{}, completeUntil{}, majorityUntil{};
   bool outOfTouch{true};
+  VersionTimeline timeline;
+  /// Up to which index the view's namings are noted.
+  Count notedIndex{0};
   /// What was heard of the voters, newest first.
   std::vector<const CoreRow*> heardOf(const std::vector<Member>& members) const;
+  /// Takes the moments of namings from a core, and tells it those that it has forgotten.
+  void learnFrom(Effects& effects, const std::string& from, const LogEndResponse& reply, Moment askedAt);
+  static bool forgot(const LogEndResponse& reply, const VersionNaming& newest);
   /// Up to which index a reader must have applied, by the word of some of the voters; none if these are too few.
   std::optional<Count> neededBy(const std::vector<const CoreRow*>& heard, std::size_t voters) const;
   /// When the oldest was asked of the newest words, at least so many, by which an index is complete.
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -12,6 +12,8 @@
 constexpr Span platformFirst = 600ms;
 constexpr Span stallAfter = 800ms;
 constexpr std::size_t rootRanks = 4;
+/// How long a core that has begun anew waits for readers that remember when weights were named.
+constexpr Span namingsToldWait = 2s;
 }  // namespace
 
 Strings drawWatch(const std::string& agent, const Strings& fellows, std::size_t most) {
@@ -51,6 +53,7 @@
     if (duty.rfind("cell/", 0) == 0) cellFor(duty.substr(5)).election.restore(vote, now);
   replicatedLog->entryApplied = [this](Effects& effects, const Entry& entry) {
     effects.note("applied", self.id, static_cast<std::int64_t>(entry.index));
+    clusterView->noteVersions(replicatedLog->configuration());
     if (entry.kind == static_cast<int>(EntryKind::members)) membersMovedAt = effects.now;
     if (entry.kind == static_cast<int>(EntryKind::whole)) return;
     spread(effects, NewsMsg{replicatedLog->commit(), {entry}, {}});
@@ -70,6 +73,7 @@
     cell->election.setVoters(replicatedLog->members(), replicatedLog->outgoingMembers());
     cell->setMachines(machinesWithStores());
     cell->allNews = &lastNews;
+    cell->versions = &clusterView->versions();
     cell->publish = [this](Effects& effects, const CellNews& news) { keepNews(effects, news, true); };
   }
   return *cell;
@@ -134,7 +138,8 @@
                        clusterView->marksKnown(),
                        0,
                        clusterView->marksDigest(),
-                       {}};
+                       {},
+                       clusterView->versions().tell(effects.now, timing.versionMost, true)};
   if (reply.marksKnown) reply.marksAge = (effects.now - clusterView->marksAt()).count();
   if (reply.marksKnown && ask.marksDigest != reply.marksDigest) reply.machines = clusterView->machines();
   effects.send(from, reply);
@@ -189,6 +194,9 @@
   replicatedLog->election.mayStand = mayStand;
   for (auto& [locality, cell] : cells) cell->election.mayStand = mayStand;
   replicatedLog->tick(effects);
+  clusterView->noteVersions(replicatedLog->configuration());
+  if (effects.now - startedAt > namingsToldWait)
+    clusterView->settleForgotten(startedAt, replicatedLog->configuration());
   for (auto& [locality, cell] : cells) cell->tick(effects, replicatedLog->configuration());
   bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() ||
                effects.now - clusterView->marksAt() >= timing.listOld;
@@ -242,6 +250,8 @@
   } else if (auto* listed = std::get_if<MarksMsg>(&message)) {
     if (listed->age >= 0) clusterView->offerMarks(listed->machines, effects.now - Span(listed->age));
     takeMarks(effects);
+  } else if (auto* named = std::get_if<NamingsMsg>(&message)) {
+    clusterView->learnVersions(named->namings, effects.now);
   } else if (auto* ends = std::get_if<LogEndResponse>(&message)) {
     clusterView->take(effects, from, *ends, replicatedLog->configuration());
     takeMarks(effects);
--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -22,8 +22,11 @@
   Span commandRest{0};
   /// How long a command may be on its way to a worker.
   Span commandWait{2s};
-  /// How long workers with old weights may be drawn after new ones are named.
-  Span rolloutMost{18s};
+  /// How long after newer weights were named work may begin on a model's older ones, as promised; how long orders may be
+  /// sent to workers that still have them; and when those sent there that have not begun are taken back.
+  Span versionMost{20s}, rolloutMost{18s}, unbegunMost{19500ms};
+  /// After which workers are brought to newer weights however many others change.
+  Span rolloutLatest() const { return rolloutMost * 17 / 20; }
   /// How long a voter must be silent before it is taken out for good, and how many voters must stay; 0 takes none out.
   Span memberGone{0};
   std::size_t votersLeast{3};
--- a/src/consensus/timing_check.cpp
+++ b/src/consensus/timing_check.cpp
@@ -31,6 +31,9 @@
        spans.listEvery <= spans.listOld && spans.listOld + spans.listEvery < bounds.drain},
       {"commandRest >= LeaseMs", spans.commandRest >= bounds.commandLease},
       {"memberGone > promise", spans.memberGone == Span(0) || spans.memberGone > spans.promise},
+      {"last start of a roll-out < last use of old weights < unbegun orders dropped < VersionMs",
+       spans.rolloutLatest() < spans.rolloutMost && spans.rolloutMost < spans.unbegunMost &&
+           spans.unbegunMost < spans.versionMost},
       {"votersLeast >= 1", spans.votersLeast >= 1},
   };
   for (const auto& inequality : inequalities)
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -9,15 +9,8 @@
 constexpr std::size_t droppedMost = 50000;
 constexpr Span weighEvery = 500ms;
 constexpr Span movingEvery = 250ms;
-/// A worker reports its condition some hundred ms late.
-constexpr Span idleSure = 800ms;
 constexpr Span publishIdle = 500ms;
 constexpr Span summariesEvery = 250ms;
-constexpr Span drainWait = 3s;
-constexpr Span loadWait = 8s;
-constexpr Span commandAgain = 500ms;
-constexpr Span retryWait = 3s;
-constexpr Span turnLength = 4500ms;
 constexpr Span speedKept = 30s;
 constexpr std::size_t summaryMost = 8192;
 }  // namespace
@@ -44,12 +37,6 @@
   return true;
 }
 
-const Cell::RolloutActions& Cell::rolloutActions() {
-  static const RolloutActions table{{"hold", &Cell::hold},         {"sendDrain", &Cell::sendDrain},
-                                    {"sendLoad", &Cell::sendLoad}, {"sendAdmit", &Cell::sendAdmit},
-                                    {"release", &Cell::release},   {"giveUp", &Cell::giveUp}};
-  return table;
-}
 const Cell::WatchActions& Cell::watchActions() {
   static const WatchActions table{{"tellDone", &Cell::tellDone}, {"tellFailed", &Cell::tellFailed}};
   return table;
@@ -289,49 +276,10 @@
   effects.send(ask.replyTo, reply);
 }
 
-void Cell::command(Effects& effects, const std::string& worker, const std::string& action) {
-  auto found = rows.find(worker);
-  auto& rollout = rollouts[worker];
-  rollout.sentAt = effects.now;
-  if (found == rows.end() || !election.holds(effects.now) || effects.now - wonAt < timing.commandRest) return;
-  const auto& last = found->second.last;
-  rollout.commandNumber = ++lastCommand;
-  effects.send(found->second.machine.address,
-               ControlAsk{election.term(), selfId, action, rollout.model, rollout.weights, last.incarnation, worker,
-                          rollout.commandNumber, last.countsOrders, last.orders});
-}
-
 bool Cell::mayCommand(const ControlAsk& command, Moment now) const {
   return rows.count(command.worker) > 0 && command.term == election.term() && election.holds(now);
 }
 
-void Cell::hold(Effects& effects, const std::string& worker) {
-  auto& rollout = rollouts[worker];
-  rollout.since = effects.now;
-  rollout.markSequence = sequence + 1;
-  newsDue = true;
-  publishedAt = Moment{};
-  effects.note("weights hold", worker);
-}
-void Cell::sendDrain(Effects& effects, const std::string& worker) { command(effects, worker, "drain"); }
-void Cell::sendLoad(Effects& effects, const std::string& worker) { command(effects, worker, "load"); }
-void Cell::sendAdmit(Effects& effects, const std::string& worker) { command(effects, worker, "admit"); }
-void Cell::release(Effects& effects, const std::string& worker) {
-  newsDue = true;
-  publishedAt = Moment{};
-  rollouts[worker].failed = false;
-  effects.note("weights in use", worker + " " + rollouts[worker].weights);
-}
-void Cell::giveUp(Effects& effects, const std::string& worker) {
-  rollouts[worker].failed = true;
-  effects.note("weights failed", worker);
-}
-
-std::string Cell::rolloutState(const std::string& worker) const {
-  auto found = rollouts.find(worker);
-  return found == rollouts.end() ? "serving" : found->second.walk->state();
-}
-
 std::int64_t Cell::unconfirmedCount() const {
   std::int64_t count = 0;
   for (const auto& [name, keeper] : rows) count += keeper.machine.kind != "app" && !keeper.confirmed;
@@ -342,149 +290,6 @@
   agentMarks[agent] = AgentMark{mark, now};
 }
 
-bool Cell::agentsHave(std::uint64_t markSequence, Moment now) const {
-  for (const auto& [agent, row] : agentMarks) {
-    if (now - row.at > 2s) continue;
-    if (row.mark.term < election.term() || (row.mark.term == election.term() && row.mark.sequence < markSequence))
-      return false;
-  }
-  return true;
-}
-
-bool Cell::startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now) {
-  auto& known = wantedByModel[model];
-  if (known.weights != wanted)
-    known = Wanted{wanted, now - (workers > 0 ? settings.rolloutSpan * started / workers : Span(0))};
-  return workers > 0 && now - known.since < settings.rolloutSpan * started / workers;
-}
-
-bool Cell::waitsItsTurn(const std::string& model, const std::string& wanted, Moment now) {
-  auto& known = wantedByModel[model];
-  if (known.weights != wanted) known = Wanted{wanted, now};
-  if (!allNews) return false;
-  int before = 0;
-  bool unfinished = false;
-  for (const auto& [locality, news] : *allNews) {
-    if (locality >= place) break;
-    const WorkerView* sole = nullptr;
-    int workers = 0;
-    for (const auto& worker : news.workers)
-      if (worker.kind == "language" && worker.model == model && worker.alive) {
-        ++workers;
-        sole = &worker;
-      }
-    if (workers != 1) continue;
-    ++before;
-    unfinished = unfinished || sole->held || sole->weights != wanted;
-  }
-  return unfinished && now - known.since < std::min(before, 3) * turnLength;
-}
-
-void Cell::moveRollouts(Effects& effects, const Configuration& configuration) {
-  std::map<std::string, int> workers, busy, failures, successes;
-  for (const auto& [name, keeper] : rows) {
-    if (keeper.machine.kind != "language" || !keeper.known || keeper.machine.leaving) continue;
-    if (effects.now - keeper.heardAt > settings.goneAfter) continue;
-    ++workers[keeper.last.model];
-    auto rollout = rollouts.find(name);
-    if (rollout != rollouts.end() && rollout->second.failed && defences.stands(Defence::failedNotCounted))
-      ++failures[keeper.last.model];
-    else if (rollout != rollouts.end() && !rollout->second.walk->in("serving"))
-      ++busy[keeper.last.model];
-    if (configuration.weightsOf(keeper.last.model) == keeper.last.weights) ++successes[keeper.last.model];
-  }
-  std::set<std::string> hopeless;
-  for (const auto& [model, number] : failures)
-    if (number >= std::min(2, workers[model]) && successes[model] == 0)
-      if (auto wanted = configuration.weightsOf(model)) hopeless.insert(*wanted);
-  if (hopeless != givenUp) {
-    givenUp = hopeless;
-    newsDue = true;
-  }
-  for (auto& [name, keeper] : rows) {
-    if (keeper.machine.kind != "language" || !keeper.known) continue;
-    auto wanted = configuration.weightsOf(keeper.last.model);
-    if (!wanted) continue;
-    auto& rollout = rollouts[name];
-    if (!rollout.walk)
-      rollout.walk = std::make_unique<ChartWalk<Cell, Effects&, const std::string&>>(
-          settings.loadsWhole ? "weightsWhole" : "weights", rolloutActions(), "serving");
-    auto& walk = *rollout.walk;
-    auto happen = [&](const char* event) {
-      std::string before = walk.state();
-      if (walk.happen(*this, event, effects, name) && walk.state() != before) {
-        rollout.since = effects.now;
-        effects.note("rollout", name + " " + walk.state());
-      }
-    };
-    if (effects.now - keeper.heardAt > settings.goneAfter || (settings.apart && keeper.machine.leaving)) continue;
-    if (effects.now - wonAt < timing.commandRest) continue;
-    const auto& report = keeper.last;
-    bool right = report.weights == *wanted;
-    if (walk.in("serving")) {
-      if (right && (!report.draining || settings.loadsWhole)) continue;
-      int room = std::max(1, (workers[report.model] + settings.rolloutParts - 1) / settings.rolloutParts);
-      if (!report.weights.empty() && !report.draining && busy[report.model] >= room) continue;
-      if (!report.weights.empty() && failures[report.model] >= 2 && successes[report.model] == 0) continue;
-      if (!report.weights.empty() && !report.draining && workers[report.model] == 1 &&
-          waitsItsTurn(report.model, *wanted, effects.now))
-        continue;
-      if (!report.weights.empty() && startsLater(report.model, *wanted, workers[report.model],
-                                                 busy[report.model] + successes[report.model], effects.now))
-        continue;
-      ++busy[report.model];
-      rollout.weights = *wanted;
-      rollout.model = report.model;
-      happen("wanted");
-      continue;
-    }
-    bool unanswered = rollout.takenAt < rollout.sentAt && effects.now - rollout.sentAt >= commandAgain;
-    bool idled =
-        rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
-    bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) &&
-                 defences.stands(Defence::commandAgain);
-    if (rollout.weights != *wanted) {
-      rollout.failed = false;
-      rollout.weights = *wanted;
-      rollout.model = report.model;
-      happen("wanted");
-    }
-    if (walk.in("marking")) {
-      if (effects.now - rollout.since >= settings.markWait ||
-          (sequence >= rollout.markSequence && agentsHave(rollout.markSequence, effects.now)))
-        happen(right && (report.draining || settings.loadsWhole) ? "settled" : "cleared");
-    } else if (walk.in("draining")) {
-      if (right && report.draining)
-        happen("settled");
-      else if (report.draining && report.running == 0)
-        happen("emptied");
-      else if (effects.now - rollout.since >= drainWait)
-        happen("overdue");
-      else if (again)
-        happen("again");
-    } else if (walk.in("loading")) {
-      if (right)
-        happen("loaded");
-      else if (effects.now - rollout.since >= loadWait)
-        happen("overdue");
-      else if (again)
-        happen("again");
-    } else if (walk.in("admitting")) {
-      if (right && !report.draining)
-        happen("admitted");
-      else if (!right)
-        happen("wanted");
-      else if (again)
-        happen("again");
-    } else if (walk.in("broken")) {
-      if (right)
-        happen("loaded");
-      else if (effects.now - rollout.since >= retryWait)
-        happen("retry");
-    }
-  }
-}
-
 void Cell::tellDone(Effects& effects, Watch& watch) {
   double seconds = std::chrono::duration<double>(effects.now - watch.startedAt).count();
   speeds[{watch.ask.source, watch.ask.target}] =
@@ -557,8 +362,7 @@
   bool light = sequence > 0 && effects.now - summariesAt < summariesEvery;
   if (!light) summariesAt = effects.now;
   newsDue = light;
-  CellNews news{
-      place, election.term(), ++sequence, selfAddress, {}, {}, light, Strings(givenUp.begin(), givenUp.end())};
+  CellNews news{place, election.term(), ++sequence, selfAddress, {}, {}, light};
   for (auto& [name, keeper] : rows) {
     if (keeper.summaryStale && !light && settings.summaries) {
       keeper.summary = Summary::make(keeper.kept);
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -1,6 +1,8 @@
 #pragma once
 #include "configuration.hpp"
 #include "election.hpp"
+#include "rollout_plan.hpp"
+#include "version_timeline.hpp"
 
 namespace tt {
 
@@ -64,6 +66,8 @@
   std::function<void(Effects&, const CellNews&)> publish;
   /// All cells' newest news, so that small cells can take turns.
   const std::map<std::string, CellNews>* allNews{nullptr};
+  /// When weights were named, as this core knows it.
+  const VersionTimeline* versions{nullptr};
   const std::string& locality() const { return place; }
   const std::map<std::string, Keeper>& keepers() const { return rows; }
   /// Whether a command may still leave: asked again in the instant before it is written to its worker.
@@ -72,6 +76,7 @@
   std::int64_t unconfirmedCount() const;
 
  private:
+  using RolloutWalk = ChartWalk<Cell, Effects&, const std::string&>;
   struct Rollout {
     std::string weights, model;
     Moment since{}, sentAt{}, readyAt{};
@@ -81,7 +86,7 @@
     /// When the worker last said that it has taken the command.
     Moment takenAt{};
     bool failed{false};
-    std::unique_ptr<ChartWalk<Cell, Effects&, const std::string&>> walk;
+    std::unique_ptr<RolloutWalk> walk;
   };
   struct Watch {
     WatchMsg ask;
@@ -113,15 +118,7 @@
   Moment publishedAt{}, summariesAt{}, sweptAt{};
   std::string sweptLast;
   bool newsDue{true};
-  struct Wanted {
-    std::string weights;
-    Moment since{};
-  };
-  std::map<std::string, Wanted> wantedByModel;
-  /// Weights that no worker here could load, so that the others keep what they have.
-  std::set<std::string> givenUp;
-
-  using RolloutActions = ChartWalk<Cell, Effects&, const std::string&>::Actions;
+  using RolloutActions = RolloutWalk::Actions;
   using WatchActions = ChartWalk<Cell, Effects&, Watch&>::Actions;
   static const RolloutActions& rolloutActions();
   static const WatchActions& watchActions();
@@ -141,8 +138,18 @@
   void askCondition(Effects& effects, Keeper& keeper);
   void onCondition(Effects& effects, Keeper& keeper, const Report& report);
   void moveRollouts(Effects& effects, const Configuration& configuration);
-  bool startsLater(const std::string& model, const std::string& wanted, int workers, int started, Moment now);
-  bool waitsItsTurn(const std::string& model, const std::string& wanted, Moment now);
+  Rollout& rolloutOf(const std::string& worker);
+  void advance(Effects& effects, const std::string& worker, Rollout& rollout, const char* event);
+  /// Whether a worker was heard lately, so that it counts among those to be taken to other weights.
+  bool takesPart(const Keeper& keeper, Moment now) const;
+  Moment supersededAt(const Report& report, const std::string& wanted) const;
+  RolloutStep stepOf(const std::string& worker) const;
+  std::set<std::string> workersDue(Moment now, const Configuration& configuration) const;
+  /// Whether a cell with a single worker of a model leaves the turn to cells before it, so that not all of a model's
+  /// workers change at once.
+  bool waitsItsTurn(const std::string& model, Moment superseded, Moment now) const;
+  void startRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted, bool due);
+  void moveRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted);
   void moveWatches(Effects& effects);
   void publishNews(Effects& effects);
   void tellChanges(CellNews& news);
--- /dev/null
+++ b/src/index/cell_rollouts.cpp
@@ -0,0 +1,224 @@
+#include <algorithm>
+
+#include "cell.hpp"
+#include "rollout_plan.hpp"
+
+/// The part of a cell that takes its workers to the weights that are named.
+namespace tt {
+namespace {
+/// A worker reports its condition some hundred ms late.
+constexpr Span idleSure = 800ms;
+constexpr Span drainWait = 3s;
+constexpr Span loadWait = 8s;
+constexpr Span commandAgain = 500ms;
+constexpr Span retryWait = 3s;
+/// How long a cell with a single worker waits for each cell before it, at most, and for how many cells.
+constexpr Span turnMost = 4500ms;
+constexpr int turnsMost = 3;
+constexpr Span agentKnownFor = 2s;
+}  // namespace
+
+const Cell::RolloutActions& Cell::rolloutActions() {
+  static const RolloutActions table{{"hold", &Cell::hold},         {"sendDrain", &Cell::sendDrain},
+                                    {"sendLoad", &Cell::sendLoad}, {"sendAdmit", &Cell::sendAdmit},
+                                    {"release", &Cell::release},   {"giveUp", &Cell::giveUp}};
+  return table;
+}
+void Cell::command(Effects& effects, const std::string& worker, const std::string& action) {
+  auto found = rows.find(worker);
+  auto& rollout = rollouts[worker];
+  rollout.sentAt = effects.now;
+  if (found == rows.end() || !election.holds(effects.now) || effects.now - wonAt < timing.commandRest) return;
+  const auto& last = found->second.last;
+  rollout.commandNumber = ++lastCommand;
+  effects.send(found->second.machine.address,
+               ControlAsk{election.term(), selfId, action, rollout.model, rollout.weights, last.incarnation, worker,
+                          rollout.commandNumber, last.countsOrders, last.orders});
+}
+
+void Cell::hold(Effects& effects, const std::string& worker) {
+  auto& rollout = rollouts[worker];
+  rollout.since = effects.now;
+  rollout.markSequence = sequence + 1;
+  newsDue = true;
+  publishedAt = Moment{};
+  effects.note("weights hold", worker);
+}
+void Cell::sendDrain(Effects& effects, const std::string& worker) { command(effects, worker, "drain"); }
+void Cell::sendLoad(Effects& effects, const std::string& worker) { command(effects, worker, "load"); }
+void Cell::sendAdmit(Effects& effects, const std::string& worker) { command(effects, worker, "admit"); }
+void Cell::release(Effects& effects, const std::string& worker) {
+  newsDue = true;
+  publishedAt = Moment{};
+  rollouts[worker].failed = false;
+  effects.note("weights in use", worker + " " + rollouts[worker].weights);
+}
+void Cell::giveUp(Effects& effects, const std::string& worker) {
+  rollouts[worker].failed = true;
+  effects.note("weights failed", worker);
+}
+
+std::string Cell::rolloutState(const std::string& worker) const {
+  auto found = rollouts.find(worker);
+  return found == rollouts.end() ? "serving" : found->second.walk->state();
+}
+
+bool Cell::agentsHave(std::uint64_t markSequence, Moment now) const {
+  for (const auto& [agent, row] : agentMarks) {
+    if (now - row.at > agentKnownFor) continue;
+    if (row.mark.term < election.term() || (row.mark.term == election.term() && row.mark.sequence < markSequence))
+      return false;
+  }
+  return true;
+}
+
+Cell::Rollout& Cell::rolloutOf(const std::string& worker) {
+  auto& rollout = rollouts[worker];
+  if (!rollout.walk)
+    rollout.walk =
+        std::make_unique<RolloutWalk>(settings.loadsWhole ? "weightsWhole" : "weights", rolloutActions(), "serving");
+  return rollout;
+}
+
+void Cell::advance(Effects& effects, const std::string& worker, Rollout& rollout, const char* event) {
+  std::string before = rollout.walk->state();
+  if (!rollout.walk->happen(*this, event, effects, worker) || rollout.walk->state() == before) return;
+  rollout.since = effects.now;
+  effects.note("rollout", worker + " " + rollout.walk->state());
+}
+
+bool Cell::takesPart(const Keeper& keeper, Moment now) const {
+  return keeper.machine.kind == "language" && keeper.known && now - keeper.heardAt <= settings.goneAfter;
+}
+
+Moment Cell::supersededAt(const Report& report, const std::string& wanted) const {
+  if (report.weights == wanted) return Moment::max();
+  if (!versions) return Moment::min();
+  if (!defences.stands(Defence::endFromFirstNewer)) return versions->newestAt(report.model);
+  Moment moment = versions->supersededAt(report.model, report.weights);
+  return moment == Moment::max() ? Moment::min() : moment;
+}
+
+RolloutStep Cell::stepOf(const std::string& worker) const {
+  auto found = rollouts.find(worker);
+  if (found == rollouts.end() || !found->second.walk) return RolloutStep::serving;
+  if (found->second.failed && defences.stands(Defence::failedNotCounted)) return RolloutStep::failed;
+  return found->second.walk->in("serving") ? RolloutStep::serving : RolloutStep::changing;
+}
+
+std::set<std::string> Cell::workersDue(Moment now, const Configuration& configuration) const {
+  std::map<std::string, std::vector<RolloutWorker>> workersByModel;
+  for (const auto& [name, keeper] : rows) {
+    auto wanted = configuration.weightsOf(keeper.last.model);
+    if (!wanted || !takesPart(keeper, now) || keeper.machine.leaving) continue;
+    workersByModel[keeper.last.model].push_back(RolloutWorker{name, supersededAt(keeper.last, *wanted), stepOf(name)});
+  }
+  RolloutLimits limits{settings.rolloutSpan, timing.rolloutLatest(), settings.rolloutParts};
+  std::set<std::string> due;
+  for (const auto& [model, workers] : workersByModel) {
+    if (workers.size() == 1 && waitsItsTurn(model, workers.front().supersededAt, now)) continue;
+    for (auto& name : workersToStart(workers, limits, now)) due.insert(std::move(name));
+  }
+  return due;
+}
+
+bool Cell::waitsItsTurn(const std::string& model, Moment superseded, Moment now) const {
+  if (!allNews || superseded == Moment::max()) return false;
+  int before = 0;
+  bool unfinished = false;
+  for (const auto& [locality, news] : *allNews) {
+    if (locality >= place) break;
+    const WorkerView* sole = nullptr;
+    int workers = 0;
+    for (const auto& worker : news.workers)
+      if (worker.kind == "language" && worker.model == model && worker.alive) {
+        ++workers;
+        sole = &worker;
+      }
+    if (workers != 1) continue;
+    ++before;
+    unfinished = unfinished || sole->held || !versions || !versions->isNewest(model, sole->weights);
+  }
+  Span turn = std::min<Span>(turnMost, timing.rolloutLatest() / turnsMost);
+  return unfinished && now < endOfUse(superseded, std::min(before, turnsMost) * turn);
+}
+
+void Cell::moveRollouts(Effects& effects, const Configuration& configuration) {
+  auto due = workersDue(effects.now, configuration);
+  for (auto& [name, keeper] : rows) {
+    auto wanted = configuration.weightsOf(keeper.last.model);
+    if (!wanted || keeper.machine.kind != "language" || !keeper.known) continue;
+    auto& rollout = rolloutOf(name);
+    if (!takesPart(keeper, effects.now) || (settings.apart && keeper.machine.leaving)) continue;
+    if (effects.now - wonAt < timing.commandRest) continue;
+    if (rollout.walk->in("serving"))
+      startRollout(effects, keeper, rollout, *wanted, due.count(name) > 0);
+    else
+      moveRollout(effects, keeper, rollout, *wanted);
+  }
+}
+
+void Cell::startRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted, bool due) {
+  const auto& report = keeper.last;
+  bool right = report.weights == wanted;
+  if (right && (!report.draining || settings.loadsWhole)) return;
+  bool unsettled = report.weights.empty() || report.draining;
+  if (!due && !unsettled) return;
+  rollout.weights = wanted;
+  rollout.model = report.model;
+  advance(effects, keeper.machine.name, rollout, "wanted");
+}
+
+void Cell::moveRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted) {
+  const auto& report = keeper.last;
+  const auto& worker = keeper.machine.name;
+  bool right = report.weights == wanted;
+  bool unanswered = rollout.takenAt < rollout.sentAt && effects.now - rollout.sentAt >= commandAgain;
+  bool idled = rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
+  bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) &&
+               defences.stands(Defence::commandAgain);
+  Span since = effects.now - rollout.since;
+  auto happen = [&](const char* event) { advance(effects, worker, rollout, event); };
+  if (rollout.weights != wanted) {
+    rollout.failed = false;
+    rollout.weights = wanted;
+    rollout.model = report.model;
+    happen("wanted");
+    since = effects.now - rollout.since;
+  }
+  if (rollout.walk->in("marking")) {
+    bool marked = sequence >= rollout.markSequence && agentsHave(rollout.markSequence, effects.now);
+    if (marked || since >= settings.markWait)
+      happen(right && (report.draining || settings.loadsWhole) ? "settled" : "cleared");
+  } else if (rollout.walk->in("draining")) {
+    if (right && report.draining)
+      happen("settled");
+    else if (report.draining && report.running == 0)
+      happen("emptied");
+    else if (since >= drainWait)
+      happen("overdue");
+    else if (again)
+      happen("again");
+  } else if (rollout.walk->in("loading")) {
+    if (right)
+      happen("loaded");
+    else if (since >= loadWait)
+      happen("overdue");
+    else if (again)
+      happen("again");
+  } else if (rollout.walk->in("admitting")) {
+    if (right && !report.draining)
+      happen("admitted");
+    else if (!right)
+      happen("wanted");
+    else if (again)
+      happen("again");
+  } else if (rollout.walk->in("broken")) {
+    if (right)
+      happen("loaded");
+    else if (since >= retryWait)
+      happen("retry");
+  }
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/rollout/rollout_plan.cpp
@@ -0,0 +1,67 @@
+#include "rollout_plan.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "version_timeline.hpp"
+
+namespace tt {
+namespace {
+/// So many failed loads without a success make weights suspect.
+constexpr int failuresSuspect = 2;
+
+using Waiting = std::vector<const RolloutWorker*>;
+
+/// The workers that wait for their start, the longest superseded first.
+Waiting waitingOf(const std::vector<RolloutWorker>& workers) {
+  Waiting waiting;
+  for (const auto& worker : workers)
+    if (worker.step == RolloutStep::serving && worker.supersededAt != Moment::max()) waiting.push_back(&worker);
+  std::sort(waiting.begin(), waiting.end(), [](const RolloutWorker* one, const RolloutWorker* other) {
+    return std::tie(one->supersededAt, one->name) < std::tie(other->supersededAt, other->name);
+  });
+  return waiting;
+}
+
+/// When the first of those that wait from `first` on is due.
+Moment nextDue(const Waiting& waiting, std::size_t first, std::size_t workers, Span spread) {
+  Moment due = Moment::max();
+  for (std::size_t at = first; at < waiting.size(); ++at) {
+    auto waitingSoFar = static_cast<std::int64_t>(at - first + 1);
+    auto started = static_cast<std::int64_t>(workers) - waitingSoFar;
+    due = std::min(due, endOfUse(waiting[at]->supersededAt, spread * started / static_cast<std::int64_t>(workers)));
+  }
+  return due;
+}
+
+int countIn(const std::vector<RolloutWorker>& workers, RolloutStep step) {
+  return static_cast<int>(
+      std::count_if(workers.begin(), workers.end(), [&](const RolloutWorker& worker) { return worker.step == step; }));
+}
+
+bool weightsSuspect(const std::vector<RolloutWorker>& workers) {
+  bool anySucceeded = std::any_of(workers.begin(), workers.end(),
+                                  [](const RolloutWorker& worker) { return worker.supersededAt == Moment::max(); });
+  return !anySucceeded && countIn(workers, RolloutStep::failed) >= failuresSuspect;
+}
+}  // namespace
+
+std::vector<std::string> workersToStart(const std::vector<RolloutWorker>& workers, const RolloutLimits& limits,
+                                        Moment now) {
+  std::vector<std::string> started;
+  auto waiting = waitingOf(workers);
+  int all = static_cast<int>(workers.size());
+  int room = std::max(1, (all + limits.parts - 1) / limits.parts);
+  int changing = countIn(workers, RolloutStep::changing);
+  bool suspect = weightsSuspect(workers);
+  for (std::size_t at = 0; at < waiting.size(); ++at) {
+    bool overdue = now >= endOfUse(waiting[at]->supersededAt, limits.latest);
+    bool due = now >= nextDue(waiting, at, workers.size(), limits.spread);
+    if (!overdue && (suspect || !due || changing >= room)) break;
+    started.push_back(waiting[at]->name);
+    ++changing;
+  }
+  return started;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/rollout/version_timeline.cpp
@@ -0,0 +1,114 @@
+#include "version_timeline.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+constexpr std::int64_t unknownAge = -1;
+}  // namespace
+
+Moment endOfUse(Moment supersededAt, Span span) {
+  return supersededAt == Moment::min() || supersededAt == Moment::max() ? supersededAt : supersededAt + span;
+}
+
+const VersionTimeline::Namings* VersionTimeline::namingsOf(const std::string& model) const {
+  auto found = namingsByModel.find(model);
+  return found == namingsByModel.end() || found->second.empty() ? nullptr : &found->second;
+}
+
+void VersionTimeline::observe(const std::string& model, const std::string& weights, std::optional<Moment> notBefore) {
+  auto& namings = namingsByModel[model];
+  if (!namings.empty() && namings.back().weights == weights) return;
+  if (notBefore && !namings.empty() && namings.back().notBefore)
+    notBefore = std::max(*notBefore, *namings.back().notBefore);
+  namings.push_back(Naming{weights, notBefore});
+}
+
+void VersionTimeline::learnOne(Namings& known, const std::vector<Naming>& told) {
+  auto newest = std::find_if(told.rbegin(), told.rend(),
+                             [&](const Naming& naming) { return naming.weights == known.back().weights; });
+  auto own = known.rbegin();
+  for (; newest != told.rend() && own != known.rend(); ++newest, ++own) {
+    if (newest->weights != own->weights) return;
+    if (!own->notBefore) own->notBefore = newest->notBefore;
+  }
+  for (; newest != told.rend(); ++newest) known.push_front(*newest);
+}
+
+void VersionTimeline::learn(const std::vector<VersionNaming>& told, Moment askedAt) {
+  std::map<std::string, std::vector<Naming>> toldByModel;
+  for (const auto& naming : told) {
+    std::optional<Moment> notBefore;
+    if (naming.age >= 0) notBefore = askedAt - Span(naming.age);
+    toldByModel[naming.model].push_back(Naming{naming.weights, notBefore});
+  }
+  for (const auto& [model, namings] : toldByModel) {
+    auto known = namingsByModel.find(model);
+    if (known != namingsByModel.end() && !known->second.empty()) learnOne(known->second, namings);
+  }
+}
+
+std::vector<VersionNaming> VersionTimeline::tell(Moment now, Span span, bool unknownToo) const {
+  std::vector<VersionNaming> rows;
+  for (const auto& [model, namings] : namingsByModel) {
+    std::size_t first = 0;
+    while (first < namings.size() && !(namings[first].notBefore && now - *namings[first].notBefore < span)) ++first;
+    bool noneYoung = first == namings.size();
+    if (noneYoung && (!unknownToo || namings.empty() || namings.back().notBefore)) continue;
+    for (std::size_t at = first > 0 ? first - 1 : 0; at < namings.size(); ++at) {
+      const auto& naming = namings[at];
+      rows.push_back(
+          VersionNaming{model, naming.weights, naming.notBefore ? (now - *naming.notBefore).count() : unknownAge});
+    }
+  }
+  return rows;
+}
+
+std::vector<VersionNaming> VersionTimeline::knownNewest(Moment now) const {
+  std::vector<VersionNaming> rows;
+  for (const auto& [model, namings] : namingsByModel)
+    if (!namings.empty() && namings.back().notBefore)
+      rows.push_back(VersionNaming{model, namings.back().weights, (now - *namings.back().notBefore).count()});
+  return rows;
+}
+
+void VersionTimeline::forgetEnded(Moment now, Span span) {
+  for (auto& [model, namings] : namingsByModel)
+    while (namings.size() > 1 && namings[1].notBefore && now - *namings[1].notBefore >= span) namings.pop_front();
+}
+
+bool VersionTimeline::isNewest(const std::string& model, const std::string& weights) const {
+  const auto* namings = namingsOf(model);
+  return !namings || namings->back().weights == weights;
+}
+
+Moment VersionTimeline::supersededAt(const std::string& model, const std::string& weights) const {
+  if (isNewest(model, weights)) return Moment::max();
+  const auto& namings = *namingsOf(model);
+  auto found =
+      std::find_if(namings.rbegin(), namings.rend(), [&](const Naming& naming) { return naming.weights == weights; });
+  const auto& successor = found == namings.rend() ? namings.front() : *std::prev(found);
+  return successor.notBefore.value_or(Moment::min());
+}
+
+Moment VersionTimeline::newestAt(const std::string& model) const {
+  const auto* namings = namingsOf(model);
+  return namings ? namings->back().notBefore.value_or(Moment::min()) : Moment::max();
+}
+
+std::vector<VersionNaming> VersionTimeline::unknownNewest() const {
+  std::vector<VersionNaming> rows;
+  for (const auto& [model, namings] : namingsByModel)
+    if (!namings.empty() && !namings.back().notBefore)
+      rows.push_back(VersionNaming{model, namings.back().weights, unknownAge});
+  return rows;
+}
+
+void VersionTimeline::settleUnknown(const std::string& model, Moment notBefore) {
+  auto found = namingsByModel.find(model);
+  if (found == namingsByModel.end() || found->second.empty()) return;
+  auto& newest = found->second.back();
+  if (!newest.notBefore) newest.notBefore = notBefore;
+}
+
+}  // namespace tt
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -298,8 +298,6 @@
   std::string domain = order.tenant.empty() ? "shared" : view.domainOf(order.tenant);
   std::string key = domain + "/" + order.ask.model;
   if (shared > 0) key += "/" + order.ask.parts[shared - 1];
-  bool oldToo = order.ask.model.empty() || mayUseOld(order.ask.model, effects.now);
-  std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   std::vector<Choice> ranked;
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
@@ -307,7 +305,8 @@
       if (worker.service != order.service || worker.kind == "store" || !worker.alive ||
           (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
         continue;
-      if (!order.ask.model.empty() && (worker.model != order.ask.model || worker.weights.empty())) continue;
+      if (!order.ask.model.empty() && worker.model != order.ask.model) continue;
+      if (!worker.model.empty() && worker.weights.empty()) continue;
       ranked.push_back(Choice{&worker, rendezvous(key, worker.name)});
     }
   std::sort(ranked.begin(), ranked.end(), [](const Choice& one, const Choice& other) { return one.rank > other.rank; });
@@ -319,7 +318,7 @@
   std::size_t bestAt = 0;
   for (std::size_t at = 0; at < ranked.size(); ++at) {
     const auto& worker = *ranked[at].worker;
-    if (worker.held || (!order.ask.model.empty() && !oldToo && worker.weights != wanted)) continue;
+    if (worker.held || !mayBegin(worker.model, worker.weights, effects.now)) continue;
     anyAlive = true;
     if (order.tried.count(worker.name)) continue;
     if (auto local = locals.find(worker.name); local != locals.end() && effects.now < local->second.shunUntil) continue;
@@ -338,9 +337,9 @@
   plan.worker = best->name;
   plan.address = best->address;
   plan.locality = best->locality;
-  plan.model = order.ask.model;
+  plan.model = best->model;
+  plan.weights = best->weights;
   if (!order.ask.model.empty()) {
-    plan.weights = best->weights;
     plan.salt = cacheSalt(plan.model, settings.defences.stands(Defence::saltWeights) ? plan.weights : "any",
                           settings.defences.stands(Defence::saltTenant) ? domain : "shared");
     for (const auto& part : order.ask.parts) plan.hashes.push_back(hashPart(plan.salt, part));
@@ -492,15 +491,13 @@
   std::vector<const WorkerView*> able;
   std::string kind = order.route.app ? "app" : "language";
   bool anyAlive = false;
-  bool oldToo = order.route.app || mayUseOld(order.ask.model, effects.now);
-  std::string wanted = view.weightsOf(order.ask.model).value_or(std::string());
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
       if (worker.kind != kind || !worker.alive || worker.held ||
           (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
         continue;
-      if (kind == "language" &&
-          (worker.model != order.ask.model || worker.weights.empty() || (!oldToo && worker.weights != wanted)))
+      if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty() ||
+                                 !mayBegin(worker.model, worker.weights, effects.now)))
         continue;
       anyAlive = true;
       if (order.tried.count(worker.name)) continue;
@@ -661,17 +658,22 @@
     openByTenant.erase(open);
 }
 
-bool Edge::stillGood(const Order& order) const {
+bool Edge::stillGood(const Order& order, Moment now) const {
   if (!settings.defences.stands(Defence::drawnAgain)) return true;
   const auto* worker = workerView(order.plan.worker);
   if (!worker || !worker->alive || worker->held || !staying.count(worker->name)) return false;
-  return order.route.app || (order.route.byPath() && order.ask.model.empty()) || worker->weights == order.plan.weights;
+  if (order.route.app) return true;
+  return worker->weights == order.plan.weights && mayBegin(order.plan.model, order.plan.weights, now);
 }
 
 void Edge::sendOrRedraw(Effects& effects, const std::string& orderId, const std::string& event) {
   auto found = orders.find(orderId);
   if (found == orders.end()) return;
-  bool good = stillGood(*found->second);
+  if (!fresh(effects.now)) {
+    denyOrUnknown(effects, *found->second, Code::staleEdge);
+    return happen(effects, orderId, "callerGone");
+  }
+  bool good = stillGood(*found->second, effects.now);
   if (!good) effects.note("drawn again", orderId + " " + found->second->plan.worker);
   happen(effects, orderId, good ? event : "outdated");
   if (!good) servePending(effects);
@@ -703,6 +705,8 @@
                    0,
                    order.lastPiece,
                    !order.ask.repeatable};
+  if (Moment end = endOfWeights(order.plan.model, order.plan.weights, timing.rolloutMost); end != Moment::max())
+    sent.leaveBy = inNs(end);
   if (order.route.byPath()) {
     sent.deadlineMs = std::max<std::int64_t>(1, inMs(order.deadline - effects.now));
     if (order.plan.source) sent.sourceAddress = order.plan.source->address;
@@ -754,12 +758,6 @@
   }
   for (auto row = orderByLookup.begin(); row != orderByLookup.end();)
     row = row->second == order.ask.orderId ? orderByLookup.erase(row) : std::next(row);
-  if (!fresh(effects.now)) {
-    order.lastCode = Code::staleEdge;
-    denyOrUnknown(effects, order, Code::staleEdge);
-    happen(effects, order.ask.orderId, "callerGone");
-    return;
-  }
   sendOrRedraw(effects, order.ask.orderId, plan.source ? "hits" : "misses");
 }
 
@@ -813,11 +811,6 @@
   for (const auto& orderId : move.orderIds) {
     auto order = orders.find(orderId);
     if (order == orders.end()) continue;
-    if (!fresh(effects.now)) {
-      denyOrUnknown(effects, *order->second, Code::staleEdge);
-      happen(effects, orderId, "callerGone");
-      continue;
-    }
     auto& plan = order->second->plan;
     if (success) order->second->movedBlocks = static_cast<int>(plan.wantedHits - plan.localHits);
     sendOrRedraw(effects, orderId, success ? "moved" : "notMoved");
@@ -913,33 +906,31 @@
   for (const auto& orderId : revoked) happen(effects, orderId, "revoked");
 }
 
-void Edge::noteWeights(Moment now, bool live) {
-  for (const auto& [model, item] : view.section("models")) {
-    std::string weights = textOr(item, "weights");
-    auto [row, fresh] = namedByModel.try_emplace(model);
-    if (!fresh && row->second.weights == weights) continue;
-    row->second.weights = weights;
-    row->second.since = live ? std::optional<Moment>(now) : std::nullopt;
-  }
+void Edge::noteVersions() {
+  const auto* models = view.sectionAt("models");
+  if (!models) return;
+  std::optional<Moment> complete;
+  if (freshUntil != Moment{}) complete = freshUntil - timing.freshFor;
+  for (const auto& [model, item] : *models) versions.observe(model, textOr(item, "weights"), complete);
 }
 
-bool Edge::mayUseOld(const std::string& model, Moment now) const {
-  if (!settings.defences.stands(Defence::oldWeightsEnd)) return true;
-  auto named = namedByModel.find(model);
-  if (named == namedByModel.end() || named->second.weights.empty()) return true;
-  if (named->second.since && now - *named->second.since < timing.rolloutMost) return true;
-  bool givenUp = false;
-  for (const auto& [locality, news] : cells) {
-    for (const auto& worker : news.workers)
-      if (worker.alive && worker.model == model && worker.weights == named->second.weights) return false;
-    givenUp =
-        givenUp || std::find(news.givenUp.begin(), news.givenUp.end(), named->second.weights) != news.givenUp.end();
-  }
-  return givenUp;
+Moment Edge::endOfWeights(const std::string& model, const std::string& weights, Span span) const {
+  if (model.empty() || weights.empty() || !settings.defences.stands(Defence::oldWeightsEnd)) return Moment::max();
+  if (settings.defences.stands(Defence::endFromFirstNewer))
+    return endOfUse(versions.supersededAt(model, weights), span);
+  return versions.isNewest(model, weights) ? Moment::max() : endOfUse(versions.newestAt(model), span);
+}
+
+bool Edge::mayBegin(const std::string& model, const std::string& weights, Moment now) const {
+  return now < endOfWeights(model, weights, timing.rolloutMost);
 }
 
-void Edge::setNews(Effects& effects, bool live) {
-  noteWeights(effects.now, live);
+bool Edge::beginsTooLate(const Order& order, Moment now) const {
+  return order.walk->in("sent") && settings.defences.stands(Defence::unbegunDropped) &&
+         now >= endOfWeights(order.plan.model, order.plan.weights, timing.unbegunMost);
+}
+
+void Edge::setNews(Effects& effects) {
   effects.note("edge applied", settings.name, static_cast<std::int64_t>(view.index()));
   feedAt = Moment{};
   revokeOpen(effects);
@@ -949,6 +940,7 @@
 void Edge::tick(Effects& effects) {
   if (effects.now - feedAt >= timing.feedEvery) {
     feedAt = effects.now;
+    versions.forgetEnded(effects.now, timing.versionMost);
     std::vector<CellMark> rows;
     for (const auto& [locality, news] : cells) rows.push_back(CellMark{locality, news.term, news.sequence});
     effects.send(settings.agentAddress, FeedAsk{inNs(effects.now), view.index(), rows, marksDigest});
@@ -974,7 +966,10 @@
     if (order.walk->in("lookup") && effects.now - order.lookupAt >= settings.lookupWait &&
         settings.defences.stands(Defence::lookupExpires))
       settleLookup(effects, order);
-    else if (order.route.byPath() && !order.walk->in("pending")) {
+    else if (beginsTooLate(order, effects.now)) {
+      effects.note("unbegun dropped", orderId + " " + order.plan.worker);
+      happen(effects, orderId, "silent");
+    } else if (order.route.byPath() && !order.walk->in("pending")) {
       if (effects.now >= order.deadline + deadlineSlack) happen(effects, orderId, "silent");
     } else if (order.walk->in("sent") && effects.now - order.heardAt >= settings.firstByteWait)
       happen(effects, orderId, "silent");
@@ -1046,6 +1041,7 @@
     return;
   } else if (auto* feed = std::get_if<FeedReply>(&message)) {
     agentHeard = effects.now;
+    versions.learn(feed->namings, fromNs(feed->sentAt));
     if (!feed->known) return;
     Moment until = fromNs(feed->sentAt) - Span(feed->age) + timing.freshFor;
     if (feed->age < 0 || until <= freshUntil) return;
@@ -1054,13 +1050,15 @@
       needed = feed->needed;
     }
   } else if (auto* news = std::get_if<NewsMsg>(&message)) {
-    std::uint64_t before = view.index();
-    bool live = fresh(effects.now);
+    Count before = view.index();
     for (const auto& snapshot : news->snapshots)
-      if (snapshot.index > view.index()) (void)view.adopt(snapshot);
+      if (snapshot.index > view.index() && view.adopt(snapshot)) noteVersions();
     for (const auto& entry : news->entries)
-      if (entry.index == view.index() + 1) view.apply(entry);
-    if (view.index() != before) setNews(effects, live);
+      if (entry.index == view.index() + 1) {
+        view.apply(entry);
+        noteVersions();
+      }
+    if (view.index() != before) setNews(effects);
   } else if (auto* cellNews = std::get_if<CellNews>(&message)) {
     auto& kept = cells[cellNews->locality];
     if (!takeCellNews(kept, *cellNews)) return;
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -126,12 +126,8 @@
   /// Orders that ended well lately: the timing that a caller sent away may count on.
   std::deque<Moment> doneAt;
   std::map<std::string, int> openByTenant;
-  /// The weights each model should have, and when that was seen to change; not set if it was so when this proxy began.
-  struct Named {
-    std::string weights;
-    std::optional<Moment> since;
-  };
-  std::map<std::string, Named> namedByModel;
+  /// When each model's weights were named, so until when work may begin on older ones.
+  VersionTimeline versions;
   Policy routePolicy;
   /// Localities whose index has not answered of late: not asked again before this moment.
   std::map<std::string, Moment> indexSilent;
@@ -187,15 +183,20 @@
   void verdict(Effects& effects, Order& order, const std::string& word, Code code, const std::string& subject = {});
   void denyOrUnknown(Effects& effects, Order& order, Code code, const std::string& subject = {});
   void revokeOpen(Effects& effects);
-  void setNews(Effects& effects, bool live);
+  void setNews(Effects& effects);
   const WorkerView* workerView(const std::string& name) const;
   int busyOf(const WorkerView& worker, Moment now) const;
   bool mayRetry(Moment now) const;
-  bool mayUseOld(const std::string& model, Moment now) const;
-  void noteWeights(Moment now, bool live);
+  /// When a use of weights ends that may go on for `span` after newer ones were named.
+  Moment endOfWeights(const std::string& model, const std::string& weights, Span span) const;
+  /// Whether an order may still be sent to a worker with these weights of this model.
+  bool mayBegin(const std::string& model, const std::string& weights, Moment now) const;
+  /// Whether an order waits at a worker whose weights' use is over, so that it must not begin there any more.
+  bool beginsTooLate(const Order& order, Moment now) const;
+  void noteVersions();
   int comeBackMs(Effects& effects, Code code) const;
   bool makeRoom(Effects& effects, const std::string& tenant);
-  bool stillGood(const Order& order) const;
+  bool stillGood(const Order& order, Moment now) const;
   bool cutOff(Moment now) const;
   void sendOrRedraw(Effects& effects, const std::string& orderId, const std::string& event);
   double linkSpeed(const std::string& source, const std::string& target) const;
