Tests share one fixture for a cell and one for a proxy's logic

Cause: the fixtures that drive a cell and a proxy by hand stood inside tests/cells.cpp and tests/path_routes.cpp, with a twin of the second in tests/load.cpp; tests of the ends of versions need both. Ruled out: a third copy in the new tests; merging tests/load.cpp's cell, whose workers answer at once, with the one whose messages travel. Change: tests/cell_bench.hpp (CellBench, TestWorker, cellSettings), tests/routing_bench.hpp (ProxyBench, Declared) and tests/timing_kept.hpp, which six files had for themselves; load's EdgeBench is a ProxyBench, its cell is called KeeperBench. No test and no assertion is changed.

--- a/tests/core_bench.hpp
+++ b/tests/core_bench.hpp
@@ -4,13 +4,10 @@
 #include <algorithm>
 
 #include "core.hpp"
+#include "timing_kept.hpp"
 
 /// Control processes driven by hand: their mail, their disks and their clock are the test's.
 namespace tt {
-struct TimingKept {
-  Timing old = timing;
-  ~TimingKept() { timing = old; }
-};
 
 struct CoreBench {
   struct Mail {
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -6,15 +6,11 @@
 #include "core.hpp"
 #include "host.hpp"
 #include "members.hpp"
+#include "timing_kept.hpp"
 
 using namespace tt;
 
 namespace {
-struct TimingKept {
-  Timing old = timing;
-  ~TimingKept() { timing = old; }
-};
-
 /// Real cores and agents on links that can be cut one by one and in one direction, under one clock that the test moves.
 struct FreshnessBench {
   struct Mail {
--- a/tests/load.cpp
+++ b/tests/load.cpp
@@ -1,24 +1,14 @@
-#include <criterion/criterion.h>
-
 #include <algorithm>
 
+#include "cell_bench.hpp"
 #include "core.hpp"
-#include "edge.hpp"
+#include "routing_bench.hpp"
 
 using namespace tt;
 
 namespace {
 WorkerView viewOf(const std::string& name, int waiting = 0) {
-  WorkerView view;
-  view.name = name;
-  view.address = name + ":80";
-  view.locality = "north-a";
-  view.kind = "language";
-  view.weights = "moss/3";
-  view.model = "moss";
-  view.slots = 64;
-  view.alive = view.confirmed = true;
-  view.service = "mill";
+  WorkerView view = languageWorker(name);
   view.waiting = waiting;
   return view;
 }
@@ -81,7 +71,8 @@
 }
 
 namespace {
-struct CellBench {
+/// A cell of its own, whose workers and stores answer at once.
+struct KeeperBench {
   struct TestKeeper {
     bool store{false};
     std::set<BlockHash> kept;
@@ -101,16 +92,10 @@
   std::size_t missed{0};
   std::vector<Message> replies;
 
-  CellBench() {
-    CellSettings settings;
-    settings.apart = settings.loadsWhole = settings.seedsForm = true;
-    settings.summaries = false;
+  KeeperBench() {
+    CellSettings settings = cellSettings();
     settings.askEvery = 50ms;
     settings.conditionEvery = 100ms;
-    settings.sweepEvery = 8s;
-    settings.lateAfter = 1500ms;
-    settings.goneAfter = 2s;
-    settings.publishEvery = 100ms;
     auto patch = configuration.preparePatch(
         R"({"weights":{"moss/3":{"model":"moss"}},"models":{"moss":{"weights":"moss/3"}}})", Manner::patch);
     cr_assert(bool(patch));
@@ -233,7 +218,7 @@
 }  // namespace
 
 Test(load, a_cell_tells_all_at_first_and_then_only_what_has_changed) {
-  CellBench bench;
+  KeeperBench bench;
   bench.list({"w1", "w2", "w3", "w4"});
   bench.runToNews();
   cr_expect_eq(bench.news[0].base, 0u);
@@ -261,7 +246,7 @@
 }
 
 Test(load, a_worker_that_leaves_the_list_is_told_as_gone) {
-  CellBench bench;
+  KeeperBench bench;
   bench.list({"w1", "w2", "w3"});
   bench.runToNews();
   bench.run(2s);
@@ -283,7 +268,7 @@
 }
 
 Test(load, after_another_win_the_first_news_is_whole) {
-  CellBench bench;
+  KeeperBench bench;
   bench.list({"w1", "w2"});
   bench.runToNews();
   bench.run(2s);
@@ -303,7 +288,7 @@
 }
 
 Test(load, a_store_that_lets_go_what_is_then_asked_for_is_given_less) {
-  CellBench bench;
+  KeeperBench bench;
   auto& barn = bench.keepers["barn"];
   for (int at = 0; at < 400; ++at) barn.kept.insert(hashPart("salt", "p" + std::to_string(at)));
   barn.kept.insert(hashPart("salt", "system"));
@@ -346,7 +331,7 @@
 }
 
 Test(load, what_a_store_never_had_or_let_go_long_ago_does_not_count_against_it) {
-  CellBench bench;
+  KeeperBench bench;
   auto& barn = bench.keepers["barn"];
   barn.kept = {hashPart("salt", "system"), hashPart("salt", "old")};
   bench.list({"w1"}, {"barn"});
@@ -457,135 +442,37 @@
   "tenants":{"asp":{"secrets":["key-a"]}},
   "routes":{"aim":{"host":"h","prefix":"/aim/","service":"mill","repeat":"safe","aimMs":1000,"tries":3,"timeoutMs":60000},
     "free":{"host":"h","prefix":"/free/","service":"mill","repeat":"safe","tries":3,"timeoutMs":60000}}})";
-const std::vector<int> promptTokens{300, 400, 50};
 using Hits = std::map<std::string, std::vector<int>>;
 
-struct EdgeBench {
-  Moment now{std::chrono::hours(5)};
-  std::mt19937_64 randomSource{11};
-  Configuration view;
-  std::unique_ptr<Edge> edge;
-  std::vector<Message> sent;
-  std::map<std::string, CellNews> cells;
-  std::size_t answered{0};
-  int orderCount{0};
-  std::map<std::string, std::vector<WorkerOrder>> sends;
-  std::map<std::string, std::vector<CallerVerdict>> verdicts;
-  std::vector<LookupMsg> lookups;
-  std::size_t drops{0};
-
-  explicit EdgeBench(double shedMost = 0) {
+/// A proxy whose workers' load is told and whose callers ask for numbered documents.
+struct EdgeBench : ProxyBench {
+  explicit EdgeBench(double shedMost = 0) : ProxyBench(loadSettings(shedMost), loadConfiguration) {}
+  static EdgeSettings loadSettings(double shedMost) {
     EdgeSettings settings;
     settings.name = "proxy-1";
     settings.address = "proxy-1:1";
     settings.locality = "north-a";
-    settings.agentAddress = "agent:1";
+    settings.agentAddress = agentAddress;
     settings.pendingMost = 4096;
     settings.sourceRides = settings.openGoOn = true;
     settings.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
     settings.retryLeast = 10000;
     settings.shedMost = shedMost;
-    edge = std::make_unique<Edge>(settings);
-    auto patch = view.preparePatch(loadConfiguration, Manner::patch);
-    cr_assert(bool(patch));
-    view.apply(Entry{1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
-    NewsMsg news;
-    news.commit = 1;
-    news.snapshots.push_back(view.snapshot());
-    give("agent:1", news);
-    tick();
-  }
-  void give(const std::string& from, const Message& message) {
-    Effects effects{now, randomSource, edge->journal, {}, {}};
-    edge->take(effects, from, message);
-    keep(effects);
-  }
-  void tick() {
-    Effects effects{now, randomSource, edge->journal, {}, {}};
-    edge->tick(effects);
-    keep(effects);
-  }
-  void keep(Effects& effects) {
-    std::vector<FeedAsk> asks;
-    for (auto& [to, message] : effects.sends) {
-      if (auto* ask = std::get_if<FeedAsk>(&message)) asks.push_back(*ask);
-      if (auto* order = std::get_if<WorkerOrder>(&message)) sends[order->callerOrderId].push_back(*order);
-      if (auto* verdict = std::get_if<CallerVerdict>(&message)) verdicts[verdict->orderId].push_back(*verdict);
-      if (auto* lookup = std::get_if<LookupMsg>(&message)) lookups.push_back(*lookup);
-      drops += std::holds_alternative<WorkerDrop>(message);
-    }
-    for (const auto& ask : asks) give("agent:1", FeedReply{ask.sentAt, 0, view.index(), true});
-  }
-  void run(Span span) {
-    for (Moment until = now + span; now < until;) {
-      now += 10ms;
-      tick();
-    }
-  }
-  WorkerView& worker(const std::string& name, const std::string& locality = "north-a") {
-    auto& news = cells[locality];
-    news.locality = locality;
-    news.term = 1;
-    for (auto& row : news.workers)
-      if (row.name == name) return row;
-    news.workers.push_back(viewOf(name));
-    news.workers.back().locality = locality;
-    return news.workers.back();
+    return settings;
   }
   WorkerView& store() {
-    auto& row = worker("barn", "north-b");
-    row.kind = "store";
-    row.service = "barn";
-    row.weights.clear();
-    row.model.clear();
+    auto& row = ProxyBench::store("barn", "north-b");
     row.savedShare = 1000;
     return row;
   }
-  void tell() {
-    std::vector<Machine> machines;
-    for (auto& [locality, news] : cells) {
-      ++news.sequence;
-      for (const auto& row : news.workers) {
-        Machine machine;
-        machine.name = row.name;
-        machine.address = row.address;
-        machine.locality = locality;
-        machine.kind = "language";
-        machine.service = "mill";
-        if (row.kind == "language") machines.push_back(machine);
-      }
-      give("agent:1", news);
-    }
-    give("agent:1", MarksMsg{0, machines});
-  }
-  void workers(int number) {
-    for (int at = 1; at <= number; ++at) worker("w" + std::to_string(at));
-    tell();
-  }
   std::string place(int number, const std::string& path = "/aim/x", const std::vector<int>& tokens = promptTokens) {
-    CallerOrder ask;
-    ask.orderId = "o/" + std::to_string(++orderCount);
-    ask.host = "h";
-    ask.path = path;
-    ask.key = "key-a";
-    ask.model = "moss";
-    ask.parts = {"system", "document " + std::to_string(number), "question"};
-    ask.partTokens = tokens;
-    give("caller", ask);
-    return ask.orderId;
-  }
-  std::vector<LookupMsg> openLookups() {
-    std::vector<LookupMsg> open(lookups.begin() + static_cast<std::ptrdiff_t>(answered), lookups.end());
-    answered = lookups.size();
-    return open;
+    return ProxyBench::place(path, "key-a", promptOf(number), tokens);
   }
   void answer(const Hits& hits = {}, const std::string& but = {}) {
     for (const auto& ask : openLookups()) {
       if (ask.keeper == but) continue;
       auto found = hits.find(ask.keeper);
-      std::vector<int> row = found == hits.end() ? std::vector<int>{} : found->second;
-      row.resize(ask.hashes.size());
-      give("agent:1", LookupReply{ask.lookupId, ask.keeper, row});
+      ProxyBench::answer(ask, found == hits.end() ? std::vector<int>() : found->second);
     }
   }
   std::string placeAndAnswer(int number, const std::string& path = "/aim/x",
@@ -594,14 +481,9 @@
     answer(hits);
     return orderId;
   }
-  WorkerOrder onlySend(const std::string& orderId) {
-    cr_assert_eq(sends[orderId].size(), 1u, "%s was sent %zu times", orderId.c_str(), sends[orderId].size());
-    return sends[orderId][0];
-  }
   void chunk(const std::string& orderId) { give("worker", WorkerChunk{sends.at(orderId).back().orderId, "piece", ""}); }
   void end(const std::string& orderId, Outcome outcome = Outcome::done) {
-    give("worker", WorkerEnd{sends.at(orderId).back().orderId, static_cast<int>(outcome),
-                             static_cast<int>(Code::workerFull), 0, 0, 0});
+    ProxyBench::end(sends.at(orderId).back().orderId, outcome);
   }
   std::string sinkOf(int number, const Hits& hits = {}, const std::vector<int>& tokens = promptTokens) {
     auto orderId = placeAndAnswer(number, "/free/x", tokens, hits);
--- a/tests/order_faults.cpp
+++ b/tests/order_faults.cpp
@@ -1,6 +1,6 @@
-#include "election.hpp"
 #include "raw_server.hpp"
 #include "roles.hpp"
+#include "timing_kept.hpp"
 #include "worker_orders.hpp"
 
 using namespace tt;
@@ -8,11 +8,6 @@
 
 namespace {
 
-struct TimingKept {
-  Timing old = timing;
-  ~TimingKept() { timing = old; }
-};
-
 /// The orders to one worker that answers with a script, and what the logic is told of them.
 struct OrderBench : Bench {
   std::vector<ControlReply> replies;
--- a/tests/timing.cpp
+++ b/tests/timing.cpp
@@ -2,14 +2,11 @@
 
 #include "roles.hpp"
 #include "timing_check.hpp"
+#include "timing_kept.hpp"
 
 using namespace tt;
 
 namespace {
-struct TimingKept {
-  Timing old = timing;
-  ~TimingKept() { timing = old; }
-};
 std::string broken(const Result<void>& checked) { return checked ? std::string() : checked.error().text; }
 
 /// Sets the spans as a process does at its start, and says which inequality is broken; empty if none.
