--- a/tests/cell_bench.hpp
+++ b/tests/cell_bench.hpp
@@ -74,7 +74,6 @@
 
   explicit CellBench(int coreNumber = 1, CellSettings settings = cellSettings()) {
     timing.commandRest = 3300ms;
-    name("moss/3");
     std::vector<Member> members;
     for (int at = 1; at <= coreNumber; ++at) {
       std::string id = "core-" + std::to_string(at);
@@ -88,6 +87,7 @@
       core.cell->election.setVoters(members);
       core.cell->publish = [&core](Effects&, const CellNews& news) { core.news.push_back(news); };
     }
+    name("moss/3");
   }
   /// Agrees on the weights that the model should have from now on: what is told of namings is told here.
   void name(const std::string& weights) {
