Test on the wire: a request bears its worker's version, also without X-Model

Cause: an order that names no model was sent without X-Expect-Version to workers that have one, so the worker could not refuse work on a version that its proxy did not mean. Ruled out: a test of the translation alone: the logic decides what weights an order is bound to. Change: the proxy fixture's workers can have a model and weights; one test asks with and without X-Model, with and without a claimed version.

--- a/tests/proxy_faults.cpp
+++ b/tests/proxy_faults.cpp
@@ -162,3 +162,26 @@
   cr_assert(has(got, "for the early") && has(got, "Connection: close"), "got \"%s\"", got.c_str());
   cr_assert(proxy.hasEnded(8s));
 }
+
+Test(proxy_faults, a_request_bears_the_version_of_its_worker_whether_it_names_a_model_or_not) {
+  Proxy proxy(2);
+  auto versionAtWorker = [&](const std::string& headers) {
+    Caller caller(proxy.front());
+    caller.send(ask("/x", "a1", headers));
+    auto worker = proxy.accept();
+    auto request = worker.request();
+    worker.say(answerTo(request, "s1", "well"));
+    cr_assert(has(caller.until("well"), "well"));
+    cr_expect_leq(count(request, "X-Expect-Version"), 1u);
+    return headerOf(request, "X-Expect-Version");
+  };
+  const std::string named = "X-Model: moss\r\n", claimed = "X-Expect-Version: 9\r\n";
+  cr_expect_eq(versionAtWorker(claimed), "", "workers without a model have no version, whatever callers say");
+  for (const char* version : {"4", "5"}) {
+    proxy.name("moss", std::string("moss/") + version);
+    cr_expect_eq(versionAtWorker(named), version);
+    cr_expect_eq(versionAtWorker(named + claimed), version, "callers do not choose it");
+    cr_expect_eq(versionAtWorker(""), version, "no model named");
+    cr_expect_eq(versionAtWorker(claimed), version, "no model named, a version claimed");
+  }
+}
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -151,6 +151,18 @@
     }
     cr_assert(soon([&] { return applied >= index; }, 10s));
   }
+  /// Names a model's weights, which all workers have from now on, and waits until the proxy knows of both.
+  void name(const std::string& model, const std::string& weights) {
+    {
+      std::lock_guard<std::mutex> guard(lock);
+      workersModel = model;
+      workersWeights = weights;
+    }
+    declare(R"({"weights":{")" + weights + R"(":{"model":")" + model + R"("}},"models":{")" + model +
+            R"(":{"weights":")" + weights + R"("}}})");
+    auto enough = fed + 2;
+    cr_assert(soon([&] { return fed >= enough; }, 10s));
+  }
   /// The next connection that the proxy makes to any worker.
   WorkerSide accept(Span wait = 5s) {
     std::vector<pollfd> facts;
@@ -182,8 +194,9 @@
   std::thread thread;
   std::mutex lock;
   Configuration view;
-  std::atomic<std::uint64_t> applied{0};
+  std::atomic<std::uint64_t> applied{0}, fed{0};
   std::uint64_t sequence{0};
+  std::string workersModel, workersWeights;
   pid_t id{0};
 
   std::string at(int port) const { return "127.0.0.1:" + std::to_string(base + port); }
@@ -210,6 +223,8 @@
       worker.slots = 64;
       worker.alive = worker.confirmed = true;
       worker.service = "mill";
+      worker.model = workersModel;
+      worker.weights = workersWeights;
       Machine machine;
       machine.name = worker.name;
       machine.address = worker.address;
@@ -222,6 +237,7 @@
     hub->send(to, cell);
     hub->send(to, marks);
     hub->send(to, FeedReply{ask.sentAt, 0, view.index(), true});
+    ++fed;
   }
   bool isReady() {
     asio::io_context io;
