A load that has begun is finished; overdue workers get twice the room

Change: a load taken is finished, the worker serves on it and waits for its turn; overdue workers double the room instead of removing it.

--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -25,7 +25,7 @@
   /// How long after newer weights were named work may begin on a model's older ones, as promised; how long orders may be
   /// sent to workers that still have them; and when those sent there that have not begun are taken back.
   Span versionMost{20s}, rolloutMost{18s}, unbegunMost{19500ms};
-  /// After which workers are brought to newer weights however many others change.
+  /// After which workers that have not begun to change to newer weights are overdue.
   Span rolloutLatest() const { return rolloutMost * 17 / 20; }
   /// How long a voter must be silent before it is taken out for good, and how many voters must stay; 0 takes none out.
   Span memberGone{0};
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -369,7 +369,9 @@
       keeper.summaryStale = false;
     }
     auto rollout = rollouts.find(name);
-    bool held = (keeper.last.draining && !settings.loadsWhole) ||
+    auto wanted = lastConfiguration ? lastConfiguration->weightsOf(keeper.last.model) : std::nullopt;
+    bool right = !wanted || keeper.last.weights == *wanted;
+    bool held = (keeper.last.draining && (!settings.loadsWhole || !right)) ||
                 (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
     bool alive = keeper.known && effects.now - keeper.heardAt < settings.goneAfter;
     news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -143,12 +143,14 @@
   /// Whether a worker was heard lately, so that it counts among those to be taken to other weights.
   bool takesPart(const Keeper& keeper, Moment now) const;
   Moment supersededAt(const Report& report, const std::string& wanted) const;
-  RolloutStep stepOf(const std::string& worker) const;
+  RolloutStep stepOf(const std::string& worker, bool right) const;
   std::set<std::string> workersDue(Moment now, const Configuration& configuration) const;
   /// Whether a cell with a single worker of a model leaves the turn to cells before it, so that not all of a model's
   /// workers change at once.
   bool waitsItsTurn(const std::string& model, Moment superseded, Moment now) const;
   void startRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted, bool due);
+  /// Goes on with a change that has begun. A load that a worker has taken is finished also where newer weights were
+  /// named meanwhile: it takes no other order before, and would never serve if it were always sent on to the next.
   void moveRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted);
   void moveWatches(Effects& effects);
   void publishNews(Effects& effects);
--- a/src/index/cell_rollouts.cpp
+++ b/src/index/cell_rollouts.cpp
@@ -99,7 +99,8 @@
   return moment == Moment::max() ? Moment::min() : moment;
 }
 
-RolloutStep Cell::stepOf(const std::string& worker) const {
+RolloutStep Cell::stepOf(const std::string& worker, bool right) const {
+  if (settings.loadsWhole && !right && rows.at(worker).last.draining) return RolloutStep::changing;
   auto found = rollouts.find(worker);
   if (found == rollouts.end() || !found->second.walk) return RolloutStep::serving;
   if (found->second.failed && defences.stands(Defence::failedNotCounted)) return RolloutStep::failed;
@@ -111,7 +112,9 @@
   for (const auto& [name, keeper] : rows) {
     auto wanted = configuration.weightsOf(keeper.last.model);
     if (!wanted || !takesPart(keeper, now) || keeper.machine.leaving) continue;
-    workersByModel[keeper.last.model].push_back(RolloutWorker{name, supersededAt(keeper.last, *wanted), stepOf(name)});
+    bool right = keeper.last.weights == *wanted;
+    workersByModel[keeper.last.model].push_back(
+        RolloutWorker{name, supersededAt(keeper.last, *wanted), stepOf(name, right)});
   }
   RolloutLimits limits{settings.rolloutSpan, timing.rolloutLatest(), settings.rolloutParts};
   std::set<std::string> due;
@@ -161,7 +164,8 @@
 void Cell::startRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted, bool due) {
   const auto& report = keeper.last;
   bool right = report.weights == wanted;
-  if (right && (!report.draining || settings.loadsWhole)) return;
+  if (settings.loadsWhole && (right || report.draining)) return;
+  if (right && !report.draining) return;
   bool unsettled = report.weights.empty() || report.draining;
   if (!due && !unsettled) return;
   rollout.weights = wanted;
@@ -172,16 +176,18 @@
 void Cell::moveRollout(Effects& effects, const Keeper& keeper, Rollout& rollout, const std::string& wanted) {
   const auto& report = keeper.last;
   const auto& worker = keeper.machine.name;
-  bool right = report.weights == wanted;
+  bool finishing = settings.loadsWhole && rollout.walk->in("loading") && rollout.takenAt >= rollout.sentAt;
+  std::string target = finishing ? rollout.weights : wanted;
+  bool right = report.weights == target;
   bool unanswered = rollout.takenAt < rollout.sentAt && effects.now - rollout.sentAt >= commandAgain;
   bool idled = rollout.takenAt >= rollout.sentAt && keeper.conditionAt > rollout.takenAt + idleSure && !report.draining;
   bool again = (settings.loadsWhole ? unanswered || idled : effects.now - rollout.sentAt >= commandAgain) &&
                defences.stands(Defence::commandAgain);
   Span since = effects.now - rollout.since;
   auto happen = [&](const char* event) { advance(effects, worker, rollout, event); };
-  if (rollout.weights != wanted) {
+  if (rollout.weights != target) {
     rollout.failed = false;
-    rollout.weights = wanted;
+    rollout.weights = target;
     rollout.model = report.model;
     happen("wanted");
     since = effects.now - rollout.since;
--- a/src/rollout/rollout_plan.cpp
+++ b/src/rollout/rollout_plan.cpp
@@ -10,6 +10,9 @@
 /// So many failed loads without a success make weights suspect.
 constexpr int failuresSuspect = 2;
 
+/// How many times more workers may change at once while some are overdue.
+constexpr int roomOverdue = 2;
+
 using Waiting = std::vector<const RolloutWorker*>;
 
 /// The workers that wait for their start, the longest superseded first.
@@ -57,7 +60,8 @@
   for (std::size_t at = 0; at < waiting.size(); ++at) {
     bool overdue = now >= endOfUse(waiting[at]->supersededAt, limits.latest);
     bool due = now >= nextDue(waiting, at, workers.size(), limits.spread);
-    if (!overdue && (suspect || !due || changing >= room)) break;
+    if (!overdue && (suspect || !due)) break;
+    if (changing >= (overdue ? roomOverdue * room : room)) break;
     started.push_back(waiting[at]->name);
     ++changing;
   }
--- a/src/rollout/rollout_plan.hpp
+++ b/src/rollout/rollout_plan.hpp
@@ -18,7 +18,7 @@
 struct RolloutLimits {
   /// Over how long the workers are started, one after the other; 0 starts all that there is room for.
   Span spread{0};
-  /// After which a worker is started at once, however many others change.
+  /// After which a worker is overdue: started at once, with twice as many changing as otherwise.
   Span latest{0};
   /// One in so many workers may change at the same time.
   int parts{3};
--- a/tests/cell_bench.hpp
+++ b/tests/cell_bench.hpp
@@ -66,6 +66,7 @@
   Moment now{std::chrono::hours(9)};
   std::mt19937_64 randomSource{3};
   Configuration configuration;
+  VersionTimeline versions;
   std::map<std::string, CellCore> cores;
   std::map<std::string, TestWorker> workers;
   std::multimap<Moment, Sent> due;
@@ -85,6 +86,7 @@
       core.cell = std::make_unique<Cell>("north-a", member, member.id == "core-1", Defences{}, settings);
       core.cell->election.restore(Vote{}, now);
       core.cell->election.setVoters(members);
+      core.cell->versions = &versions;
       core.cell->publish = [&core](Effects&, const CellNews& news) { core.news.push_back(news); };
     }
     name("moss/3");
@@ -96,6 +98,7 @@
         Manner::patch);
     cr_assert(bool(patch));
     configuration.apply(Entry{configuration.index() + 1, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
+    versions.observe("moss", weights, now);
   }
   void list(int number) {
     std::vector<Machine> machines;
