--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -31,8 +31,9 @@
 TT_STRUCT(Member, ((std::string, id))((std::string, name))((std::string, address))((std::string, locality))((bool, votes)))
 TT_STRUCT(Machine, ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))((bool, leaving))
                    ((std::string, service))((std::string, model))((std::string, weights))((int, slots)))
-/// Weights that were named for a model, and how long ago in ns; -1 where that is unknown.
-TT_STRUCT(VersionNaming, ((std::string, model))((std::string, weights))((std::int64_t, age)))
+/// Weights that were named for a model, how long ago in ns (-1 where that is unknown), and an index of the log by which
+/// they were named.
+TT_STRUCT(VersionNaming, ((std::string, model))((std::string, weights))((std::int64_t, age))((Count, index)))
 TT_STRUCT(CellMark, ((std::string, locality))((Count, term))((Count, sequence)))
 TT_STRUCT(WorkerView,
           ((std::string, name))((std::string, address))((std::string, locality))((std::string, kind))
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -131,7 +131,7 @@
   const auto* models = view.sectionAt("models");
   if (!models) return;
   auto complete = completeUntil == Moment{} ? std::nullopt : std::optional<Moment>(completeUntil);
-  for (const auto& [model, item] : *models) timeline.observe(model, textOr(item, "weights"), complete);
+  for (const auto& [model, item] : *models) timeline.observe(model, textOr(item, "weights"), complete, view.index());
 }
 
 void ClusterView::learnFrom(Effects& effects, const std::string& from, const LogEndResponse& reply, Moment askedAt) {
--- a/src/rollout/version_timeline.cpp
+++ b/src/rollout/version_timeline.cpp
@@ -16,20 +16,21 @@
   return found == namingsByModel.end() || found->second.empty() ? nullptr : &found->second;
 }
 
-void VersionTimeline::observe(const std::string& model, const std::string& weights, std::optional<Moment> notBefore) {
+void VersionTimeline::observe(const std::string& model, const std::string& weights, std::optional<Moment> notBefore,
+                              Count index) {
   auto& namings = namingsByModel[model];
   if (!namings.empty() && namings.back().weights == weights) return;
   if (notBefore && !namings.empty() && namings.back().notBefore)
     notBefore = std::max(*notBefore, *namings.back().notBefore);
-  namings.push_back(Naming{weights, notBefore});
+  namings.push_back(Naming{weights, notBefore, index});
 }
 
 void VersionTimeline::learnOne(Namings& known, const std::vector<Naming>& told) {
   auto newest = std::find_if(told.rbegin(), told.rend(),
-                             [&](const Naming& naming) { return naming.weights == known.back().weights; });
+                             [&](const Naming& naming) { return naming.index <= known.back().index; });
   auto own = known.rbegin();
   for (; newest != told.rend() && own != known.rend(); ++newest, ++own) {
-    if (newest->weights != own->weights) return;
+    if (newest->weights != own->weights || newest->index > own->index) return;
     if (!own->notBefore) own->notBefore = newest->notBefore;
   }
   for (; newest != told.rend(); ++newest) known.push_front(*newest);
@@ -40,7 +41,7 @@
   for (const auto& naming : told) {
     std::optional<Moment> notBefore;
     if (naming.age >= 0) notBefore = askedAt - Span(naming.age);
-    toldByModel[naming.model].push_back(Naming{naming.weights, notBefore});
+    toldByModel[naming.model].push_back(Naming{naming.weights, notBefore, naming.index});
   }
   for (const auto& [model, namings] : toldByModel) {
     auto known = namingsByModel.find(model);
@@ -57,8 +58,8 @@
     if (noneYoung && (!unknownToo || namings.empty() || namings.back().notBefore)) continue;
     for (std::size_t at = first > 0 ? first - 1 : 0; at < namings.size(); ++at) {
       const auto& naming = namings[at];
-      rows.push_back(
-          VersionNaming{model, naming.weights, naming.notBefore ? (now - *naming.notBefore).count() : unknownAge});
+      std::int64_t age = naming.notBefore ? (now - *naming.notBefore).count() : unknownAge;
+      rows.push_back(VersionNaming{model, naming.weights, age, naming.index});
     }
   }
   return rows;
@@ -68,7 +69,8 @@
   std::vector<VersionNaming> rows;
   for (const auto& [model, namings] : namingsByModel)
     if (!namings.empty() && namings.back().notBefore)
-      rows.push_back(VersionNaming{model, namings.back().weights, (now - *namings.back().notBefore).count()});
+      rows.push_back(VersionNaming{model, namings.back().weights, (now - *namings.back().notBefore).count(),
+                                   namings.back().index});
   return rows;
 }
 
@@ -100,7 +102,7 @@
   std::vector<VersionNaming> rows;
   for (const auto& [model, namings] : namingsByModel)
     if (!namings.empty() && !namings.back().notBefore)
-      rows.push_back(VersionNaming{model, namings.back().weights, unknownAge});
+      rows.push_back(VersionNaming{model, namings.back().weights, unknownAge, namings.back().index});
   return rows;
 }
 
--- a/src/rollout/version_timeline.hpp
+++ b/src/rollout/version_timeline.hpp
@@ -13,9 +13,9 @@
 class VersionTimeline {
  public:
   /// Takes note of the weights that a model should have. `notBefore` is a moment at which they were not yet named: the
-  /// last one up to which the owner's view of the configuration was complete; none if it never was. Does nothing if
-  /// they are the newest known already.
-  void observe(const std::string& model, const std::string& weights, std::optional<Moment> notBefore);
+  /// last one up to which the owner's view of the configuration was complete; none if it never was. `index` is that of
+  /// the view. Does nothing if they are the newest known already.
+  void observe(const std::string& model, const std::string& weights, std::optional<Moment> notBefore, Count index);
   /// Takes from another process the moments of namings that are unknown here, and the namings before those known here.
   /// `askedAt` is the moment before which the other was asked; ages in `told` are of the moment when it answered.
   void learn(const std::vector<VersionNaming>& told, Moment askedAt);
@@ -44,12 +44,15 @@
   struct Naming {
     std::string weights;
     std::optional<Moment> notBefore;
+    Count index{0};
   };
   using Namings = std::deque<Naming>;
   /// Each model's namings, oldest first; the last is the newest.
   std::map<std::string, Namings> namingsByModel;
 
   const Namings* namingsOf(const std::string& model) const;
+  /// Pairs what is told with what is known, newest first. A pair is the same naming, or what is told is an earlier one of
+  /// the same weights: its index is not above the known one's. So no moment can be taken from a later naming.
   static void learnOne(Namings& known, const std::vector<Naming>& told);
 };
 
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -911,7 +911,7 @@
   if (!models) return;
   std::optional<Moment> complete;
   if (freshUntil != Moment{}) complete = freshUntil - timing.freshFor;
-  for (const auto& [model, item] : *models) versions.observe(model, textOr(item, "weights"), complete);
+  for (const auto& [model, item] : *models) versions.observe(model, textOr(item, "weights"), complete, view.index());
 }
 
 Moment Edge::endOfWeights(const std::string& model, const std::string& weights, Span span) const {
