Simulator: checks that no order begins on weights past their end, whatever is named later

Cause: the check of late weights looked only at the newest naming, so each naming set its clock anew, the same fault as the product's. Change: VersionCheck keeps every naming as agreed in the log and when it was acknowledged. The new invariant old-weights-began breaks when an order begins to compute at a worker, or says its first piece, more than 20 s after the first newer naming was acknowledged; there is no slack. weights-late now counts an order's 25 s from that moment too, is checked for workers 25 s after every naming (until now: unless another followed), and also wants one worker ready for that version or a newer one. Workers can be told to load slowly (loadMs) and to let orders wait (queueMs); a fleet can pace its roll-outs (rolloutSpan, rolloutParts). An acknowledgement whose entry no core holds any more takes its index from what was applied, where it had been 0 and was not checked. Ruled out: counting an order as begun when it arrives, which says less than the first piece; a wish that no idle worker holds old weights 25 s after a naming that another followed: a worker that serves nobody breaks no promise, and seven namings each 3 s with loads of 5 s leave no time.

--- a/src/sim/actor.hpp
+++ b/src/sim/actor.hpp
@@ -6,6 +6,8 @@
 inline const Moment dayStart = Moment(std::chrono::hours(100));
 inline int numberOf(const std::string& name) { return std::atoi(name.substr(name.rfind('-') + 1).c_str()); }
 inline bool starts(const std::string& text, const char* start) { return text.rfind(start, 0) == 0; }
+/// The caller's order that an order sent to a worker belongs to.
+inline std::string baseOrder(const std::string& sendId) { return sendId.substr(0, sendId.rfind('.')); }
 
 /// One process in the sim, with its machine's clock and disk.
 struct World::Actor {
--- /dev/null
+++ b/src/sim/random_scenario.cpp
@@ -0,0 +1,288 @@
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "scenario.hpp"
+
+namespace tt {
+namespace {
+/// Operators' clients for a scenario of random faults; now and then they make hundreds of changes.
+std::string randomOperators(std::uint64_t seed) {
+  std::mt19937_64 randomSource(seed * 104729 + 7);
+  auto roll = [&](std::uint64_t below) { return randomSource() % below; };
+  bool many = roll(6) == 0;
+  std::ostringstream out;
+  out << "operators " << 1 + roll(8) << " " << (many ? 150 + roll(200) : 10 + roll(40)) << " lose " << roll(30)
+      << " pause " << (many ? 40 + roll(200) : 100 + roll(1200));
+  if (roll(3) == 0) out << " same-number";
+  return out.str();
+}
+}  // namespace
+
+std::string randomScenario(std::uint64_t seed) {
+  std::mt19937_64 randomSource(seed * 7919 + 13);
+  auto roll = [&](std::uint64_t below) { return randomSource() % below; };
+  auto pick = [&](std::initializer_list<const char*> words) {
+    return std::string(*(words.begin() + roll(words.size())));
+  };
+  std::ostringstream out;
+  bool whole = seed % 8 == 0;
+  std::uint64_t edges = whole ? 9 : 3, workers = whole ? 18 : 5, tenants = whole ? 8 : 4;
+  out << "fleet edges " << edges << " workers " << workers << " tenants " << tenants
+      << (whole ? " plan 5 swap 14 reminder 26" : " plan 2 swap 5 reminder 8")
+      << (roll(5) == 0 ? " tokenMs 200 slots 16" : "") << "\nseed " << seed << "\n";
+  if (roll(2)) out << "at 4 habits " << roll(40) << " " << roll(25) << " " << roll(25) << "\n";
+  auto core = [&] { return "core-" + std::to_string(1 + roll(4)); };
+  auto edge = [&] { return std::to_string(1 + roll(edges)); };
+  auto worker = [&] { return "worker-" + std::to_string(1 + roll(workers)); };
+  out << "at 5.5 " << randomOperators(seed) << "\n";
+  std::set<std::uint64_t> revoked;
+  int faults = 3 + static_cast<int>(roll(6));
+  int weights = 2;
+  double clock = 6;
+  std::string downCore;
+  for (int number = 0; number < faults; ++number) {
+    clock += static_cast<double>(roll(300)) / 100;
+    double end = clock + 0.3 + static_cast<double>(roll(500)) / 100;
+    auto at = [&](double when) -> std::ostringstream& {
+      out << "at " << when << " ";
+      return out;
+    };
+    switch (roll(43)) {
+      case 20: {
+        std::string name = core();
+        at(clock) << "kill " << name << "\n";
+        at(clock + 0.1) << pick({"wipe ", "corrupt "}) << name << "\n";
+        at(end) << "start " << name << "\n";
+        clock = end + 9;
+        break;
+      }
+      case 21: {
+        std::string name = core();
+        at(clock) << "fill " << name << "\n";
+        at(end) << "unfill " << name << "\n";
+        at(end) << "start cores\n";
+        break;
+      }
+      case 22:
+        at(clock) << "storm " << 50 + roll(300) << " s" << number << "x\n";
+        break;
+      case 23:
+        at(clock) << "load " << 2 + roll(8) << "\n";
+        at(end) << "load 1\n";
+        break;
+      case 24:
+        at(clock) << "hangups " << 20 + roll(40) << "\n";
+        break;
+      case 25:
+        at(clock) << "lose cores agents " << 5 + roll(30) << "\n";
+        at(clock) << "lose agents cores " << 5 + roll(30) << "\n";
+        at(end) << "heal\n";
+        break;
+      case 0: {
+        std::string name = roll(2) ? core() : pick({"@accord", "@cell/ghent-1", "@cell/bruges-1"});
+        at(clock) << "kill " << name << "\n";
+        at(end) << "start cores\n";
+        break;
+      }
+      case 1: {
+        at(clock) << "kill cores\n";
+        at(end) << "start cores\n";
+        break;
+      }
+      case 2:
+        at(clock) << "freeze " << (roll(2) ? core() : std::string("@accord")) << " " << end - clock << "\n";
+        break;
+      case 3:
+        at(clock) << "freeze-at-sending " << pick({"@cell/ghent-1", "@cell/ghent-2", "@cell/antwerp-1"}) << " "
+                  << end - clock << "\n";
+        break;
+      case 4:
+        at(clock) << "cut-off " << core() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 5:
+        at(clock) << "cut core-1,core-2 core-3,core-4\n";
+        at(end) << "heal\n";
+        break;
+      case 6:
+        at(clock) << "cut-one " << core() << " " << core() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 7:
+        at(clock) << "cut-off edge-" << edge() << "\n";
+        at(end) << "heal\n";
+        break;
+      case 8:
+        at(clock) << "kill edge-" << edge() << "\n";
+        at(end) << "start agents proxies\n";
+        break;
+      case 9: {
+        std::string name = edge();
+        at(clock) << "freeze " << pick({"agent-", "proxy-", "edge-"}) << name << " " << end - clock << "\n";
+        break;
+      }
+      case 10:
+        at(clock) << "kill " << worker() << "\n";
+        at(end) << "start workers\n";
+        break;
+      case 11:
+        at(clock) << "freeze " << worker() << " " << end - clock << "\n";
+        break;
+      case 12:
+        at(clock) << "kill store\n";
+        at(end) << "start store\n";
+        break;
+      case 13:
+        at(clock) << "name w" << weights << "\n";
+        weights = weights == 3 ? 1 : weights + 1;
+        break;
+      case 14: {
+        std::uint64_t tenant = 1 + roll(tenants);
+        if (!revoked.insert(tenant).second) break;
+        at(clock) << "revoke tenant-" << tenant << "\n";
+        if (roll(3) == 0) at(clock + 10) << "restore tenant-" << tenant << "\n";
+        break;
+      }
+      case 26:
+        at(clock) << "kill platform\n";
+        at(end) << "start platform\n";
+        break;
+      case 27: {
+        std::string name = worker();
+        at(clock) << "kill platform\n";
+        at(clock + 0.1) << "mark " << name << "\n";
+        at(end) << "start platform\n";
+        at(end + 6) << "unmark " << name << "\n";
+        break;
+      }
+      case 28:
+        at(clock) << "leap " << (roll(2) ? core() : pick({"agent-", "proxy-"}) + edge()) << " " << 1 + roll(100)
+                  << "\n";
+        break;
+      case 29: {
+        std::string name = core(), id = "lost" + std::to_string(number);
+        clock += 8;
+        at(clock - 7) << "start cores\n";
+        at(clock) << "on-ack " << id << (roll(2) ? " kill cores\n" : " kill " + name + "\n");
+        at(clock) << "change-id " << id << " {\"routes\":{\"" << id << "\":{\"model\":\"rooster-llm\"}}}\n";
+        at(clock + 2) << "wipe " << name << "\n";
+        at(clock + 2.2) << "start cores\n";
+        clock += 11;
+        break;
+      }
+      case 30: {
+        std::string name = core();
+        clock += 8;
+        at(clock - 7) << "start cores\n";
+        end = clock + 0.3 + static_cast<double>(roll(500)) / 100;
+        at(clock) << "kill " << name << "\n";
+        if (roll(2)) at(clock + 0.1) << "wipe " << name << "\n";
+        at(clock + 0.1) << "move " << name << "\n";
+        at(end) << "start " << name << "\n";
+        clock = end + 9;
+        break;
+      }
+      case 31: {
+        std::string name = worker();
+        at(clock) << "remove " << name << "\n";
+        at(end + 4) << "list " << name << "\n";
+        break;
+      }
+      case 32:
+        at(clock) << "crash-at " << pick({"start", "middle", "end"}) << " " << 1 + roll(4) << "\n";
+        at(end) << "start workers\n";
+        break;
+      case 33:
+        at(clock) << "freeze-at-sending proxy-" << edge() << " " << end - clock << "\n";
+        break;
+      case 34:
+        at(clock) << "slow-disk cores " << 20 + roll(200) << "\n";
+        at(end) << "slow-disk cores 2\n";
+        break;
+      case 35:
+        at(clock) << "cut proxy-" << edge() << " workers\n";
+        at(end) << "heal\n";
+        break;
+      case 36: {
+        std::string name = edge();
+        at(clock) << "cut-one " << (roll(2) ? "agent-" + name + " cores\n" : "cores agent-" + name + "\n");
+        at(end) << "heal\n";
+        break;
+      }
+      case 37: {
+        std::string name = core();
+        at(clock) << "cut " << name << " platform\n";
+        at(clock + 0.1) << "mark " << worker() << "\n";
+        at(end) << "heal\n";
+        at(end + 4) << "unmark workers\n";
+        break;
+      }
+      case 38:
+        at(clock) << pick({"cut-off ", "cut-in ", "cut-out "}) << (roll(2) ? core() : std::string("@accord")) << "\n";
+        clock += 20;
+        at(clock) << "heal\n";
+        break;
+      case 39:
+        at(clock) << "on-next-ack kill " << pick({"cores", "@accord", "core-1,core-2"}) << "\n";
+        at(end + 2) << "on-next-ack\n";
+        at(end + 2) << "start cores\n";
+        clock = end + 2;
+        break;
+      case 40:
+        at(clock) << "change {\"routes\":{\"sent" << number << "\":{\"model\":\"rooster-llm\"}}}\n";
+        at(clock + 0.005 + static_cast<double>(roll(395)) / 1000) << "kill cores\n";
+        at(end + 0.5) << "start cores\n";
+        clock = end + 0.5;
+        break;
+      case 41:
+        at(clock) << "freeze " << (roll(2) ? core() : std::string("@accord")) << " " << 1 + roll(19) << "\n";
+        break;
+      case 42:
+        at(clock) << "operators 8 16 lose 50 pause 30\n";
+        break;
+      case 15: {
+        std::string name = worker();
+        at(clock) << "mark " << name << "\n";
+        at(end + 6) << "unmark " << name << "\n";
+        break;
+      }
+      case 16:
+        at(clock) << "stall " << core() << "\n";
+        at(end) << "unstall cores\n";
+        break;
+      case 17: {
+        at(clock) << "fault " << worker() << " " << pick({"loseEvents 30", "forgetEvents 30", "lagMs 800", "linkMs 30"})
+                  << "\n";
+        at(end) << "fault workers loseEvents 0\n";
+        at(end) << "fault workers forgetEvents 0\n";
+        break;
+      }
+      case 18:
+        at(clock) << "cut-off locality:" << pick({"ghent-1", "ghent-2", "antwerp-1", "bruges-1"}) << "\n";
+        at(end) << "heal\n";
+        break;
+      case 19:
+        for (int row = 0; row < 3; ++row)
+          at(clock) << "change {\"routes\":{\"n" << number << row << "\":{\"model\":\"rooster-llm\"}}}\n";
+        at(clock) << "lose cores cores 10\n";
+        at(end) << "heal\n";
+        break;
+    }
+  }
+  double calm = std::max(24.0, clock + 7);
+  out << "until " << calm + 32 << "\n";
+  out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm
+      << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm
+      << " unmark workers\nat " << calm << " slow-disk cores 2\nat " << calm << " crash-at start 0\nat " << calm
+      << " crash-at middle 0\nat " << calm << " crash-at end 0\nat " << calm << " unstall cores\n";
+  out << "at " << calm << " hangups 0\n";
+  out << "at " << calm + 13 << " change {\"routes\":{\"last\":{\"model\":\"rooster-llm\"}}}\n";
+  out << "at " << calm + 25 << " check holders accord = 1\nat " << calm + 25 << " check voters = 4\nat " << calm + 25
+      << " check index-wrong <= 400\n";
+  out << "expect unended <= 0\nexpect count verdict_done >= 50\n";
+  out << "expect served >= 0.97 from " << calm + 12 << " to " << calm + 24 << "\n";
+  return out.str();
+}
+
+}  // namespace tt
--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -4,7 +4,6 @@
 
 namespace tt {
 namespace {
-std::string baseOrder(const std::string& sendId) { return sendId.substr(0, sendId.rfind('.')); }
 std::string longText(const std::string& seed, std::size_t bytes) {
   std::string text;
   for (std::uint64_t at = 0; text.size() < bytes; ++at)
@@ -16,9 +15,9 @@
 
 const std::vector<std::string>& invariantNames() {
   static const std::vector<std::string> names{
-      "runs-twice",       "not-run-but-ran", "stitched",    "other-weights",   "other-tenant", "fetch-beyond",
-      "lookup-late",      "change-ignored",  "change-back", "revoked-works",   "leaving-used", "weights-late",
-      "too-many-retries", "acked-lost",      "two-holders", "operator-history"};
+      "runs-twice",        "not-run-but-ran",  "stitched",    "other-weights", "other-tenant",    "fetch-beyond",
+      "lookup-late",       "change-ignored",   "change-back", "revoked-works", "leaving-used",    "weights-late",
+      "old-weights-began", "too-many-retries", "acked-lost",  "two-holders",   "operator-history"};
   return names;
 }
 
@@ -157,6 +156,8 @@
     settings.locality = actor.locality;
     settings.platformAddress = addressOf("platform");
     settings.localities = shape.localities;
+    settings.cell.rolloutSpan = shape.rolloutSpan;
+    settings.cell.rolloutParts = shape.rolloutParts;
     settings.recordRoom = actor.ring->room() / 2;
     settings.defences = defences;
     for (int number = 1; number <= shape.cores; ++number) {
@@ -691,9 +692,9 @@
         violate("runs-twice", order.intent + " ran again as " + orderId + " at " + name);
       if (order.ended && order.verdict == "not run") violate("not-run-but-ran", orderId + " ran later at " + name);
     }
-    if (!weightsNamed.empty() && starts(name, "worker-") && clock > weightsNamed.back().second + 25s &&
-        keeper(name)->weights() != weightsNamed.back().first)
-      violate("weights-late", orderId + " ran under " + keeper(name)->weights() + " at " + name);
+    watchRun(name, orderId);
+  } else if (event.kind == "order began" || event.kind == "first piece") {
+    watchBegin(name, event);
   } else if (event.kind == "order sent") {
     auto space = event.subject.find(' ');
     auto leaving = leavingAt.find(event.subject.substr(space + 1));
@@ -791,6 +792,7 @@
     if (!fresh && (known.term != entry.term || known.body != entry.body || known.changeId != entry.changeId))
       violate("acked-lost",
               "entry " + std::to_string(index) + " is another at " + name + " than it was at " + row->second.who);
+    if (fresh) watchNaming(entry);
     if (fresh && !entry.changeId.empty()) {
       auto [first, alone] = canonByChange.try_emplace(entry.changeId, index);
       if (!alone)
@@ -867,12 +869,6 @@
   ack.reachedAll = clock;
 }
 
-void World::nameWeights(const std::string& weights) {
-  change(R"({"models":{"rooster-llm":{"weights":")" + weights + "\"}}}", false,
-         "weights " + weights + "/" + std::to_string(++changeCount), -1,
-         1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
-}
-
 void World::revoke(const std::string& tenant) {
   change("{\"keys\":{\"" + tenant + "-key\":null}}", false, "revoke " + tenant, -1,
          1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -7,6 +7,7 @@
 #include "operators.hpp"
 #include "ring.hpp"
 #include "standin.hpp"
+#include "version_check.hpp"
 
 namespace tt {
 
@@ -35,6 +36,10 @@
   bool fetching{true};
   int slots{8};
   double tokenMs{20};
+  /// Over how long a cell starts its workers on other weights, one after the other.
+  Span rolloutSpan{0};
+  /// How many of a cell's workers may be on their way to other weights at once: one in so many.
+  int rolloutParts{3};
 };
 
 /// One line that must never come true, broken.
@@ -189,8 +194,8 @@
   std::map<std::string, std::pair<std::uint64_t, std::string>> commandBy;
   std::map<std::string, std::int64_t> moveSizes;
   std::map<std::string, bool> isolated;
-  std::vector<std::pair<std::string, Moment>> weightsNamed;
-  std::uint64_t orderCount{0}, askCount{0}, changeCount{0}, lastNamedIndex{0};
+  VersionCheck versions;
+  std::uint64_t orderCount{0}, askCount{0}, changeCount{0};
   double loadScale{1};
   int hangUpShare{0};
   std::string modelName{"rooster-llm"};
@@ -243,6 +248,11 @@
   void watchRetries(const std::string& proxy);
   void checkConfigurations();
   void watch(const std::string& name, const Event& event);
+  void watchNaming(const Entry& entry);
+  void weightsAcknowledged(const AckRow& ack);
+  void checkWorkersWeights(const std::string& named);
+  void watchBegin(const std::string& worker, const Event& event);
+  void watchRun(const std::string& worker, const std::string& orderId);
   void violate(const std::string& invariant, const std::string& text);
   std::string addressOf(const std::string& name) const;
   std::string localityOf(const std::string& name) const;
--- a/src/sim/sim_operators.cpp
+++ b/src/sim/sim_operators.cpp
@@ -114,6 +114,8 @@
     if (auto* node = core(name))
       for (const auto& entry : node->agreement().entries())
         if (entry.changeId == ack.changeId) ack.index = entry.index;
+  if (auto applied = canonByChange.find(ack.changeId); ack.index == 0 && applied != canonByChange.end())
+    ack.index = applied->second;
   if (auto action = ackActions.find(ack.changeId); action != ackActions.end()) {
     later(Span(0), std::move(action->second));
     ackActions.erase(action);
@@ -124,22 +126,7 @@
   }
   if (starts(ack.changeId, "revoke ") && !restored.count(ack.changeId.substr(7)))
     revokedAt[ack.changeId.substr(7)] = clock;
-  if (starts(ack.changeId, "weights ") && ack.index > lastNamedIndex) {
-    lastNamedIndex = ack.index;
-    std::string weights = ack.changeId.substr(8, ack.changeId.rfind('/') - 8);
-    weightsNamed.emplace_back(weights, clock);
-    later(25s, [this, weights, index = ack.index] {
-      if (lastNamedIndex != index) return;
-      for (const auto& [name, actor] : actors) {
-        if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) || clock < actor->frozenUntil + 10s ||
-            clock < actor->startedAt + 10s)
-          continue;
-        auto* worker = keeper(name);
-        if (worker->faults.loadFails || worker->faults.silentReports) continue;
-        if (worker->weights() != weights) violate("weights-late", name + " holds " + worker->weights());
-      }
-    });
-  }
+  weightsAcknowledged(ack);
   watchReach(at);
 }
 
--- a/src/sim/standin.cpp
+++ b/src/sim/standin.cpp
@@ -116,18 +116,22 @@
     effects.note("ran for", ask.orderId + " " + worded(currentWeights) + " " + worded(ask.tenant) + " " + mark);
   }
   auto& placed = running[ask.orderId] = std::move(run);
-  if (!ask.sourceAddress.empty()) {
-    Hashes wanted;
-    for (const auto& hash : ask.hashes)
-      if (!kept.count(hash)) wanted.push_back(hash);
-    if (!wanted.empty()) {
-      placed.phase = Run::Phase::pulling;
-      placed.due = effects.now + pullWait;
-      effects.send(ask.sourceAddress, PullAsk{ask.orderId, wanted});
-      return;
-    }
+  if (faults.queueMs > 0) {
+    placed.phase = Run::Phase::queued;
+    placed.due = effects.now + std::chrono::milliseconds(faults.queueMs);
+    return;
   }
-  begin(effects, placed);
+  leaveQueue(effects, placed);
+}
+
+void KeeperNode::leaveQueue(Effects& effects, Run& run) {
+  Hashes wanted;
+  for (const auto& hash : run.ask.hashes)
+    if (!kept.count(hash)) wanted.push_back(hash);
+  if (run.ask.sourceAddress.empty() || wanted.empty()) return begin(effects, run);
+  run.phase = Run::Phase::pulling;
+  run.due = effects.now + pullWait;
+  effects.send(run.ask.sourceAddress, PullAsk{run.ask.orderId, wanted});
 }
 
 void KeeperNode::begin(Effects& effects, Run& run) {
@@ -213,7 +217,7 @@
         for (const auto& [orderId, run] : running) open.push_back(orderId);
         for (const auto& orderId : open) end(effects, orderId, Outcome::broken, Code::workerDraining, "cut by load");
         loadingWeights = ask.weights;
-        loadDue = effects.now + std::chrono::milliseconds(given.loadMs);
+        loadDue = effects.now + std::chrono::milliseconds(faults.loadMs > 0 ? faults.loadMs : given.loadMs);
       }
     }
   } else if (ask.action == "admit") {
@@ -236,8 +240,14 @@
     auto found = running.find(orderId);
     if (found == running.end()) continue;
     auto& run = found->second;
+    if (run.phase == Run::Phase::computing && !run.began) {
+      run.began = true;
+      if (!run.ask.moves) effects.note("order began", run.ask.orderId + " " + currentWeights);
+    }
     if (effects.now < run.due) continue;
-    if (run.phase == Run::Phase::pulling) {
+    if (run.phase == Run::Phase::queued) {
+      leaveQueue(effects, run);
+    } else if (run.phase == Run::Phase::pulling) {
       begin(effects, run);
     } else if (run.phase == Run::Phase::waiting) {
       keep(effects, run.pulled, run.origins);
@@ -254,7 +264,7 @@
     }
     if (run.phase == Run::Phase::talking) {
       while (run.said < run.ask.maxTokens && effects.now >= run.due) {
-        ++run.said;
+        if (++run.said == 1) effects.note("first piece", run.ask.orderId + " " + currentWeights);
         if (auto* record = recordOf(run)) record->tokens = run.said;
         effects.send(run.from, WorkerChunk{orderId, given.name + ":" + std::to_string(run.said) + " "});
         run.due += spanOf(given.tokenMs);
--- a/src/sim/standin.hpp
+++ b/src/sim/standin.hpp
@@ -28,6 +28,10 @@
   bool anyWeights{false};
   bool silentReports{false};
   double linkMs{0};
+  /// How long loading weights takes; 0 leaves it as set.
+  int loadMs{0};
+  /// How long an order waits at the worker before it begins.
+  int queueMs{0};
 };
 
 /// One order as a stand-in ran it, kept so that tests can prove what ran how often.
@@ -68,11 +72,13 @@
     WorkerOrder ask;
     std::string from;
     std::size_t record;
-    enum class Phase { pulling, waiting, computing, talking } phase{Phase::computing};
+    enum class Phase { queued, pulling, waiting, computing, talking } phase{Phase::computing};
     Moment due{};
     Hashes pulled;
     Strings origins;
     int said{0};
+    /// Whether the worker has begun to compute.
+    bool began{false};
   };
   KeeperSettings given;
   std::string incarnation, currentWeights, loadingWeights, loadingModel;
@@ -94,6 +100,8 @@
   void tell(Effects& effects, KeptKind kind, const Hashes& hashes);
   void keep(Effects& effects, const Hashes& hashes, const Strings& origins);
   void drop(Effects& effects, const Hashes& hashes);
+  /// Fetches what a move brings, or begins at once.
+  void leaveQueue(Effects& effects, Run& run);
   void begin(Effects& effects, Run& run);
   void end(Effects& effects, const std::string& orderId, Outcome outcome, Code code, const char* word);
   void onOrder(Effects& effects, const std::string& from, const WorkerOrder& ask);
--- /dev/null
+++ b/src/sim/version_check.hpp
@@ -0,0 +1,31 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+
+#include "effects.hpp"
+
+namespace tt {
+
+/// Which versions of each model's weights were named and when that was acknowledged, to tell whether work that begins
+/// now may still run under a given version.
+///
+/// The clock of a version starts when the first naming newer than it is acknowledged; later namings leave that clock
+/// as it is. Naming a version again makes it the newest. A version that was never named is older than every other.
+class VersionCheck {
+ public:
+  /// Notes that the log entry at this index names these weights for the model. Entries may be noted in any order.
+  void agreed(const std::string& model, std::uint64_t index, const std::string& weights);
+  /// Notes that the entry at this index was acknowledged to an operator; only the first acknowledgement counts.
+  void acknowledged(std::uint64_t index, Moment at);
+  /// When the first naming newer than these weights was acknowledged; nothing if none was.
+  std::optional<Moment> supersededAt(const std::string& model, const std::string& weights) const;
+  /// How long ago, as of `now`, these weights were superseded by an acknowledged naming; nothing if they were not.
+  std::optional<Span> supersededFor(const std::string& model, const std::string& weights, Moment now) const;
+
+ private:
+  std::map<std::string, std::map<std::uint64_t, std::string>> namingsByModel;
+  std::map<std::uint64_t, Moment> acknowledgedAt;
+};
+
+}  // namespace tt
