--- a/src/tools/main_fuzz.cpp
+++ b/src/tools/main_fuzz.cpp
@@ -43,21 +43,25 @@
             << std::endl;
   return true;
 }
-}  // namespace
+/// What is played, as the flags say.
+struct FuzzOptions {
+  std::string target{"all"};
+  std::uint64_t seed{1}, rounds{0}, first{0};
+  bool tells{false}, lists{false};
 
-int main(int count, char** words) {
-  CLI::App app("Gives every parser bent inputs and checks that it keeps its properties", "trouttally-fuzz");
-  std::string name = "all";
-  std::uint64_t seed = 1, rounds = 0, first = 0;
-  bool tells = false, lists = false;
-  app.add_option("--target", name, "one target, or all");
-  app.add_option("--seed", seed, "the same seed makes the same inputs");
-  app.add_option("--rounds", rounds, "rounds for each target instead of its own number");
-  app.add_option("--first", first, "the first round");
-  app.add_flag("--tell", tells, "print each round before it is played");
-  app.add_flag("--list", lists, "print the targets and end");
-  app.set_version_flag("--version", std::string("trouttally-fuzz ") + TROUTTALLY_VERSION);
-  CLI11_PARSE(app, count, words);
+  bool wants(const FuzzTarget& row) const { return target == "all" || target == row.name; }
+};
+
+void addOptions(CLI::App& app, FuzzOptions& options) {
+  app.add_option("--target", options.target, "one target, or all");
+  app.add_option("--seed", options.seed, "the same seed makes the same inputs");
+  app.add_option("--rounds", options.rounds, "rounds for each target instead of its own number");
+  app.add_option("--first", options.first, "the first round");
+  app.add_flag("--tell", options.tells, "print each round before it is played");
+  app.add_flag("--list", options.lists, "print the targets and end");
+}
+
+FuzzTargets allTargets() {
   FuzzTargets targets;
   addClientTargets(targets);
   addConfigurationTargets(targets);
@@ -67,16 +71,33 @@
 #ifdef TT_PLATFORM
   addWireTargets(targets);
 #endif
+  return targets;
+}
+
+/// Lists or plays the targets that are asked for; the program's exit code.
+int run(const FuzzOptions& options) {
   bool sound = true, found = false;
-  for (const auto& target : targets) {
-    if (lists) std::cout << target.name << " " << target.rounds << "\n";
-    if (name != "all" && name != target.name) continue;
+  for (const auto& target : allTargets()) {
+    if (options.lists) std::cout << target.name << " " << target.rounds << "\n";
+    if (!options.wants(target)) continue;
     found = true;
-    if (!lists) sound = play(target, seed, first, rounds ? rounds : target.rounds, tells) && sound;
+    if (options.lists) continue;
+    std::uint64_t rounds = options.rounds ? options.rounds : target.rounds;
+    sound = play(target, options.seed, options.first, rounds, options.tells) && sound;
   }
   if (!found) {
-    std::cerr << "no such target: " << name << "\n";
+    std::cerr << "no such target: " << options.target << "\n";
     return 2;
   }
   return sound ? 0 : 1;
 }
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app("Gives every parser bent inputs and checks that it keeps its properties", "trouttally-fuzz");
+  app.set_version_flag("--version", std::string("trouttally-fuzz ") + TROUTTALLY_VERSION);
+  FuzzOptions options;
+  addOptions(app, options);
+  CLI11_PARSE(app, count, words);
+  return run(options);
+}
--- a/src/tools/main_model.cpp
+++ b/src/tools/main_model.cpp
@@ -84,75 +84,127 @@
   return ran == 0 ? 2 : wrong > 0 ? 1 : 0;
 }
 
-}  // namespace
-
-int main(int count, char** words) {
-  CLI::App app("Searches the orders of events of the real agreement for one that breaks a rule", "trouttally-model");
-  app.set_version_flag("--version", std::string("trouttally-model ") + TROUTTALLY_VERSION);
+/// What the program is asked to do, as its flags say.
+struct ModelOptions {
   Setup setup;
   WalkLimits walks;
   BreadthLimits breadth;
-  breadth.states = 0;
-  bool fixed = false, controls = false;
-  std::string file, keepFolder, only, opening;
+  bool fixed{false}, controls{false};
+  std::string replayFile, keepFolder, only, openingFile;
   std::vector<std::string> without, known;
-  double seconds = 0;
-  int catchUpMs = 4000, memberGoneMs = 6000;
-  app.add_option("--replay", file, "play a kept run and say each event");
-  app.add_option("--keep", keepFolder, "keep the shortened run of each violation in this folder");
-  app.add_option("--without", without, "take this defence out");
-  app.add_option("--known", known, "by hand: pass over the breaking of this rule");
-  app.add_option("--voters", setup.voters, "replicas that form the fleet");
-  app.add_option("--spares", setup.spares, "empty replicas that may join");
-  app.add_option("--changes", setup.changes, "changes that clients send");
+  double seconds{0};
+  int catchUpMs{4000}, memberGoneMs{6000};
+
+  ModelOptions() { breadth.states = 0; }
+};
+
+/// A flag that takes a whole number.
+struct CountFlag {
+  const char* name;
+  int& value;
+  const char* text;
+};
+
+void addCountFlags(CLI::App& app, std::initializer_list<CountFlag> flags) {
+  for (const auto& flag : flags) app.add_option(flag.name, flag.value, flag.text);
+}
+
+void addModeFlags(CLI::App& app, ModelOptions& options) {
+  app.add_option("--replay", options.replayFile, "play a kept run and say each event");
+  app.add_option("--keep", options.keepFolder, "keep the shortened run of each violation in this folder");
+  app.add_flag("--fixed", options.fixed, "run the fixed sets: no rule may be broken");
+  app.add_flag("--controls", options.controls, "run the control sets: each must find a broken rule");
+  app.add_option("--set", options.only, "of these run only those whose names begin so");
+}
+
+void addSetupFlags(CLI::App& app, ModelOptions& options) {
+  auto& setup = options.setup;
+  app.add_option("--without", options.without, "take this defence out");
+  app.add_option("--known", options.known, "by hand: pass over the breaking of this rule");
   app.add_option("--room", setup.room, "bytes of records that a replica may hold");
-  app.add_option("--fault-budget", setup.faultBudget, "disks that may be lost at once");
-  app.add_option("--catch-up-ms", catchUpMs, "how long a new disk counts as lost");
-  app.add_option("--member-gone-ms", memberGoneMs, "silence after which a voter is taken out");
   app.add_option("--open-syncs", setup.openSyncs, "whether a start syncs what it finds written");
+  app.add_option("--network-room", setup.networkRoom, "messages under way at most");
+  addCountFlags(app, {{"--voters", setup.voters, "replicas that form the fleet"},
+                      {"--spares", setup.spares, "empty replicas that may join"},
+                      {"--changes", setup.changes, "changes that clients send"},
+                      {"--fault-budget", setup.faultBudget, "disks that may be lost at once"},
+                      {"--catch-up-ms", options.catchUpMs, "how long a new disk counts as lost"},
+                      {"--member-gone-ms", options.memberGoneMs, "silence after which a voter is taken out"}});
+}
+
+void addWalkFlags(CLI::App& app, ModelOptions& options) {
+  auto& walks = options.walks;
   app.add_option("--walks", walks.walks, "seeded walks");
   app.add_option("--first-seed", walks.firstSeed, "seed of the first walk");
   app.add_option("--events", walks.events, "events of a walk");
   app.add_option("--threads", walks.threads, "walks at a time");
   app.add_option("--most-found", walks.mostFound, "end after so many violations");
-  app.add_option("--seconds", seconds, "by hand: end after so long");
-  app.add_flag("--fixed", fixed, "run the fixed sets: no rule may be broken");
-  app.add_flag("--controls", controls, "run the control sets: each must find a broken rule");
-  app.add_option("--set", only, "of these run only those whose names begin so");
+  app.add_option("--seconds", options.seconds, "by hand: end after so long");
+}
+
+void addBreadthFlags(CLI::App& app, ModelOptions& options) {
+  auto& breadth = options.breadth;
   app.add_option("--states", breadth.states, "search breadth-first for so many states");
-  app.add_option("--depth", breadth.depth, "events that a breadth-first run may hold");
-  app.add_option("--crashes", breadth.crashes, "crashes that a breadth-first run may hold");
-  app.add_option("--drops", breadth.drops, "lost messages that a breadth-first run may hold");
-  app.add_option("--duplicates", breadth.duplicates, "doubled messages that a breadth-first run may hold");
-  app.add_option("--wipes", breadth.wipes, "lost disks that a breadth-first run may hold");
-  app.add_option("--waits", breadth.waits, "waits that a breadth-first run may hold");
-  app.add_option("--sends", breadth.changes, "changes that a breadth-first run sends, resends included");
-  app.add_option("--network-room", setup.networkRoom, "messages under way at most");
-  app.add_option("--opening", opening, "a file of events that lead to where the breadth-first search starts");
-  CLI11_PARSE(app, count, words);
-  if (!file.empty()) return replayFile(file);
-  if (fixed) return runSets(soundSets(), false, only, walks.threads, known, keepFolder);
-  if (controls) return runSets(controlSets(), true, only, walks.threads, known, keepFolder);
-  setup.catchUp = std::chrono::milliseconds(catchUpMs);
-  setup.memberGone = std::chrono::milliseconds(memberGoneMs);
+  app.add_option("--opening", options.openingFile,
+                 "a file of events that lead to where the breadth-first search starts");
+  addCountFlags(app, {{"--depth", breadth.depth, "events that a breadth-first run may hold"},
+                      {"--crashes", breadth.crashes, "crashes that a breadth-first run may hold"},
+                      {"--drops", breadth.drops, "lost messages that a breadth-first run may hold"},
+                      {"--duplicates", breadth.duplicates, "doubled messages that a breadth-first run may hold"},
+                      {"--wipes", breadth.wipes, "lost disks that a breadth-first run may hold"},
+                      {"--waits", breadth.waits, "waits that a breadth-first run may hold"},
+                      {"--sends", breadth.changes, "changes that a breadth-first run sends, resends included"}});
+}
+
+/// Brings the flags into the setup and the limits; whether they hold together.
+bool completeOptions(ModelOptions& options) {
+  auto& setup = options.setup;
+  setup.catchUp = std::chrono::milliseconds(options.catchUpMs);
+  setup.memberGone = std::chrono::milliseconds(options.memberGoneMs);
   setup.votersLeast = static_cast<std::size_t>(2 * setup.faultBudget + 1);
-  setup.known = std::set<std::string>(known.begin(), known.end());
-  setup.without = std::set<std::string>(without.begin(), without.end());
+  setup.known = std::set<std::string>(options.known.begin(), options.known.end());
+  setup.without = std::set<std::string>(options.without.begin(), options.without.end());
   if (auto checked = Setup::parse(setup.text()); !checked) {
     std::cerr << checked.error().subject << ": " << checked.error().text << "\n";
-    return 2;
-  }
-  walks.longest = std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
-  breadth.longest = walks.longest;
-  if (!opening.empty()) {
-    auto read = readRun(opening);
-    if (!read) return 2;
-    breadth.opening = read->choices;
+    return false;
   }
-  std::string name = breadth.states > 0 ? "breadth" : "walks";
+  options.walks.longest = std::chrono::duration_cast<Span>(std::chrono::duration<double>(options.seconds));
+  options.breadth.longest = options.walks.longest;
+  if (options.openingFile.empty()) return true;
+  auto opening = readRun(options.openingFile);
+  if (opening) options.breadth.opening = opening->choices;
+  return opening.has_value();
+}
+
+/// Searches as the flags say, by walks or breadth-first.
+int runSearch(ModelOptions& options) {
+  if (!completeOptions(options)) return 2;
+  bool isBreadth = options.breadth.states > 0;
+  std::string name = isBreadth ? "breadth" : "walks";
   auto began = Clock::now();
-  SearchReport report = breadth.states > 0 ? searchBreadth(setup, breadth) : walk(setup, walks);
-  int code = printFound(name, report, keepFolder);
+  SearchReport report = isBreadth ? searchBreadth(options.setup, options.breadth) : walk(options.setup, options.walks);
+  int code = printFound(name, report, options.keepFolder);
   printReport(name, report, Clock::now() - began);
   return code;
 }
+
+int run(ModelOptions& options) {
+  if (!options.replayFile.empty()) return replayFile(options.replayFile);
+  if (!options.fixed && !options.controls) return runSearch(options);
+  auto sets = options.fixed ? soundSets() : controlSets();
+  return runSets(sets, !options.fixed, options.only, options.walks.threads, options.known, options.keepFolder);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app("Searches the orders of events of the real agreement for one that breaks a rule", "trouttally-model");
+  app.set_version_flag("--version", std::string("trouttally-model ") + TROUTTALLY_VERSION);
+  ModelOptions options;
+  addModeFlags(app, options);
+  addSetupFlags(app, options);
+  addWalkFlags(app, options);
+  addBreadthFlags(app, options);
+  CLI11_PARSE(app, count, words);
+  return run(options);
+}
