--- /dev/null
+++ b/src/sim/scale/event_queue.cpp
@@ -0,0 +1,26 @@
+#include "event_queue.hpp"
+
+#include <algorithm>
+
+namespace tt {
+namespace {
+bool isLater(const ScheduledEvent& one, const ScheduledEvent& other) {
+  return one.at != other.at ? one.at > other.at : one.number > other.number;
+}
+}  // namespace
+
+void EventQueue::push(ScheduledEvent event) {
+  event.number = ++count;
+  heap.push_back(std::move(event));
+  std::push_heap(heap.begin(), heap.end(), isLater);
+}
+
+std::optional<ScheduledEvent> EventQueue::popUntil(Moment until) {
+  if (heap.empty() || heap.front().at > until) return std::nullopt;
+  std::pop_heap(heap.begin(), heap.end(), isLater);
+  ScheduledEvent event = std::move(heap.back());
+  heap.pop_back();
+  return event;
+}
+
+}  // namespace tt
--- /dev/null
+++ b/src/sim/scale/fleet_trial.cpp
@@ -0,0 +1,149 @@
+#include "fleet_trial.hpp"
+
+#include <fmt/format.h>
+#include <algorithm>
+
+#include "hollow_fleet.hpp"
+
+namespace tt {
+namespace {
+
+constexpr Span formMost = 60s;
+constexpr Span settleSpan = 3s;
+constexpr Span requestWarmth = 3s;
+constexpr Span changePollEvery = 1ms;
+constexpr double secondsPerHour = 3600;
+
+/// Something that happens at a steady rate; never, where the rate is 0.
+class Recurrence {
+ public:
+  explicit Recurrence(double perSecond) : every(perSecond > 0 ? interval(perSecond) : Span::max()) {}
+  /// The first time is half an interval after the beginning.
+  void startHalfwayAfter(Moment begin) { startAt(begin + every / 2); }
+  void startAt(Moment first) {
+    if (every != Span::max()) next = first;
+  }
+  Moment nextAt() const { return next; }
+  /// Whether the next time has come; if so, the one after it is waited for.
+  bool takeDue(Moment now) {
+    if (now < next) return false;
+    next += every;
+    return true;
+  }
+
+ private:
+  const Span every;
+  Moment next{Moment::max()};
+
+  static Span interval(double perSecond) {
+    return std::chrono::duration_cast<Span>(std::chrono::duration<double>(1 / perSecond));
+  }
+};
+
+double inMs(Span span) { return std::chrono::duration<double, std::milli>(span).count(); }
+
+class FleetTrial {
+ public:
+  FleetTrial(const FleetSize& fleetSize, std::uint64_t seed) : size(fleetSize), fleet(fleetSize, seed) {}
+
+  Result<FleetCost> run() {
+    if (auto formed = formCores(); !formed) return formed.error();
+    fleet.requestChange("first", firstSections(size.tenants, size.models), Manner::sections, 1);
+    fleet.runUntil(fleet.now() + 1s);
+    fleet.requestChange("models", modelSections(size.models), Manner::items, -1);
+    fleet.startDaemons();
+    if (auto settled = waitUntilFresh(); !settled) return settled.error();
+    fleet.forgetChanges();
+    runLoad();
+    return collect();
+  }
+
+ private:
+  const FleetSize size;
+  HollowFleet fleet;
+  Recurrence changes{size.changesPerHour / secondsPerHour}, requests{size.requestsPerSecond},
+      listChanges{size.markChangesPerHour / secondsPerHour};
+  int changeCount{0}, listChangeCount{0};
+  std::int64_t voters{0}, freshAgents{0};
+  double seconds{0};
+
+  Result<void> formCores() {
+    Moment startedAt = fleet.now();
+    fleet.startCores();
+    while (fleet.countVoters() < static_cast<std::size_t>(size.cores) && fleet.now() - startedAt < formMost)
+      fleet.runUntil(fleet.now() + 200ms);
+    voters = static_cast<std::int64_t>(fleet.countVoters());
+    if (voters == size.cores) return boost::outcome_v2::success();
+    return fault(Code::notLeading, "cores", fmt::format("{} of {} cores vote", voters, size.cores));
+  }
+
+  Result<void> waitUntilFresh() {
+    Moment startedAt = fleet.now();
+    fleet.runUntil(fleet.now() + settleSpan);
+    while (fleet.countFreshDaemons() < static_cast<std::size_t>(size.daemons) && fleet.now() - startedAt < formMost)
+      fleet.runUntil(fleet.now() + 500ms);
+    freshAgents = static_cast<std::int64_t>(fleet.countFreshDaemons());
+    int first = fleet.changes().at("first").code, models = fleet.changes().at("models").code;
+    constexpr int taken = static_cast<int>(Code::changeTaken);
+    if (first != taken || models != taken)
+      return fault(Code::blueprintBad, "blueprint", fmt::format("first changes ended with {} and {}", first, models));
+    if (freshAgents == size.daemons) return boost::outcome_v2::success();
+    return fault(Code::staleEdge, "daemons", fmt::format("{} of {} are fresh", freshAgents, size.daemons));
+  }
+
+  /// Requests warm the fleet up before it is measured; changes come only while it is.
+  void runLoad() {
+    Moment begin = fleet.now() + (size.requestsPerSecond > 0 ? requestWarmth : Span(0));
+    Moment end = begin + size.measured;
+    changes.startHalfwayAfter(begin);
+    listChanges.startHalfwayAfter(begin);
+    requests.startAt(fleet.now());
+    while (fleet.now() < end) {
+      if (fleet.now() >= begin && !fleet.isMeasuring()) fleet.startMeasuring();
+      fleet.runUntil(nextStop(fleet.isMeasuring() ? end : begin));
+      causeDue();
+      if (!fleet.changes().empty()) fleet.noteAppliedChanges();
+    }
+    seconds = std::chrono::duration<double>(end - begin).count();
+    fleet.stopMeasuring();
+  }
+
+  Moment nextStop(Moment last) const {
+    Moment next = std::min({last, changes.nextAt(), requests.nextAt(), listChanges.nextAt()});
+    return fleet.changes().empty() ? next : std::min(next, fleet.now() + changePollEvery);
+  }
+
+  void causeDue() {
+    if (changes.takeDue(fleet.now())) requestNextChange();
+    if (listChanges.takeDue(fleet.now())) fleet.toggleLeaving(mixBits(static_cast<std::uint64_t>(listChangeCount++)));
+    if (requests.takeDue(fleet.now())) fleet.sendRequest();
+  }
+
+  void requestNextChange() {
+    constexpr int firstChangeRevision = 2;
+    std::string body = tenantChange(changeCount % std::max(1, size.tenants), changeCount);
+    fleet.requestChange(fmt::format("change-{}", changeCount), body, Manner::items, firstChangeRevision + changeCount);
+    ++changeCount;
+  }
+
+  Result<FleetCost> collect() {
+    FleetCost cost = fleet.collectCosts();
+    cost.seconds = seconds;
+    cost.voters = voters;
+    cost.freshAgents = freshAgents;
+    for (const auto& [changeId, change] : fleet.changes()) {
+      if (change.code > 0 && change.code != static_cast<int>(Code::changeTaken))
+        return fault(static_cast<Code>(change.code), changeId);
+      if (change.ackedAt != Moment{}) cost.ackMs.push_back(inMs(change.ackedAt - change.askedAt));
+      if (change.agentsAt != Moment{}) cost.agentsMs.push_back(inMs(change.agentsAt - change.askedAt));
+      if (change.proxiesAt != Moment{}) cost.proxiesMs.push_back(inMs(change.proxiesAt - change.askedAt));
+    }
+    return cost;
+  }
+};
+
+}  // namespace
+
+Result<FleetCost> measureFleet(const FleetSize& size, std::uint64_t seed) { return FleetTrial(size, seed).run(); }
+
+}  // namespace tt
--- /dev/null
+++ b/src/tools/counting_allocator.cpp
@@ -0,0 +1,36 @@
+#include <malloc.h>
+
+#include <cstdlib>
+#include <new>
+
+#include "resource_meters.hpp"
+
+/// The program's allocator: the C library's, with each thread's allocations counted on the account that it has open.
+
+namespace {
+constexpr std::int64_t chunkHeadBytes = 8;
+
+std::int64_t chunkBytes(void* block) { return static_cast<std::int64_t>(::malloc_usable_size(block)) + chunkHeadBytes; }
+
+void* allocate(std::size_t bytes) {
+  void* block = std::malloc(bytes ? bytes : 1);
+  if (!block) std::abort();
+  if (tt::heapAccount) *tt::heapAccount += chunkBytes(block);
+  return block;
+}
+
+void release(void* block) {
+  if (!block) return;
+  if (tt::heapAccount) *tt::heapAccount -= chunkBytes(block);
+  std::free(block);
+}
+}  // namespace
+
+void* operator new(std::size_t bytes) { return allocate(bytes); }
+void* operator new[](std::size_t bytes) { return allocate(bytes); }
+void* operator new(std::size_t bytes, const std::nothrow_t&) noexcept { return allocate(bytes); }
+void* operator new[](std::size_t bytes, const std::nothrow_t&) noexcept { return allocate(bytes); }
+void operator delete(void* block) noexcept { release(block); }
+void operator delete[](void* block) noexcept { release(block); }
+void operator delete(void* block, std::size_t) noexcept { release(block); }
+void operator delete[](void* block, std::size_t) noexcept { release(block); }
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
-#include "scale.hpp"
+#include "fleet_trial.hpp"
+#include "plot.hpp"
+#include "statistics.hpp"
+#include "trials.hpp"
 
 using namespace tt;
 
