The client side of the gate: grammar, reading, framing, connection and listener apart

Ruled out: sharing the readers of web.cpp and calls.cpp now: those take answers and operators' requests under other limits, and have their own tests. Change: http_syntax (grammar), request_reader (bytes to requests; no socket, no clock), answer_framing (heads and bodies of answers; no socket), gate_connection, gate_listener; gate.cpp keeps the listener's code and the public calls. gate.hpp is as it was. Conclusion: no change seen from outside. Requests can now be read in tests without a socket; no such test is written yet.

--- /dev/null
+++ b/src/net/gate_connection.cpp
@@ -0,0 +1,375 @@
+#include "gate_connection.hpp"
+
+#include <netinet/tcp.h>
+#include <algorithm>
+
+namespace tt {
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+constexpr std::size_t smallRead = 4096, bigRead = 64 * 1024;
+constexpr std::size_t heldBytes = 64 * 1024;
+constexpr std::size_t keptCapacity = 64 * 1024;
+constexpr Span lingerWait = 500ms, deadlineRetry = 100ms;
+constexpr int requestTimeout = 408;
+constexpr int keepIdleSeconds = 10, keepIntervalSeconds = 2, keepProbes = 3, userTimeoutMs = 2000;
+
+void tune(Tcp::socket& socket) {
+  asio::error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  int handle = socket.native_handle();
+  auto set = [handle](int option, int value) { ::setsockopt(handle, IPPROTO_TCP, option, &value, sizeof value); };
+  set(TCP_KEEPIDLE, keepIdleSeconds);
+  set(TCP_KEEPINTVL, keepIntervalSeconds);
+  set(TCP_KEEPCNT, keepProbes);
+  set(TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+}  // namespace
+
+void Gate::Connection::start() {
+  tune(socket);
+  setDeadline(Clock::now() + gate->limits.idleWait);
+  read();
+}
+
+void Gate::Connection::leave() {
+  if (phase == Phase::idle) setDeadline(std::min(deadline, Clock::now() + gate->limits.idleClose));
+}
+
+void Gate::Connection::setDeadline(Moment moment) {
+  deadline = moment;
+  if (moment != never) gate->wakeBy(moment);
+}
+
+void Gate::Connection::read() {
+  if (reading || phase == Phase::closed) return;
+  if (phase == Phase::exchange && reader.unreadBytes() >= heldBytes) return watch();
+  std::size_t room = phase == Phase::body || phase == Phase::draining ? bigRead : smallRead;
+  if (readRoom < room || (phase == Phase::idle && readRoom > room)) {
+    readSpace.reset(new char[room]);
+    readRoom = room;
+  }
+  reading = true;
+  socket.async_read_some(
+      asio::buffer(readSpace.get(), readRoom),
+      [self = shared_from_this()](asio::error_code error, std::size_t size) { self->onRead(error, size); });
+}
+
+void Gate::Connection::watch() {
+  if (watching) return;
+  watching = true;
+  socket.async_wait(Tcp::socket::wait_error, [self = shared_from_this()](asio::error_code) {
+    self->watching = false;
+    if (self->phase == Phase::closed) return;
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    ::getsockopt(self->socket.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (failure) self->onFailure();
+  });
+}
+
+void Gate::Connection::onRead(asio::error_code error, std::size_t size) {
+  reading = false;
+  gate->receivedBytes += size;
+  if (phase == Phase::closed) return;
+  if (error) return onReadEnd(error);
+  bool takesBytes = phase == Phase::idle || phase == Phase::head || phase == Phase::body || phase == Phase::exchange;
+  if (takesBytes) reader.append(readSpace.get(), size);
+  if (takesBytes && phase != Phase::exchange) return parse();
+  read();
+}
+
+void Gate::Connection::onReadEnd(asio::error_code error) {
+  sawEnd = true;
+  bool halfClosed = error == asio::error::eof;
+  bool hasMoreToWrite = phase == Phase::refusing || phase == Phase::cutting || (phase == Phase::exchange && ended);
+  if (!halfClosed || !hasMoreToWrite) onFailure();
+}
+
+void Gate::Connection::onFailure() {
+  if (phase == Phase::exchange && !ended) return callerLeft();
+  close();
+}
+
+void Gate::Connection::onDeadline() {
+  asio::error_code ignored;
+  if (phase == Phase::draining) return close();
+  if (phase != Phase::head && socket.available(ignored) > 0) return setDeadline(Clock::now() + deadlineRetry);
+  if (phase == Phase::idle) return close();
+  refuse(requestTimeout);
+}
+
+void Gate::Connection::close() {
+  if (phase == Phase::closed) return;
+  auto self = shared_from_this();
+  auto dropped = std::move(gone);
+  phase = Phase::closed;
+  deadline = never;
+  detach(false);
+  asio::error_code ignored;
+  socket.close(ignored);
+  gate->queuedBytes -= pending.size() + flying.size() - flown;
+  pending = std::string();
+  framing.takeTail();
+  gate->connections.erase(self);
+}
+
+void Gate::Connection::detach(bool left) {
+  if (exchanging) --gate->exchanges;
+  exchanging = false;
+  if (answer) std::exchange(answer, nullptr)->detach(left);
+}
+
+void Gate::Connection::callerLeft() {
+  auto self = shared_from_this();
+  auto call = std::move(gone);
+  gone = nullptr;
+  detach(true);
+  close();
+  if (call) call();
+}
+
+void Gate::Connection::parse() {
+  if (phase == Phase::idle && reader.unreadBytes() > 0) {
+    reader.begin(gate->limits);
+    phase = Phase::head;
+    setDeadline(Clock::now() + reader.limits().headerWait);
+  }
+  if (phase == Phase::head && !parseHead()) return;
+  if (phase == Phase::body && !parseBody()) return;
+  read();
+}
+
+bool Gate::Connection::parseHead() {
+  switch (reader.takeHead()) {
+    case RequestReader::Progress::none:
+      phase = Phase::idle;
+      setDeadline(restsUntil());
+      return true;
+    case RequestReader::Progress::part:
+      return true;
+    case RequestReader::Progress::whole:
+      phase = Phase::body;
+      deadline = never;
+      return true;
+    case RequestReader::Progress::refused:
+      break;
+  }
+  refuse(reader.refusal());
+  return false;
+}
+
+bool Gate::Connection::parseBody() {
+  auto progress = reader.takeBody();
+  if (progress == RequestReader::Progress::refused) {
+    refuse(reader.refusal());
+    return false;
+  }
+  if (progress == RequestReader::Progress::whole) {
+    beginExchange();
+    return false;
+  }
+  bool headJustTaken = deadline == never;
+  if (headJustTaken && reader.awaitsContinue()) {
+    enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+    flush();
+  }
+  setDeadline(Clock::now() + reader.limits().headerWait);
+  return true;
+}
+
+void Gate::Connection::refuse(int status) {
+  phase = Phase::refusing;
+  deadline = never;
+  reader.drop();
+  enqueue(refusalText(status));
+  flush();
+  read();
+}
+
+void Gate::Connection::beginExchange() {
+  phase = Phase::exchange;
+  deadline = never;
+  framing.reset();
+  ended = keeps = false;
+  exchanging = true;
+  ++gate->exchanges;
+  read();
+  auto made = std::make_shared<Answer>(shared_from_this(), gate->io);
+  answer = made.get();
+  auto owner = gate;
+  owner->handler(reader.takeRequest(), std::move(made));
+}
+
+KeepAlive Gate::Connection::promiseKeepAlive() {
+  bool hasReadMore = reader.unreadBytes() > 0;
+  keeps = reader.mayKeep() && (!gate->leaving || hasReadMore) && !framing.endsWithConnection();
+  if (!keeps) return {};
+  auto whole = std::chrono::duration_cast<std::chrono::seconds>(gate->limits.idleWait);
+  if (gate->leaving) whole = std::chrono::seconds(0);
+  promised = whole;
+  return {true, whole};
+}
+
+void Gate::Connection::head(int status, const HttpHeaders& headers, std::optional<std::size_t> length) {
+  if (phase != Phase::exchange || ended || framing.isStarted()) return;
+  framing.start(status, length, {reader.isHttp10(), reader.isHead()});
+  auto keepAlive = promiseKeepAlive();
+  if (framing.endsWithConnection()) resetOnClose(true);
+  enqueue(framing.head(headers, keepAlive));
+  postFlush();
+}
+
+void Gate::Connection::bytes(std::string_view bytes) {
+  if (phase != Phase::exchange || ended || bytes.empty() || !framing.hasBody()) return;
+  auto framed = framing.frame(bytes);
+  if (!framed) return cut();
+  for (auto part : {std::string_view(framed->before), framed->bytes, framed->after})
+    if (!part.empty()) enqueue(part);
+  postFlush();
+}
+
+void Gate::Connection::end() {
+  auto dropped = std::move(gone);
+  if (phase != Phase::exchange || ended) return;
+  if (!framing.isFilled()) return cut();
+  ended = true;
+  enqueue(framing.takeTail());
+  flush();
+  if (flying.empty()) onFlushed();
+}
+
+void Gate::Connection::cut() {
+  if (phase != Phase::exchange || ended) return;
+  auto self = shared_from_this();
+  auto dropped = std::move(gone);
+  detach(false);
+  framing.takeTail();
+  if (framing.endsWithConnection() || !framing.isStarted()) return close();
+  phase = Phase::cutting;
+  flush();
+  if (flying.empty()) close();
+}
+
+void Gate::Connection::abandon() {
+  if (phase == Phase::closed) return;
+  resetOnClose(true);
+  onFailure();
+}
+
+Moment Gate::Connection::restsUntil() const {
+  if (gate->leaving) return Clock::now() + gate->limits.idleClose;
+  return std::max(Clock::now() + gate->limits.idleWait, keptUntil);
+}
+
+/// Where the end of the connection is the end of the answer, whatever ends the connection before that, even a kill of
+/// the process, must reset it.
+void Gate::Connection::resetOnClose(bool resets) {
+  asio::error_code ignored;
+  socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
+void Gate::Connection::enqueue(std::string_view bytes) {
+  pending += bytes;
+  gate->queue(bytes.size());
+}
+
+void Gate::Connection::finishExchange() {
+  detach(false);
+  if (framing.endsWithConnection()) resetOnClose(false);
+  if (sawEnd) return close();
+  if (!keeps) return drain();
+  phase = Phase::idle;
+  reader.finish();
+  keptUntil = Clock::now() + promised;
+  setDeadline(restsUntil());
+  parse();
+}
+
+void Gate::Connection::postFlush() {
+  if (flushPosted || !flying.empty()) return;
+  flushPosted = true;
+  asio::post(gate->io, [self = shared_from_this()] {
+    self->flushPosted = false;
+    self->flush();
+  });
+}
+
+void Gate::Connection::flush() {
+  if (!flying.empty() || pending.empty() || phase == Phase::closed) return;
+  flying.swap(pending);
+  flown = 0;
+  onWritten({}, 0);
+}
+
+void Gate::Connection::onWritten(asio::error_code error, std::size_t size) {
+  if (phase == Phase::closed) return;
+  if (error) return onFailure();
+  flown += size;
+  gate->queuedBytes -= size;
+  if (flown < flying.size())
+    return socket.async_write_some(asio::buffer(flying.data() + flown, flying.size() - flown),
+                                   [self = shared_from_this()](asio::error_code failure, std::size_t written) {
+                                     self->onWritten(failure, written);
+                                   });
+  if (flying.capacity() > keptCapacity) flying = std::string();
+  flying.clear();
+  flown = 0;
+  if (!pending.empty()) return flush();
+  onFlushed();
+}
+
+void Gate::Connection::onFlushed() {
+  if (phase == Phase::cutting) return close();
+  if (phase == Phase::refusing) return sawEnd ? close() : drain();
+  if (phase == Phase::exchange && ended) finishExchange();
+}
+
+void Gate::Connection::drain() {
+  asio::error_code ignored;
+  phase = Phase::draining;
+  reader.dropBytes();
+  socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  setDeadline(Clock::now() + lingerWait);
+  read();
+}
+
+Gate::Answer::~Answer() {
+  if (!connection) return;
+  connection->answer = nullptr;
+  if (!connection->hasEnded()) connection->cut();
+}
+
+void Gate::Answer::head(int status, const HttpHeaders& headers, std::optional<std::size_t> length) {
+  if (auto on = connection) on->head(status, headers, length);
+}
+
+void Gate::Answer::bytes(std::string_view bytes) {
+  if (auto on = connection) on->bytes(bytes);
+}
+
+void Gate::Answer::end() {
+  if (auto on = connection) on->end();
+}
+
+void Gate::Answer::cut() {
+  if (auto on = connection) on->cut();
+}
+
+void Gate::Answer::onGone(std::function<void()> gone) {
+  if (connection && !connection->hasEnded())
+    connection->gone = std::move(gone);
+  else if (callerLeft && gone)
+    asio::post(io, std::move(gone));
+}
+
+void Gate::Answer::detach(bool left) {
+  wasStarted = started();
+  callerLeft = left;
+  connection.reset();
+}
+
+}  // namespace tt
