Test of a proxy's ends of versions on a model's own route

Cause: a trial that took the end out of the drawing for routes by model failed no test. Ruled out: relying on the routes by path: the two ways to a worker share no code up to the sending. Change: one test more in tests/version_ends_proxy.cpp.

--- a/tests/version_ends_proxy.cpp
+++ b/tests/version_ends_proxy.cpp
@@ -686,3 +686,38 @@
   cr_expect(bench.lastSentWith("moss/3") <= completeAt + useMost);
   cr_expect(bench.weightsSentSince(bench.now - 400ms) == std::set<std::string>{"moss/5"});
 }
+
+Test(version_ends_proxy, orders_on_a_models_own_route_keep_to_the_ends) {
+  for (const auto& versions : oneNamingAndTwo) {
+    VersionBench bench(moveSettings(), moveConfiguration);
+    bench.worker("w3");
+    bench.worker("w4", "north-a", versions.back());
+    bench.tell();
+    bench.run(300ms);
+    bench.name(versions, 1s);
+    int placed = 0;
+    auto used = [&] {
+      std::set<std::string> weights;
+      for (int number = 0; number < 30; ++number) {
+        auto ask = moveOrder(0);
+        ask.orderId = "talk/" + std::to_string(++placed);
+        auto made = bench.onlySend(bench.place(ask));
+        weights.insert(made.weights);
+        bench.end(made.orderId, Outcome::done);
+      }
+      return weights;
+    };
+    bench.run(bench.endOf("moss/3") - 300ms - bench.now);
+    cr_expect(used() == (std::set<std::string>{"moss/3", versions.back()}));
+    bench.run(310ms);
+    cr_expect(used() == std::set<std::string>{versions.back()});
+    bench.expectEndsKept();
+    bench.worker("w4").alive = false;
+    bench.tell();
+    auto last = moveOrder(1);
+    bench.place(last);
+    bench.run(2s);
+    cr_expect(bench.sendsOf(last.orderId).empty());
+    cr_expect_eq(bench.verdictOf(last.orderId).verdict, "not run");
+  }
+}
