Two tests that the mend does not pass yet: bursts of namings, forgotten namings

Cause: the first is the stricter form of the test of a burst of namings; the second came from a trial in which all cores and one agent begin anew while the other agent, which remembers, is out of touch. Ruled out: leaving them out: each fails for what was asked for or is promised, not for an error of the test. Change: one test more in tests/version_ends_cell.cpp and in tests/version_namings.cpp. Forgotten namings (trial): cores that began anew settle a naming's moment 2 s after their start and tell it as 5520 ms old 9820 ms after it was made; when the agent that remembers is back they stay 4300 ms off. Conclusion: the first asks for a short wait before a roll-out's first command; the second for the earlier of two moments to win wherever they differ.

--- a/tests/version_ends_cell.cpp
+++ b/tests/version_ends_cell.cpp
@@ -344,3 +344,16 @@
     bench.expectAllNewest();
   }
 }
+Test(version_ends_cell, a_worker_is_loaded_once_for_namings_that_follow_at_once) {
+  for (int number : {1, 6, 12}) {
+    RollOutBench bench(number);
+    bench.start();
+    bench.nameEvery(100ms, 3);
+    bench.watch(16s);
+    for (const auto& [name, worker] : bench.workers)
+      cr_expect_eq(bench.loadsByWorker[name], 1, "%s of %d was loaded %d times", name.c_str(), number,
+                   bench.loadsByWorker[name]);
+    bench.expectAllNewest();
+    bench.expectNoneOverdue();
+  }
+}
--- a/tests/version_namings.cpp
+++ b/tests/version_namings.cpp
@@ -235,3 +235,27 @@
     cr_expect(bench.lastOld == Moment{}, "an older version was used");
   }
 }
+
+Test(version_namings, no_naming_is_told_as_younger_than_it_is_while_who_remembers_it_is_out_of_touch) {
+  NamingBench bench;
+  bench.name("moss/4");
+  bench.run(4s);
+  auto cores = bench.allBut("");
+  for (const auto& core : cores) bench.stop(core);
+  bench.cutSides({"edge-2"}, cores);
+  bench.run(300ms);
+  for (const auto& core : cores) bench.startCore(core, false);
+  bench.stop("edge-1");
+  bench.startAgent("edge-1");
+  cr_assert(bench.runUntil([&] { return bench.agentFresh("edge-1"); }, 10s));
+  bench.run(4s);
+  for (const auto& told : {bench.toldByAgent("edge-1"), bench.toldByCore(cores[0])})
+    for (const auto& row : told)
+      if (row.weights == "moss/4" && row.age >= 0)
+        cr_expect(row.age >= (bench.now - bench.namings[0].ackedAt).count(),
+                  "told as %d ms old, %d ms after it was made", static_cast<int>(row.age / 1000000),
+                  static_cast<int>(inMs(bench.now - bench.namings[0].ackedAt)));
+  for (const auto& core : cores) bench.join("edge-2", core);
+  bench.run(4s);
+  bench.expectToldByAll();
+}
