Unknown namings count as long ago; the plan knows bad weights from slow ones

Change: what nobody remembers counts as long ago until the span of any use has passed since the owner's own start; a told moment never replaces a known one. The plan waits a moment for namings that follow at once, doubles its room while workers are overdue, and keeps the others on the old weights where nobody in the fleet could load the new ones.

--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -146,15 +146,6 @@
   });
 }
 
-void ClusterView::settleForgotten(Moment startedAt, const Configuration& view) {
-  for (const auto& newest : timeline.unknownNewest()) {
-    std::size_t voters = 0, forgetful = 0;
-    for (const auto& member : view.members()) voters += member.votes;
-    for (const auto* core : heardOf(view.members())) forgetful += forgot(core->reply, newest);
-    if (voters > 0 && forgetful >= voters / 2 + 1) timeline.settleUnknown(newest.model, startedAt);
-  }
-}
-
 void ClusterView::weigh(Moment now, const Configuration& view) {
   noteVersions(view);
   timeline.forgetEnded(now, timing.versionMost);
--- a/src/cluster/cluster_view.hpp
+++ b/src/cluster/cluster_view.hpp
@@ -48,9 +48,8 @@
   const VersionTimeline& versions() const { return timeline; }
   /// Learns when weights were named from a reader that remembers it.
   void learnVersions(const std::vector<VersionNaming>& namings, Moment now) { timeline.learn(namings, now); }
-  /// Gives namings a moment of which, by their own word, more than half of the voters have forgotten when they were
-  /// made: these voters have all begun anew since, at `startedAt` or so.
-  void settleForgotten(Moment startedAt, const Configuration& view);
+  /// Settles namings of unknown moment once this process has run for longer than any old version may be used.
+  void settleVersions(Moment ownStart, Moment now) { timeline.settleUnknown(ownStart, now, timing.versionMost); }
   /// Learns of a commit by another way than an answer of its own.
   void seeCommit(Count commit) { highestCommit = std::max(highestCommit, commit); }
 
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -12,8 +12,6 @@
 constexpr Span platformFirst = 600ms;
 constexpr Span stallAfter = 800ms;
 constexpr std::size_t rootRanks = 4;
-/// How long a core that has begun anew waits for readers that remember when weights were named.
-constexpr Span namingsToldWait = 2s;
 }  // namespace
 
 Strings drawWatch(const std::string& agent, const Strings& fellows, std::size_t most) {
@@ -195,8 +193,7 @@
   for (auto& [locality, cell] : cells) cell->election.mayStand = mayStand;
   replicatedLog->tick(effects);
   clusterView->noteVersions(replicatedLog->configuration());
-  if (effects.now - startedAt > namingsToldWait)
-    clusterView->settleForgotten(startedAt, replicatedLog->configuration());
+  clusterView->settleVersions(startedAt, effects.now);
   for (auto& [locality, cell] : cells) cell->tick(effects, replicatedLog->configuration());
   bool lists = replicatedLog->leads(effects.now) || !clusterView->marksKnown() ||
                effects.now - clusterView->marksAt() >= timing.listOld;
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -45,6 +45,8 @@
   Span askEvery{50ms}, sweepEvery{1s}, lateAfter{1s}, goneAfter{1500ms}, publishEvery{60ms}, markWait{1s};
   /// How many workers of a model in this locality may be taken to other weights at once: one in so many.
   int rolloutParts{3};
+  /// How long a roll-out waits for further namings before it starts its first worker.
+  Span rolloutSettle{0};
   /// Over how long a locality's workers are started on other weights, one after the other; 0 starts all that there is
   /// room for.
   Span rolloutSpan{0};
@@ -145,6 +147,8 @@
   Moment supersededAt(const Report& report, const std::string& wanted) const;
   RolloutStep stepOf(const std::string& worker, bool right) const;
   std::set<std::string> workersDue(Moment now, const Configuration& configuration) const;
+  /// Whether a worker of another cell has the newest weights, so that they can be loaded.
+  bool loadedElsewhere(const std::string& model) const;
   /// Whether a cell with a single worker of a model leaves the turn to cells before it, so that not all of a model's
   /// workers change at once.
   bool waitsItsTurn(const std::string& model, Moment superseded, Moment now) const;
--- a/src/index/cell_rollouts.cpp
+++ b/src/index/cell_rollouts.cpp
@@ -116,15 +116,25 @@
     workersByModel[keeper.last.model].push_back(
         RolloutWorker{name, supersededAt(keeper.last, *wanted), stepOf(name, right)});
   }
-  RolloutLimits limits{settings.rolloutSpan, timing.rolloutLatest(), settings.rolloutParts};
+  RolloutLimits limits{settings.rolloutSettle, settings.rolloutSpan, timing.rolloutLatest(), 2 * timing.rolloutMost,
+                       settings.rolloutParts};
   std::set<std::string> due;
   for (const auto& [model, workers] : workersByModel) {
     if (workers.size() == 1 && waitsItsTurn(model, workers.front().supersededAt, now)) continue;
-    for (auto& name : workersToStart(workers, limits, now)) due.insert(std::move(name));
+    for (auto& name : workersToStart(workers, limits, now, loadedElsewhere(model))) due.insert(std::move(name));
   }
   return due;
 }
 
+bool Cell::loadedElsewhere(const std::string& model) const {
+  if (!allNews || !versions) return false;
+  for (const auto& [locality, news] : *allNews)
+    for (const auto& worker : news.workers)
+      if (locality != place && worker.alive && worker.model == model && versions->isNewest(model, worker.weights))
+        return true;
+  return false;
+}
+
 bool Cell::waitsItsTurn(const std::string& model, Moment superseded, Moment now) const {
   if (!allNews || superseded == Moment::max()) return false;
   int before = 0;
--- a/src/rollout/rollout_plan.cpp
+++ b/src/rollout/rollout_plan.cpp
@@ -27,12 +27,13 @@
 }
 
 /// When the first of those that wait from `first` on is due.
-Moment nextDue(const Waiting& waiting, std::size_t first, std::size_t workers, Span spread) {
+Moment nextDue(const Waiting& waiting, std::size_t first, std::size_t workers, const RolloutLimits& limits) {
   Moment due = Moment::max();
   for (std::size_t at = first; at < waiting.size(); ++at) {
     auto waitingSoFar = static_cast<std::int64_t>(at - first + 1);
     auto started = static_cast<std::int64_t>(workers) - waitingSoFar;
-    due = std::min(due, endOfUse(waiting[at]->supersededAt, spread * started / static_cast<std::int64_t>(workers)));
+    Span share = limits.spread * started / static_cast<std::int64_t>(workers);
+    due = std::min(due, endOfUse(waiting[at]->supersededAt, limits.settle + share));
   }
   return due;
 }
@@ -50,18 +51,20 @@
 }  // namespace
 
 std::vector<std::string> workersToStart(const std::vector<RolloutWorker>& workers, const RolloutLimits& limits,
-                                        Moment now) {
+                                        Moment now, bool provenElsewhere) {
   std::vector<std::string> started;
   auto waiting = waitingOf(workers);
   int all = static_cast<int>(workers.size());
   int room = std::max(1, (all + limits.parts - 1) / limits.parts);
   int changing = countIn(workers, RolloutStep::changing);
-  bool suspect = weightsSuspect(workers);
+  bool suspect = !provenElsewhere && weightsSuspect(workers);
   for (std::size_t at = 0; at < waiting.size(); ++at) {
-    bool overdue = now >= endOfUse(waiting[at]->supersededAt, limits.latest);
-    bool due = now >= nextDue(waiting, at, workers.size(), limits.spread);
-    if (!overdue && (suspect || !due)) break;
-    if (changing >= (overdue ? roomOverdue * room : room)) break;
+    Moment superseded = waiting[at]->supersededAt;
+    bool overdue = now >= endOfUse(superseded, suspect ? limits.suspectRest : limits.latest);
+    bool due = !suspect && now >= nextDue(waiting, at, workers.size(), limits);
+    if (!overdue && !due) break;
+    int most = suspect ? 1 : overdue ? roomOverdue * room : room;
+    if (changing >= most) break;
     started.push_back(waiting[at]->name);
     ++changing;
   }
--- a/src/rollout/rollout_plan.hpp
+++ b/src/rollout/rollout_plan.hpp
@@ -16,10 +16,14 @@
 
 /// The spans, counted from when a worker's weights were superseded, and the limit that a plan keeps to.
 struct RolloutLimits {
+  /// How long the first start waits for further namings, which often follow at once.
+  Span settle{0};
   /// Over how long the workers are started, one after the other; 0 starts all that there is room for.
   Span spread{0};
   /// After which a worker is overdue: started at once, with twice as many changing as otherwise.
   Span latest{0};
+  /// After which, where the weights may be bad, the workers that wait are tried one at a time.
+  Span suspectRest{0};
   /// One in so many workers may change at the same time.
   int parts{3};
 };
@@ -30,8 +34,9 @@
 /// Of the workers whose weights were superseded at a moment or before it, the next is due after the share of `spread`
 /// that those not waiting any more are of all. So each worker is started at most `spread` after its own weights were
 /// superseded, however often newer ones are named, and at most once in that time. Where loads have failed and none
-/// succeeded, the weights may be bad: then only those past `latest` are started.
+/// succeeded, neither here nor elsewhere, the weights may be bad: then the others keep the old ones, so that the
+/// operator can go back to these at once.
 std::vector<std::string> workersToStart(const std::vector<RolloutWorker>& workers, const RolloutLimits& limits,
-                                        Moment now);
+                                        Moment now, bool provenElsewhere = false);
 
 }  // namespace tt
--- a/src/rollout/version_timeline.cpp
+++ b/src/rollout/version_timeline.cpp
@@ -20,8 +20,6 @@
                               Count index) {
   auto& namings = namingsByModel[model];
   if (!namings.empty() && namings.back().weights == weights) return;
-  if (notBefore && !namings.empty() && namings.back().notBefore)
-    notBefore = std::max(*notBefore, *namings.back().notBefore);
   namings.push_back(Naming{weights, notBefore, index});
 }
 
@@ -98,19 +96,10 @@
   return namings ? namings->back().notBefore.value_or(Moment::min()) : Moment::max();
 }
 
-std::vector<VersionNaming> VersionTimeline::unknownNewest() const {
-  std::vector<VersionNaming> rows;
-  for (const auto& [model, namings] : namingsByModel)
-    if (!namings.empty() && !namings.back().notBefore)
-      rows.push_back(VersionNaming{model, namings.back().weights, unknownAge, namings.back().index});
-  return rows;
-}
-
-void VersionTimeline::settleUnknown(const std::string& model, Moment notBefore) {
-  auto found = namingsByModel.find(model);
-  if (found == namingsByModel.end() || found->second.empty()) return;
-  auto& newest = found->second.back();
-  if (!newest.notBefore) newest.notBefore = notBefore;
+void VersionTimeline::settleUnknown(Moment ownStart, Moment now, Span span) {
+  if (now - ownStart < span) return;
+  for (auto& [model, namings] : namingsByModel)
+    if (!namings.empty() && !namings.back().notBefore) namings.back().notBefore = ownStart;
 }
 
 }  // namespace tt
--- a/src/rollout/version_timeline.hpp
+++ b/src/rollout/version_timeline.hpp
@@ -24,9 +24,8 @@
   std::vector<VersionNaming> tell(Moment now, Span span, bool unknownToo) const;
   /// All that is known, whatever its age.
   std::vector<VersionNaming> tellAll(Moment now) const { return tell(now, Span::max(), false); }
-  /// The newest naming of each model whose moment is known, and of each whose moment is unknown.
+  /// The newest naming of each model whose moment is known.
   std::vector<VersionNaming> knownNewest(Moment now) const;
-  std::vector<VersionNaming> unknownNewest() const;
   /// Forgets the namings that no end can depend on any more, `span` being the longest use of an old version.
   void forgetEnded(Moment now, Span span);
 
@@ -37,8 +36,9 @@
   Moment supersededAt(const std::string& model, const std::string& weights) const;
   /// A moment not after the naming of the newest version: Moment::min() if unknown, Moment::max() if none was named.
   Moment newestAt(const std::string& model) const;
-  /// Gives the newest naming of a model a moment, if it has none.
-  void settleUnknown(const std::string& model, Moment notBefore);
+  /// Gives namings of unknown moment the moment of the owner's own start, once `span`, the longest use of an old
+  /// version, has passed since: whether they were made before or after it, every use that they end is over.
+  void settleUnknown(Moment ownStart, Moment now, Span span);
 
  private:
   struct Naming {
@@ -51,8 +51,8 @@
   std::map<std::string, Namings> namingsByModel;
 
   const Namings* namingsOf(const std::string& model) const;
-  /// Pairs what is told with what is known, newest first. A pair is the same naming, or what is told is an earlier one of
-  /// the same weights: its index is not above the known one's. So no moment can be taken from a later naming.
+  /// Pairs what is told with what is known, newest first. A pair is the same naming, or what is told is an earlier one
+  /// of the same weights: its index is not above the known one's. So no moment can be taken from a later naming.
   static void learnOne(Namings& known, const std::vector<Naming>& told);
 };
 
--- a/tests/cell_bench.hpp
+++ b/tests/cell_bench.hpp
@@ -17,6 +17,7 @@
   settings.goneAfter = 2s;
   settings.publishEvery = 100ms;
   settings.markWait = 400ms;
+  settings.rolloutSettle = 400ms;
   settings.rolloutSpan = 7800ms;
   return settings;
 }
