--- a/src/consensus/election.hpp
+++ b/src/consensus/election.hpp
@@ -22,8 +22,8 @@
   Span commandRest{0};
   /// How long a command may be on its way to a worker.
   Span commandWait{2s};
-  /// How long after newer weights were named work may begin on a model's older ones, as promised; how long orders may be
-  /// sent to workers that still have them; and when those sent there that have not begun are taken back.
+  /// How long after newer weights were named work may begin on a model's older ones, as promised; how long orders may
+  /// be sent to workers that still have them; and when those sent there that have not begun are taken back.
   Span versionMost{20s}, rolloutMost{18s}, unbegunMost{19500ms};
   /// After which workers that have not begun to change to newer weights are overdue.
   Span rolloutLatest() const { return rolloutMost * 17 / 20; }
