Random scenarios name weights up to eight times at any hour, also in quick succession

Change: half of the random scenarios draw up to eight namings of eight versions, either spread over all hours, the calm at the end among them, or each 0.2 to 6.2 s after the last, among all other troubles. A third each draw workers that are slow to load or to begin, a quarter of the fleets pace their roll-outs over 13 s in two cells, and a third of the operators' clients name weights too. VersionCheck::isNewest tells a naming from a later one of the same weights: weights that were named, replaced and named again were held to the 25 s of their first naming. Ruled out: paced fleets whose loads take up to 5 s, and slow loads of up to 6 s.

--- a/src/sim/random_scenario.cpp
+++ b/src/sim/random_scenario.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <random>
 #include <set>
 #include <sstream>
@@ -6,6 +7,43 @@
 
 namespace tt {
 namespace {
+constexpr int namingsADay = 8;
+constexpr std::uint64_t versionsKnown = 8;
+
+/// Every fourth fleet takes its workers to other weights slowly, one after the other.
+std::string randomPace(std::uint64_t seed) {
+  std::mt19937_64 randomSource(seed * 32452843 + 3);
+  if (randomSource() % 4 != 0) return {};
+  return " localities 2 rolloutSpan 13 loadMs " + std::to_string(1000 + randomSource() % 1500);
+}
+
+/// Namings of weights at any hour from six seconds on, often in quick succession, and workers that are slow to load or
+/// to begin meanwhile.
+std::string randomNamings(std::uint64_t seed, std::uint64_t workers, double until, int namingsMost) {
+  std::mt19937_64 randomSource(seed * 15485863 + 29);
+  auto roll = [&](std::uint64_t below) { return randomSource() % below; };
+  auto hundredths = [&](std::uint64_t below) { return static_cast<double>(roll(below)) / 100; };
+  std::ostringstream out;
+  auto someFault = [&](const char* fault, std::uint64_t most) {
+    double from = 6 + hundredths(static_cast<std::uint64_t>((until - 6) * 100));
+    std::string worker = roll(3) == 0 ? "workers" : "worker-" + std::to_string(1 + roll(workers));
+    out << "at " << from << " fault " << worker << " " << fault << " " << 100 + roll(most) << "\n";
+    out << "at " << std::min(until, from + 3 + hundredths(1500)) << " fault workers " << fault << " 0\n";
+  };
+  if (roll(3) == 0) someFault("loadMs", 3000);
+  if (roll(3) == 0) someFault("queueMs", 4000);
+  int namings = roll(2) ? std::min(namingsMost, static_cast<int>(roll(namingsADay + 1))) : 0;
+  bool quick = roll(2);
+  double at = 6 + hundredths(1200);
+  for (int number = 0; number < namings; ++number) {
+    if (!quick) at = 6 + hundredths(static_cast<std::uint64_t>((until - 6) * 100));
+    if (at >= until) break;
+    out << "at " << at << " name w" << 1 + roll(versionsKnown) << "\n";
+    at += 0.2 + hundredths(600);
+  }
+  return out.str();
+}
+
 /// Operators' clients for a scenario of random faults; now and then they make hundreds of changes.
 std::string randomOperators(std::uint64_t seed) {
   std::mt19937_64 randomSource(seed * 104729 + 7);
@@ -15,6 +53,7 @@
   out << "operators " << 1 + roll(8) << " " << (many ? 150 + roll(200) : 10 + roll(40)) << " lose " << roll(30)
       << " pause " << (many ? 40 + roll(200) : 100 + roll(1200));
   if (roll(3) == 0) out << " same-number";
+  if (roll(3) == 0) out << " weights";
   return out.str();
 }
 }  // namespace
@@ -30,7 +69,7 @@
   std::uint64_t edges = whole ? 9 : 3, workers = whole ? 18 : 5, tenants = whole ? 8 : 4;
   out << "fleet edges " << edges << " workers " << workers << " tenants " << tenants
       << (whole ? " plan 5 swap 14 reminder 26" : " plan 2 swap 5 reminder 8")
-      << (roll(5) == 0 ? " tokenMs 200 slots 16" : "") << "\nseed " << seed << "\n";
+      << (roll(5) == 0 ? " tokenMs 200 slots 16" : "") << randomPace(seed) << "\nseed " << seed << "\n";
   if (roll(2)) out << "at 4 habits " << roll(40) << " " << roll(25) << " " << roll(25) << "\n";
   auto core = [&] { return "core-" + std::to_string(1 + roll(4)); };
   auto edge = [&] { return std::to_string(1 + roll(edges)); };
@@ -38,7 +77,7 @@
   out << "at 5.5 " << randomOperators(seed) << "\n";
   std::set<std::uint64_t> revoked;
   int faults = 3 + static_cast<int>(roll(6));
-  int weights = 2;
+  int weights = 2, namings = 0;
   double clock = 6;
   std::string downCore;
   for (int number = 0; number < faults; ++number) {
@@ -136,6 +175,7 @@
       case 13:
         at(clock) << "name w" << weights << "\n";
         weights = weights == 3 ? 1 : weights + 1;
+        ++namings;
         break;
       case 14: {
         std::uint64_t tenant = 1 + roll(tenants);
@@ -271,6 +311,7 @@
     }
   }
   double calm = std::max(24.0, clock + 7);
+  out << randomNamings(seed, workers, calm + 5, namingsADay - namings);
   out << "until " << calm + 32 << "\n";
   out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm
       << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -250,7 +250,7 @@
   void watch(const std::string& name, const Event& event);
   void watchNaming(const Entry& entry);
   void weightsAcknowledged(const AckRow& ack);
-  void checkWorkersWeights(const std::string& named);
+  void checkWorkersWeights(std::uint64_t index, const std::string& named);
   void watchBegin(const std::string& worker, const Event& event);
   void watchRun(const std::string& worker, const std::string& orderId);
   void violate(const std::string& invariant, const std::string& text);
--- a/src/sim/sim_weights.cpp
+++ b/src/sim/sim_weights.cpp
@@ -40,13 +40,13 @@
   if (!starts(ack.changeId, namingPrefix)) return;
   std::string named = ack.changeId.substr(std::string(namingPrefix).size());
   std::string weights = named.substr(0, named.rfind('/'));
-  later(weightsInUseMost, [this, weights] { checkWorkersWeights(weights); });
+  later(weightsInUseMost, [this, weights, index = ack.index] { checkWorkersWeights(index, weights); });
 }
 
 /// Checks, when these weights must be in use, that some worker is ready to run them or newer ones, and, if they are
 /// still the newest, that every worker holds them.
-void World::checkWorkersWeights(const std::string& named) {
-  bool newest = !versions.supersededAt(modelName, named);
+void World::checkWorkersWeights(std::uint64_t index, const std::string& named) {
+  bool newest = versions.isNewest(modelName, index);
   bool anyAble = false, anyReady = false;
   for (const auto& [name, actor] : actors) {
     if (!starts(name, "worker-") || !actor->alive || leavingAt.count(name) ||
--- a/src/sim/version_check.cpp
+++ b/src/sim/version_check.cpp
@@ -25,6 +25,16 @@
   return first;
 }
 
+bool VersionCheck::isNewest(const std::string& model, std::uint64_t index) const {
+  auto found = namingsByModel.find(model);
+  if (found == namingsByModel.end() || !found->second.count(index)) return false;
+  const auto& namings = found->second;
+  const std::string& weights = namings.at(index);
+  return std::none_of(namings.upper_bound(index), namings.end(), [&](const auto& newer) {
+    return newer.second != weights && acknowledgedAt.count(newer.first) > 0;
+  });
+}
+
 std::optional<Span> VersionCheck::supersededFor(const std::string& model, const std::string& weights,
                                                 Moment now) const {
   auto since = supersededAt(model, weights);
--- a/src/sim/version_check.hpp
+++ b/src/sim/version_check.hpp
@@ -20,6 +20,8 @@
   void acknowledged(std::uint64_t index, Moment at);
   /// When the first naming newer than these weights was acknowledged; nothing if none was.
   std::optional<Moment> supersededAt(const std::string& model, const std::string& weights) const;
+  /// Whether the naming at this index is the model's newest: no other weights were named after it and acknowledged.
+  bool isNewest(const std::string& model, std::uint64_t index) const;
   /// How long ago, as of `now`, these weights were superseded by an acknowledged naming; nothing if they were not.
   std::optional<Span> supersededFor(const std::string& model, const std::string& weights, Moment now) const;
 
--- a/tests/version_check.cpp
+++ b/tests/version_check.cpp
@@ -80,3 +80,19 @@
   cr_assert(!check.supersededAt("other-llm", "w1"));
   cr_assert(check.supersededAt("app-llm", "a1") == at(4));
 }
+
+Test(version_check, only_the_last_acknowledged_naming_is_the_newest) {
+  auto check = threeVersions();
+  check.acknowledged(2, at(2));
+  cr_assert(check.isNewest(model, 2), "w3 was never acknowledged");
+  check.acknowledged(3, at(3));
+  cr_assert(!check.isNewest(model, 2));
+  check.agreed(model, 4, "w2");
+  check.acknowledged(4, at(4));
+  cr_assert(!check.isNewest(model, 2), "the same weights were named again, with others between");
+  cr_assert(check.isNewest(model, 4));
+  check.agreed(model, 5, "w2");
+  check.acknowledged(5, at(5));
+  cr_assert(check.isNewest(model, 4), "no other weights were named after it");
+  cr_assert(!check.isNewest(model, 9));
+}
