Orders held up past their time are not written: in the sim and by the own proxy too

Change: World::release ends such orders unsent; the own proxy ends them before the call starts and bounds its connect. Control leaveByKept.

--- a/src/base/defences.hpp
+++ b/src/base/defences.hpp
@@ -37,6 +37,7 @@
   X(oldWeightsEnd, "workers with old weights are drawn only while a roll-out may last")        \
   X(endFromFirstNewer, "an old version's use ends a span after the first newer one was named") \
   X(unbegunDropped, "an order that has not begun when its version's use ends is taken back")   \
+  X(leaveByKept, "an order is not written to its worker after its time, whatever held it up")  \
   X(failedNotCounted, "a worker that cannot load does not hold up the others")                 \
   X(listOrder, "lists of machines are ordered by when the platform was asked for them")
 
--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -380,7 +380,21 @@
 }
 
 void World::release(Actor& actor, std::vector<std::pair<std::string, Message>> sends) {
-  for (auto& [to, message] : sends) post(actor, to, std::move(message));
+  for (auto& [to, message] : sends) {
+    if (auto* order = std::get_if<WorkerOrder>(&message); order && leftTooLate(actor, *order))
+      endUnsent(actor, *order);
+    else
+      post(actor, to, std::move(message));
+  }
+}
+
+bool World::leftTooLate(const Actor& actor, const WorkerOrder& order) const {
+  return order.leaveBy != 0 && defences.stands(Defence::leaveByKept) && actor.local(clock) >= fromNs(order.leaveBy);
+}
+
+void World::endUnsent(const Actor& actor, const WorkerOrder& order) {
+  WorkerEnd end{order.orderId, static_cast<int>(Outcome::brokenUnsent), static_cast<int>(Code::workerBroke), 0, 0, 0};
+  later(Span(0), [this, name = actor.name, life = actor.life, end] { arrive("worker", name, life, end); });
 }
 
 void World::startSync(Actor& actor) {
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -209,6 +209,10 @@
   void scheduleTick(const std::string& name, std::uint64_t life);
   void drive(Actor& actor, const std::function<void(Effects&)>& action);
   void release(Actor& actor, std::vector<std::pair<std::string, Message>> sends);
+  /// Whether the time is over by which an order was to be written to its worker, as the real calls look in that
+  /// instant.
+  bool leftTooLate(const Actor& actor, const WorkerOrder& order) const;
+  void endUnsent(const Actor& actor, const WorkerOrder& order);
   void post(Actor& from, const std::string& to, Message message);
   void arrive(const std::string& from, const std::string& toName, std::uint64_t life, Message message);
   void give(Actor& actor, const std::string& from, const Message& message);
--- a/src/tools/main_proxy.cpp
+++ b/src/tools/main_proxy.cpp
@@ -68,6 +68,15 @@
       call.onceOnly = true;
       call.wholeWait = 120s;
       std::string sendId = order->orderId;
+      if (order->leaveBy != 0) {
+        Span left = fromNs(order->leaveBy) - Clock::now();
+        if (left <= Span(0)) {
+          WorkerEnd unsent{sendId, static_cast<int>(Outcome::brokenUnsent), static_cast<int>(Code::workerBroke), 0, 0,
+                           0};
+          return asio::post(context, [&host, unsent] { host.take("worker", unsent); });
+        }
+        call.connectWait = std::min(call.connectWait, left);
+      }
       auto ended = std::make_shared<bool>(false);
       auto startCall = [&, call = std::move(call), sendId, ended]() mutable {
         return calls.start(
