Audit: no order begins on old weights a span after the first newer naming; versionMs

Cause: the audit of real processes looked at weights through the last naming only, with 25 s, and at when a worker took an order, not at when it began. It made the product's own mistake: each naming set the clock anew, so that a fleet that is named often passed.

Ruled out: counting from the moment of a note alone. A resend of a naming would look like a version named back, and a version named back later would excuse orders that began on it before. So a naming is noted twice, when it is first sent and when it is acknowledged, with its change id and the revision that the acknowledgement told; a version named back counts as newer only from its first sending on, and weights whose naming was never acknowledged are not judged. Ruled out also a shorter span by hand in the programs: they had none.

Change: workers' records tell "order began" and the model. The usual value leaves all spans as they were. The audit's planted breach of weights-late names change and revision now, since a note without them is refused; bound and order are the same. measure.sh notes its naming the new way and fails if it is never acknowledged.

--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -13,11 +13,26 @@
   "$build/trouttally-loadgen" --proxies "$TROUTTALLY_PROXIES" --kinds "$here/deployments/$deployment/kinds.json" \
     --recordFile "$folder/records/callers.json" --obey 40 --ignore 10 --move 20 "$@"
 }
-event() { "$build/trouttally-audit" --note "$1" --of "$2" >>"$folder/records/events.json"; }
+event() { # notes event $1 about $2 for the audit, with further flags of trouttally-audit
+  "$build/trouttally-audit" --note "$1" --of "$2" "${@:3}" >>"$folder/records/events.json"
+}
+name_weights() { # names weights $2 under change id $1, again until that is acknowledged; notes both for the audit
+  local try answer revision naming=(--model "$MODEL" --change "$1")
+  event naming "$2" "${naming[@]}"
+  for try in $(seq 60); do
+    answer=$(echo "{\"models\":{\"$MODEL\":{\"weights\":\"$2\"}},\"weights\":{\"$2\":{\"model\":\"$MODEL\"}}}" | ctl patch - --change-id "$1" 2>/dev/null) && {
+      revision=$(echo "$answer" | sed -n 's/.*"revision":\([0-9]*\).*/\1/p')
+      event named "$2" "${naming[@]}" --revision "$revision"
+      return
+    }
+    sleep 0.5
+  done
+  return 1
+}
 audit() { # joins all records; fails on a breach
   "$build/trouttally-audit" --callers "$folder/records/callers.json" --events "$folder/records/events.json" \
     --workers "$(ls "$folder"/records/worker-*.json "$folder"/records/app.json | paste -sd,)" \
-    --blueprint "$here/deployments/$deployment/blueprint.json"
+    --blueprint "$here/deployments/$deployment/blueprint.json" ${AUDIT_VERSION_MS:+--versionMs "$AUDIT_VERSION_MS"}
 }
 status() { # what an order at proxy $1 gets, with key $2 if given
   curl -s -m 3 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer ${2:-$tenant-secret-1}" "127.0.0.1:$((base + 400 + $1))/v1/orders" \
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,7 @@
 #   scripts/fleet.sh where [FOLDER]                prints the addresses that ctl and loadgen need
 # Environment: BUILD (folder with the programs, default build), BASE (first port, default 21000),
 #   EDGES, WORKERS (override the deployment's), FETCHING (true or false),
+#   VERSION_MS (how long after a naming requests may begin on older weights, at cores, agents and proxies),
 #   LINKS=1 (puts trouttally-link between cores and agents; rules at port BASE+30).
 set -u
 here=$(cd "$(dirname "$0")/.." && pwd)
@@ -22,6 +23,7 @@
   . "$here/deployments/$deployment/fleet.env"
   [ -f "$folder/overrides" ] && . "$folder/overrides"
   localities=($LOCALITIES)
+  versionFlag=${VERSION_MS:+--versionMs $VERSION_MS}
   keyHash=$(printf %s "$operatorKey" | sha256sum | cut -d' ' -f1)
   seeds="127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3)),127.0.0.1:$((base + 4))"
 }
@@ -46,12 +48,12 @@
   case $kind in
     link) launch link trouttally-link --webAddress "127.0.0.1:$((base + 30))" --pairs "$(pairs)" ;;
     platform) launch platform trouttally-platform --address "127.0.0.1:$base" --list "$folder/machines.json" ;;
-    core) launch "$name" trouttally-core $listen --diskFaults "$folder/$name.fault" --address "127.0.0.1:$((base + number))" --locality "$(place "$number")" \
+    core) launch "$name" trouttally-core $listen $versionFlag --diskFaults "$folder/$name.fault" --address "127.0.0.1:$((base + number))" --locality "$(place "$number")" \
       --seeds "$(first "$number")" --localities "$(IFS=,; echo "${localities[*]}")" --platform "127.0.0.1:$base" \
       --operatorAddress "127.0.0.1:$((base + 10 + number))" --operatorKeyHash "$keyHash" --dataFolder "$folder/$name" ;;
-    agent) launch "$name" trouttally-agent $listen --address "127.0.0.1:$((base + 100 + number))" --locality "$(place "$number")" \
+    agent) launch "$name" trouttally-agent $listen $versionFlag --address "127.0.0.1:$((base + 100 + number))" --locality "$(place "$number")" \
       --seeds "$(first $((number % 4 + 1)))" --webAddress "127.0.0.1:$((base + 200 + number))" ;;
-    proxy) launch "$name" trouttally-proxy --address "127.0.0.1:$((base + 300 + number))" --locality "$(place "$number")" \
+    proxy) launch "$name" trouttally-proxy $versionFlag --address "127.0.0.1:$((base + 300 + number))" --locality "$(place "$number")" \
       --agentAddress "127.0.0.1:$((base + 100 + number))" --callerAddress "127.0.0.1:$((base + 400 + number))" \
       --operatorKeyHash "$keyHash" --fetching "${FETCHING:-true}" ;;
     worker) launch "$name" trouttally-worker --address "127.0.0.1:$((base + 500 + number))" --model "$MODEL" --weights "$WEIGHTS" \
@@ -96,6 +98,7 @@
     [ -n "${EDGES:-}" ] && echo "EDGES=$EDGES" >>"$folder/overrides"
     [ -n "${WORKERS:-}" ] && echo "WORKERS=$WORKERS" >>"$folder/overrides"
     [ -n "${LINKS:-}" ] && echo "LINKS=$LINKS" >>"$folder/overrides"
+    [ -n "${VERSION_MS:-}" ] && echo "VERSION_MS=$VERSION_MS" >>"$folder/overrides"
     rm -f "$folder"/*.fault
     load "$folder"
     machines >"$folder/machines.json"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -71,9 +71,8 @@
 curl -s -X PATCH "127.0.0.1:$base/v1/machines" -d '{"name":"worker-7","leaving":false}' >/dev/null
 sleep 1
 echo "at $(ms "$began" "$(now)") ms: weights named"
-echo "{\"models\":{\"$MODEL\":{\"weights\":\"$MODEL-w2\"}}}" | ctl patch - >/dev/null
+name_weights measured-weights "$MODEL-w2" || { echo "NOT MET: weights were never named"; missed=1; }
 named=$(now)
-event named "$MODEL-w2"
 while [ "$(ctl fleet | grep -c "weights $MODEL-w2 .*serving")" -lt "$WORKERS" ] && [ "$(ms "$named" "$(now)")" -lt 40000 ]; do sleep 0.2; done
 echo "new weights: in use at all $WORKERS workers $(ms "$named" "$(now)") ms after naming"
 within "$(ms "$named" "$(now)")" 25000 "a roll-out"
--- a/src/tools/audit.cpp
+++ b/src/tools/audit.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <sstream>
 
+#include "naming_records.hpp"
+
 namespace tt {
 namespace {
 constexpr std::int64_t second = 1'000'000'000;
 constexpr std::int64_t revokedWithin = 5 * second;
 constexpr std::int64_t leavingWithin = 3 * second;
-constexpr std::int64_t weightsWithin = 25 * second;
+constexpr Span weightsWithin = 25s;
 constexpr double retryShareMost = 0.2;
 constexpr std::int64_t ordersEnough = 40;
 
@@ -18,7 +20,7 @@
   std::int64_t tokens{0}, sentAt{0}, lastAt{0};
 };
 struct WorkerRow {
-  std::string worker, event, subject;
+  std::string worker, model, event, subject;
   std::int64_t at{0}, number{0};
 };
 std::vector<std::string> wordsOf(const std::string& text) {
@@ -30,12 +32,32 @@
 std::int64_t momentOf(const Json& row, const char* name) {
   return std::strtoll(textOr(row, name).c_str(), nullptr, 10);
 }
+
+/// Takes an event about a naming of weights into the records; says whether it holds all that is needed.
+bool readNaming(const Json& event, NamingRecords& namings) {
+  std::string changeId = textOr(event, "change"), weights = textOr(event, "name"), model = textOr(event, "model");
+  Moment at = fromNs(momentOf(event, "at"));
+  if (changeId.empty() || weights.empty()) return false;
+  if (textOr(event, "event") == "naming") {
+    namings.sent(changeId, model, weights, at);
+    return true;
+  }
+  auto revision = numberOr(event, "revision", 0);
+  if (revision > 0) namings.acknowledged(changeId, model, weights, static_cast<std::uint64_t>(revision), at);
+  return revision > 0;
+}
+
+/// For how long the weights that a worker's row tells had been superseded at its moment.
+std::optional<Span> supersededFor(const NamingRecords& namings, const WorkerRow& row, const std::string& weights) {
+  if (weights == "-") return std::nullopt;
+  return namings.supersededFor(row.model, weights, fromNs(row.at));
+}
 }  // namespace
 
 const std::vector<std::string>& auditedLines() {
-  static const std::vector<std::string> lines{"runs-twice",   "not-run-but-ran",  "stitched",      "other-weights",
-                                              "other-tenant", "fetch-beyond",     "revoked-works", "leaving-used",
-                                              "weights-late", "too-many-retries", "two-holders"};
+  static const std::vector<std::string> lines{"runs-twice",   "not-run-but-ran",   "stitched",         "other-weights",
+                                              "other-tenant", "fetch-beyond",      "revoked-works",    "leaving-used",
+                                              "weights-late", "old-weights-began", "too-many-retries", "two-holders"};
   return lines;
 }
 
@@ -77,13 +99,13 @@
       continue;
     }
     const auto& row = read.value();
-    workers.push_back({textOr(row, "worker"), textOr(row, "event"), textOr(row, "subject"), momentOf(row, "at"),
-                       numberOr(row, "number", 0)});
+    workers.push_back({textOr(row, "worker"), textOr(row, "model"), textOr(row, "event"), textOr(row, "subject"),
+                       momentOf(row, "at"), numberOr(row, "number", 0)});
   }
   std::stable_sort(workers.begin(), workers.end(),
                    [](const WorkerRow& one, const WorkerRow& other) { return one.at < other.at; });
   std::map<std::string, std::int64_t> revokedAt;
-  std::vector<std::pair<std::int64_t, std::string>> named;
+  NamingRecords namings;
   std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> leaving;
   for (const auto& line : records.events) {
     auto read = readJson(line);
@@ -94,7 +116,7 @@
     std::string event = textOr(read.value(), "event"), name = textOr(read.value(), "name");
     std::int64_t at = momentOf(read.value(), "at");
     if (event == "revoked") revokedAt[name] = at;
-    if (event == "named") named.emplace_back(at, name);
+    if ((event == "naming" || event == "named") && !readNaming(read.value(), namings)) ++result.unreadable;
     if (event == "leaving") leaving[name].emplace_back(at, INT64_MAX);
     if (event == "staying" && !leaving[name].empty()) leaving[name].back().second = at;
   }
@@ -110,16 +132,17 @@
       if (words[3] != "-") runsByMark[words[3]].push_back(&row);
       for (const auto& [from, until] : leaving[row.worker])
         if (row.at > from + leavingWithin && row.at < until) breach("leaving-used", words[0] + " at " + row.worker);
-      std::string wanted;
-      std::int64_t since = 0;
-      for (const auto& [at, weights] : named)
-        if (at < row.at) {
-          wanted = weights;
-          since = at;
-        }
-      if (!wanted.empty() && words[1] != "-" && words[1] != wanted && row.at > since + weightsWithin)
+      if (auto late = supersededFor(namings, row, words[1]); late && *late > weightsWithin)
         breach("weights-late", words[0] + " ran under " + words[1] + " at " + row.worker);
     }
+    if (row.event == "order began") ++result.begins;
+    if (row.event == "order began" && words.size() >= 2) {
+      auto late = supersededFor(namings, row, words[1]);
+      if (late && (!result.latestOldBegin || *late > *result.latestOldBegin)) result.latestOldBegin = late;
+      if (late && *late > records.versionMost)
+        breach("old-weights-began", words[0] + " began on " + words[1] + " at " + row.worker + ", " +
+                                        std::to_string(inMs(*late)) + " ms after newer weights were acknowledged");
+    }
     if ((row.event == "ran for" || row.event == "worker denied") && !words.empty()) {
       auto dot = words[0].rfind('.');
       bool again = dot != std::string::npos && std::atoi(words[0].c_str() + dot + 1) > 1;
@@ -146,6 +169,7 @@
     }
   }
   result.retries = static_cast<std::int64_t>(laterTries.size());
+  result.namings = static_cast<std::int64_t>(namings.acknowledgedCount());
 
   std::map<std::string, std::int64_t> runsByIntent;
   for (const auto& order : callers) {
--- a/src/tools/audit.hpp
+++ b/src/tools/audit.hpp
@@ -1,4 +1,7 @@
 #pragma once
+#include <optional>
+
+#include "base.hpp"
 #include "json.hpp"
 
 namespace tt {
@@ -8,11 +11,17 @@
   std::vector<std::string> callers, workers, events;
   /// Tenants that share with nobody.
   std::set<std::string> isolated;
+  /// How long after the acknowledgement of newer weights orders may begin on older ones.
+  Span versionMost{20s};
 };
 /// What the records show of each line of "what must never happen".
 struct AuditResult {
   std::map<std::string, std::vector<std::string>> breaches;
   std::int64_t orders{0}, runs{0}, retries{0}, unreadable{0};
+  /// How many orders began, and how many namings of weights were acknowledged.
+  std::int64_t begins{0}, namings{0};
+  /// The longest time after the acknowledgement of newer weights at which an order began on older ones.
+  std::optional<Span> latestOldBegin;
   double worstRetryShare{0};
   std::int64_t breachCount() const;
 };
--- a/src/tools/main_agent.cpp
+++ b/src/tools/main_agent.cpp
@@ -1,12 +1,13 @@
 #include "agent.hpp"
 #include "process.hpp"
+#include "version_span.hpp"
 
 using namespace tt;
 
 int main(int count, char** words) {
   AgentSettings settings;
   std::string webAddress, listenAddress;
-  double threads = 2;
+  double threads = 2, versionMs = versionMsUsual;
   bool chatty = false;
   Settings reader("trouttally-agent", "The agent beside a proxy: link to the control plane, relay of news");
   reader.text("name", &settings.name, "this machine's name", true)
@@ -15,9 +16,12 @@
       .text("locality", &settings.locality, "this machine's locality", true)
       .addresses("seeds", &settings.seeds, "three cores to start from")
       .address("webAddress", &webAddress, "where condition and counters are read", false)
+      .number("versionMs", &versionMs, versionMsLeast, versionMsMost,
+              "milliseconds after a naming for which requests may begin on older weights; the same at every process")
       .number("threads", &threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
+  if (auto done = setVersionSpan(versionMs); !done) return failStart(done.error());
   startLog("agent", settings.name, chatty);
   asio::io_context context;
   Agent agent(settings);
--- a/src/tools/main_audit.cpp
+++ b/src/tools/main_audit.cpp
@@ -6,10 +6,55 @@
 #include "audit.hpp"
 #include "history_lines.hpp"
 #include "process.hpp"
+#include "version_span.hpp"
 
 using namespace tt;
 
 namespace {
+/// An event that a script notes for the audit.
+struct EventNote {
+  std::string event, name, model, changeId;
+  double revision{0};
+  bool isNaming() const { return event == "naming" || event == "named"; }
+};
+
+Result<void> checkNote(const EventNote& note) {
+  static const std::set<std::string> events{"revoked", "leaving", "staying", "naming", "named"};
+  if (!events.count(note.event))
+    return fault(Code::badProps, "note", "must be revoked, leaving, staying, naming or named");
+  if (note.isNaming() && note.name.empty()) return fault(Code::badProps, "of", "must be given with a naming");
+  if (note.isNaming() && note.model.empty()) return fault(Code::badProps, "model", "must be given with a naming");
+  if (note.isNaming() && note.changeId.empty()) return fault(Code::badProps, "change", "must be given with a naming");
+  if (note.event == "named" && note.revision < 1)
+    return fault(Code::badProps, "revision", "must be given with an acknowledgement");
+  return boost::outcome_v2::success();
+}
+
+/// The line for the events' file, of this moment.
+std::string writeNote(const EventNote& note) {
+  JsonObject row;
+  row["at"] = Json(std::to_string(inNs(Clock::now())));
+  row["event"] = Json(note.event);
+  row["name"] = Json(note.name);
+  if (note.isNaming()) {
+    row["model"] = Json(note.model);
+    row["change"] = Json(note.changeId);
+  }
+  if (note.event == "named") row["revision"] = jsonNumber(note.revision);
+  return Json(row).serialize();
+}
+
+/// Says how late orders began on weights that were superseded.
+void printBegins(const AuditResult& result, const AuditRecords& records) {
+  std::cout << "audit: " << result.begins << " orders began, " << result.namings
+            << " namings; latest begin on old weights: ";
+  if (result.latestOldBegin)
+    std::cout << inMs(*result.latestOldBegin) << " ms after newer ones were acknowledged";
+  else
+    std::cout << "none";
+  std::cout << " (" << inMs(records.versionMost) << " ms promised)\n";
+}
+
 Result<std::vector<std::string>> readLines(const std::vector<std::string>& files) {
   std::vector<std::string> lines;
   for (const auto& file : files) {
@@ -44,7 +89,9 @@
 
 int main(int count, char** words) {
   std::vector<std::string> callers, workers, events, operators;
-  std::string configuration, note, name;
+  std::string configuration;
+  EventNote note;
+  double versionMs = versionMsUsual;
   Settings reader("trouttally-audit",
                   "Joins the records of a run and counts what must never happen; ends with 1 if any of it did");
   reader.texts("callers", &callers, "the load generators' records")
@@ -52,20 +99,23 @@
       .texts("events", &events, "what operators and the platform did, and when")
       .texts("operators", &operators, "histories of trouttally-operators, each of one fleet; may be given alone")
       .text("blueprint", &configuration, "the deployment's blueprint, for its isolated tenants")
-      .text("note", &note, "print a line for the events' file instead: revoked, leaving, staying or named")
-      .text("of", &name, "what that event is about: a key's secret, a worker or weights");
+      .number("versionMs", &versionMs, versionMsLeast, versionMsMost,
+              "milliseconds after the acknowledgement of newer weights for which orders may begin on older ones")
+      .text(
+          "note", &note.event,
+          "print a line for the events' file instead: revoked, leaving, staying, naming (sent) or named (acknowledged)")
+      .text("of", &note.name, "what that event is about: a key's secret, a worker or weights")
+      .text("model", &note.model, "the model whose weights are named")
+      .text("change", &note.changeId, "the change id of a naming")
+      .number("revision", &note.revision, 0, 1e15, "the revision that the acknowledgement of a naming told");
   if (auto code = reader.read(count, words)) return *code;
-  if (!note.empty()) {
-    if (note != "revoked" && note != "leaving" && note != "staying" && note != "named")
-      return failStart(fault(Code::badProps, "note", "must be revoked, leaving, staying or named"));
-    JsonObject row;
-    row["at"] = Json(std::to_string(inNs(Clock::now())));
-    row["event"] = Json(note);
-    row["name"] = Json(name);
-    std::cout << Json(row).serialize() << "\n";
+  if (!note.event.empty()) {
+    if (auto done = checkNote(note); !done) return failStart(done.error());
+    std::cout << writeNote(note) << "\n";
     return 0;
   }
   AuditRecords records;
+  records.versionMost = std::chrono::milliseconds(static_cast<std::int64_t>(versionMs));
   for (auto [files, lines] :
        {std::pair{&callers, &records.callers}, {&workers, &records.workers}, {&events, &records.events}}) {
     auto read = readLines(*files);
@@ -96,6 +146,7 @@
   std::cout << "audit: " << result.orders << " orders, " << result.runs << " runs, " << result.retries
             << " repeat tries (worst span " << static_cast<int>(1000 * result.worstRetryShare) / 10.0 << " %), "
             << result.unreadable << " unreadable lines\n";
+  printBegins(result, records);
   for (const auto& line : auditedLines()) {
     const auto& rows = result.breaches[line];
     std::cout << "audit: " << rows.size() << " " << line << "\n";
--- a/src/tools/main_core.cpp
+++ b/src/tools/main_core.cpp
@@ -3,6 +3,7 @@
 #include "contract.hpp"
 #include "core.hpp"
 #include "process.hpp"
+#include "version_span.hpp"
 
 using namespace tt;
 
@@ -11,7 +12,7 @@
 struct CoreMain {
   CoreSettings settings;
   std::string listenAddress, diskFaults, operatorAddress, operatorKeyHash, dataFolder;
-  double ringFiles{4}, ringFileKiB{4096}, threads{3};
+  double ringFiles{4}, ringFileKiB{4096}, threads{3}, versionMs{versionMsUsual};
 };
 
 std::string blueprintBody(const Core& core, bool confirmed) {
@@ -51,9 +52,12 @@
       .text("dataFolder", &given.dataFolder, "the folder that all files live under", true)
       .number("ringFiles", &given.ringFiles, 3, 64, "how many files the ring has")
       .number("ringFileKiB", &given.ringFileKiB, 3072, 262144, "the size of each ring file")
+      .number("versionMs", &given.versionMs, versionMsLeast, versionMsMost,
+              "milliseconds after a naming for which requests may begin on older weights; the same at every process")
       .number("threads", &given.threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
+  if (auto done = setVersionSpan(given.versionMs); !done) return failStart(done.error());
   if (given.operatorKeyHash.size() != 64)
     return failStart(fault(Code::badProps, "operatorKeyHash", "must be 64 hexadecimal digits"));
   startLog("core", given.settings.name, chatty);
--- a/src/tools/main_keeper.cpp
+++ b/src/tools/main_keeper.cpp
@@ -59,12 +59,14 @@
     if (!record) return failStart(fault(Code::badProps, "recordFile", "cannot be written"));
     record << "\n" << std::flush;
     keeper.journal.appended.connect([&](const Event& event) {
-      static const std::set<std::string> kinds{"ran for",       "move ran",     "pulled",        "worker denied",
-                                               "cross weights", "cross tenant", "command taken", "weights loaded"};
+      static const std::set<std::string> kinds{"ran for",      "order began",   "move ran",
+                                               "pulled",       "worker denied", "cross weights",
+                                               "cross tenant", "command taken", "weights loaded"};
       if (!kinds.count(event.kind)) return;
       JsonObject row;
       row["at"] = Json(std::to_string(inNs(event.at)));
       row["worker"] = Json(settings.name);
+      row["model"] = Json(settings.model);
       row["event"] = Json(event.kind);
       row["subject"] = Json(event.subject);
       row["number"] = jsonNumber(static_cast<double>(event.number));
--- a/src/tools/main_proxy.cpp
+++ b/src/tools/main_proxy.cpp
@@ -1,6 +1,7 @@
 #include "contract.hpp"
 #include "edge.hpp"
 #include "process.hpp"
+#include "version_span.hpp"
 
 using namespace tt;
 
@@ -29,7 +30,7 @@
 int main(int count, char** words) {
   EdgeSettings settings;
   std::string callerAddress, operatorKeyHash;
-  double threads = 3, pendingMost = 64, blockMs = 4;
+  double threads = 3, pendingMost = 64, blockMs = 4, versionMs = versionMsUsual;
   bool chatty = false;
   Settings reader("trouttally-proxy", "A proxy of the fleet: takes orders from callers, plans them, carries them out");
   reader.text("name", &settings.name, "this machine's name", true)
@@ -41,9 +42,12 @@
       .flag("fetching", &settings.fetching, "fetch prefixes from peers and the store")
       .number("pendingMost", &pendingMost, 1, 100000, "orders that may be pending here")
       .number("blockMs", &blockMs, 0.01, 10000, "milliseconds a worker needs for one block")
+      .number("versionMs", &versionMs, versionMsLeast, versionMsMost,
+              "milliseconds after a naming for which requests may begin on older weights; the same at every process")
       .number("threads", &threads, 1, 64, "threads in the pool")
       .flag("chatty", &chatty, "log more");
   if (auto code = reader.read(count, words)) return *code;
+  if (auto done = setVersionSpan(versionMs); !done) return failStart(done.error());
   settings.pendingMost = static_cast<std::size_t>(pendingMost);
   settings.blockMs = blockMs;
   startLog("proxy", settings.name, chatty);
--- a/tests/parts.cpp
+++ b/tests/parts.cpp
@@ -374,6 +374,15 @@
   return "{\"at\":\"" + std::to_string(static_cast<std::int64_t>(at * 1e9)) + "\",\"event\":\"" + event +
          "\",\"name\":\"" + name + "\"}";
 }
+std::string namedLine(const std::string& weights, int revision, double at) {
+  JsonObject row;
+  row["at"] = Json(std::to_string(static_cast<std::int64_t>(at * 1e9)));
+  row["event"] = Json(std::string("named"));
+  row["name"] = Json(weights);
+  row["change"] = Json("name-" + weights);
+  row["revision"] = Json(static_cast<double>(revision));
+  return Json(row).serialize();
+}
 // A run in which nothing is wrong.
 AuditRecords soundRecords() {
   AuditRecords records;
@@ -440,9 +449,16 @@
        }},
       {"weights-late",
        [](AuditRecords& records) {
-         records.events.push_back(eventLine("named", "w2", 9));
+         records.events.push_back(namedLine("w2", 2, 9));
          records.workers.push_back(workerLine("worker-2", "ran for", "p/x.1 w1 tenant-a mark-1-x-1", 34.5));
        }},
+      {"old-weights-began",
+       [](AuditRecords& records) {
+         records.events.push_back(namedLine("w2", 2, 9));
+         records.events.push_back(namedLine("w3", 3, 20));
+         records.workers.push_back(workerLine("worker-2", "order began", "p/x.1 w1", 28.9));
+         records.workers.push_back(workerLine("worker-2", "order began", "p/y.1 w1", 29.1));
+       }},
       {"too-many-retries",
        [](AuditRecords& records) {
          for (int number = 0; number < 25; ++number)
--- /dev/null
+++ b/tests/version_span.cpp
@@ -0,0 +1,34 @@
+#include "version_span.hpp"
+
+#include <criterion/criterion.h>
+
+#include "timing_kept.hpp"
+
+using namespace tt;
+
+Test(version_span, the_usual_span_is_what_the_programs_have_anyway) {
+  TimingKept kept;
+  timing = Timing{};
+  cr_assert(bool(setVersionSpan(versionMsUsual)));
+  cr_assert(timing.versionMost == Timing{}.versionMost);
+  cr_assert(timing.rolloutMost == Timing{}.rolloutMost);
+  cr_assert(timing.unbegunMost == Timing{}.unbegunMost);
+}
+
+Test(version_span, every_span_that_a_program_takes_keeps_the_inequalities) {
+  TimingKept kept;
+  for (double versionMs = versionMsLeast; versionMs <= versionMsMost; versionMs += 37) {
+    timing = Timing{};
+    cr_assert(bool(setVersionSpan(versionMs)), "%f ms", versionMs);
+    cr_assert(timing.rolloutLatest() < timing.rolloutMost && timing.rolloutMost < timing.unbegunMost &&
+              timing.unbegunMost < timing.versionMost);
+  }
+}
+
+Test(version_span, one_that_leaves_no_room_is_refused_by_its_inequality) {
+  TimingKept kept;
+  timing = Timing{};
+  auto done = setVersionSpan(0);
+  cr_assert(!done);
+  cr_assert_neq(done.error().text.find("last use of old weights"), std::string::npos);
+}
