Small fleet: weights named six times in succession, with kills and a freeze; audited

Ruled out: freezing a process past the end of a version on purpose. The freeze is of a proxy, over a naming. Ruled out: judging any other time, such as how fast a roll-out is; it depends on the machine.

Change: under load, with a span of 10 s (VERSION_MS), weights are named six times, once back; the first naming is sent again between. A worker (which comes back with the first weights), an edge and the holder of a cell are killed and started again, a proxy stands still. All workers must come to serve on the last weights, the audit must know of six namings, and no order may begin on old weights later than the span. AUDIT_VERSION_MS holds the fleet to another span than its own.

--- a/scripts/small-fleet.sh
+++ b/scripts/small-fleet.sh
@@ -1,13 +1,16 @@
 #!/usr/bin/env bash
-# A small fleet of real processes: loses its accord's holder, an edge and a worker under load, revokes a key, lets operators race; is audited.
-#   scripts/small-fleet.sh [FOLDER]     some twenty seconds; counts and order only, no times are judged
-# Environment as for fleet.sh; BASE is 27000 unless given.
+# A small fleet of real processes: loses its accord's holder, an edge and a worker under load, revokes a key, has weights named in quick
+# succession, lets operators race; is audited.
+#   scripts/small-fleet.sh [FOLDER]     about a minute; counts and order only, and the one span that is promised for old weights
+# Environment as for fleet.sh; BASE is 27000 and VERSION_MS 10000 unless given; AUDIT_VERSION_MS (VERSION_MS unless given) is the span that
+# the audit holds the fleet to: with a shorter one than the fleet's own the audit must find orders that began late.
 set -u
 here=$(cd "$(dirname "$0")/.." && pwd)
 build=${BUILD:-$here/build}
 deployment=rooster
 folder=${1:-$(mktemp -d)}
-export BASE=${BASE:-27000} EDGES=2 WORKERS=4 BUILD=$build LINKS=1
+export BASE=${BASE:-27000} EDGES=2 WORKERS=4 BUILD=$build LINKS=1 VERSION_MS=${VERSION_MS:-10000}
+AUDIT_VERSION_MS=${AUDIT_VERSION_MS:-$VERSION_MS}
 base=$BASE
 fleet() { "$here/scripts/fleet.sh" "$@"; }
 failed=0
@@ -48,6 +51,39 @@
 cat "$folder/load.txt"
 ctl lag --wait 20 || wrong "somebody lags"
 for name in before during; do ctl get | grep -q "\"$name\"" || wrong "change $name is lost"; done
+named() { name_weights "$@" || wrong "naming $1 was never acknowledged"; }
+in_use() { # waits until every worker serves on weights $1
+  local try
+  for try in $(seq 120); do [ "$(ctl fleet | grep -c "weights $1 .*serving")" -ge "$WORKERS" ] && return 0; sleep 0.5; done
+  wrong "weights $1 are not in use everywhere"
+}
+namings() { # weights are named six times, once back; a worker, an edge and a cell's holder are killed, and a proxy stands still meanwhile
+  load --seconds 26 --scale 0.15 --seed 2 >"$folder/load-namings.txt" &
+  local loading=$! killed name try
+  sleep 1
+  named weights-2 "$MODEL-w2"
+  sleep 2
+  named weights-3 "$MODEL-w3"
+  for try in $(seq 60); do killed=$(holder "cell/${LOCALITIES%% *}"); [ -n "$killed" ] && break; sleep 0.5; done
+  for name in "$killed" agent-2 proxy-2 worker-3; do fleet signal "$name" KILL "$folder"; done
+  for name in "$killed" agent-2 proxy-2 worker-3; do fleet run "$name" "$folder"; done
+  sleep 2
+  fleet signal proxy-1 STOP "$folder"
+  named weights-4 "$MODEL-w4"
+  sleep 2
+  fleet signal proxy-1 CONT "$folder"
+  named weights-2 "$MODEL-w2" # sent again: still the first
+  named weights-2-again "$MODEL-w2"
+  sleep 2
+  named weights-5 "$MODEL-w5"
+  sleep 2
+  named weights-6 "$MODEL-w6"
+  in_use "$MODEL-w6"
+  wait "$loading"
+  cat "$folder/load-namings.txt"
+}
+namings
+ctl lag --wait 20 || wrong "somebody lags"
 race() { # operators race, some answers lost, while the accord's holder is killed and comes back; nobody else changes anything
   "$build/trouttally-operators" --cores "$TROUTTALLY_CORES" --key "$TROUTTALLY_OPERATOR_KEY" --history "$folder/operators.jsonl" \
     --clients 6 --changes 120 --lose 20 --seed 7 >"$folder/operators.txt" &
@@ -63,6 +99,8 @@
 race
 fleet stop "$folder"
 grep -h -i -E "sanitizer|runtime error" "$folder"/logs/* && wrong "a sanitizer spoke"
-audit || failed=1
-grep -q "verdict .* done 0 done" "$folder/load.txt" || wrong "nothing was served"
+audit >"$folder/audit.txt" || failed=1
+cat "$folder/audit.txt"
+grep -q " 6 namings" "$folder/audit.txt" || wrong "the audit does not know of six namings"
+for load in load load-namings; do grep -q "verdict .* done 0 done" "$folder/$load.txt" || wrong "nothing was served in $load"; done
 exit "$failed"
