--- a/tests/version_ends_proxy.cpp
+++ b/tests/version_ends_proxy.cpp
@@ -11,23 +11,6 @@
 constexpr Span dropMost = 4500ms;
 constexpr Span tickLength = 10ms;
 
-/// Sets the spans behind a proxy's last use of a version, where there are any.
-template <class Spans>
-auto setDropSpans(Spans& spans, int) -> decltype(spans.versionMost = spans.unbegunMost = Span(), void()) {
-  spans.unbegunMost = dropMost;
-  spans.versionMost = dropMost + 500ms;
-}
-template <class Spans>
-void setDropSpans(Spans&, long) {}
-
-/// Says that no worker could load these weights, where cells' news can say so.
-template <class News>
-auto sayGivenUp(News& news, const std::string& weights, int) -> decltype(news.givenUp.push_back(weights), void()) {
-  news.givenUp.push_back(weights);
-}
-template <class News>
-void sayGivenUp(News&, const std::string&, long) {}
-
 /// A proxy whose model is given newer weights while workers still have older ones.
 struct VersionBench : ProxyBench {
   struct Naming {
@@ -41,7 +24,8 @@
   VersionBench() : VersionBench(pathSettings("proxy-1"), proxyConfiguration) {}
   VersionBench(const EdgeSettings& settings, const std::string& configuration) : ProxyBench(settings, configuration) {
     timing.rolloutMost = useMost;
-    setDropSpans(timing, 0);
+    timing.unbegunMost = dropMost;
+    timing.versionMost = dropMost + 500ms;
     namings.push_back(Naming{"moss/3", now});
   }
   static std::string patchNaming(const std::string& weights) {
@@ -500,7 +484,6 @@
     bench.workersWith({"moss/3"});
     bench.run(300ms);
     bench.name(versions, 1s);
-    sayGivenUp(bench.cells["north-a"], versions.back(), 0);
     bench.tell();
     bench.serve(bench.endOf("moss/3") - 500ms - bench.now);
     cr_expect(bench.weightsSentSince(bench.now - 200ms) == std::set<std::string>{"moss/3"}, "still within its use");
