--- /dev/null
+++ b/tests/fleet_bench.hpp
@@ -0,0 +1,243 @@
+#pragma once
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "agent.hpp"
+#include "core.hpp"
+#include "timing_kept.hpp"
+
+namespace tt {
+
+/// Real cores and agents on links that can be cut one by one and in one direction, under one clock that the test moves.
+struct FleetBench {
+  struct Mail {
+    std::string from, to;
+    Message message;
+  };
+  struct Machine {
+    std::string name, address;
+    std::unique_ptr<Node> node;
+    Core* core{nullptr};
+    Agent* agent{nullptr};
+    Recovered disk;
+    std::vector<Effects::Save> syncing;
+    Moment syncedAt{};
+    std::uint64_t life{0};
+    bool alive() const { return node != nullptr; }
+  };
+  TimingKept kept;
+  Moment now{std::chrono::hours(3)};
+  std::mt19937_64 randomSource;
+  std::map<std::string, Machine> machines;
+  std::multimap<Moment, std::pair<std::uint64_t, Mail>> due;
+  std::set<std::pair<std::string, std::string>> cutLinks;
+  std::map<std::string, OperatorResponse> replies;
+  /// What was sent to addresses at which nothing runs, such as proxies.
+  std::vector<std::pair<std::string, Message>> outside;
+  std::map<std::string, ReadResponse> reads;
+  std::map<std::string, int> notes;
+  std::uint64_t acknowledgedIndex{0};
+  int askCount{0};
+  /// Readers found fresh without an entry that had been acknowledged.
+  Strings staleReaders;
+
+  explicit FleetBench(std::uint64_t seed = 1) : randomSource(seed) {
+    timing.memberGone = 6s;
+    timing.votersLeast = 3;
+  }
+
+  Machine& machineNamed(const std::string& name) {
+    auto& machine = machines[name];
+    machine.name = name;
+    machine.address = name + ":1";
+    return machine;
+  }
+  void startCore(const std::string& name, bool mayForm) {
+    auto& machine = machineNamed(name);
+    CoreSettings settings;
+    settings.name = name;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = {"core-1:1", "core-2:1", "core-3:1"};
+    settings.localities = {"north-a"};
+    settings.mayForm = mayForm;
+    settings.cell.apart = settings.cell.loadsWhole = settings.cell.seedsForm = true;
+    settings.cell.summaries = false;
+    auto core = std::make_unique<Core>(settings, machine.disk, randomSource, now);
+    machine.core = core.get();
+    core->journal.appended.connect([this](const Event& event) {
+      ++notes[event.kind];
+      if (event.kind == "change acked")
+        acknowledgedIndex = std::max(acknowledgedIndex, static_cast<std::uint64_t>(event.number));
+    });
+    machine.node = std::move(core);
+    ++machine.life;
+  }
+  void startAgent(const std::string& name) {
+    auto& machine = machineNamed(name);
+    AgentSettings settings;
+    settings.name = name;
+    settings.address = machine.address;
+    settings.locality = "north-a";
+    settings.seeds = {"core-1:1", "core-2:1", "core-3:1"};
+    auto agent = std::make_unique<Agent>(settings);
+    machine.agent = agent.get();
+    machine.node = std::move(agent);
+    ++machine.life;
+  }
+  void stop(const std::string& name) {
+    auto& machine = machines.at(name);
+    machine.node.reset();
+    machine.core = nullptr;
+    machine.agent = nullptr;
+    machine.syncing.clear();
+    ++machine.life;
+  }
+  Machine* at(const std::string& address) {
+    for (auto& [name, machine] : machines)
+      if (machine.address == address) return &machine;
+    return nullptr;
+  }
+  void cut(const std::string& one, const std::string& other) {
+    cutLinks.insert({one, other});
+    cutLinks.insert({other, one});
+  }
+  void join(const std::string& one, const std::string& other) {
+    cutLinks.erase({one, other});
+    cutLinks.erase({other, one});
+  }
+  void cutSides(const Strings& oneSide, const Strings& otherSide) {
+    for (const auto& one : oneSide)
+      for (const auto& other : otherSide) cut(one, other);
+  }
+  void with(Machine& machine, const std::function<void(Effects&)>& action) {
+    Effects effects{now, randomSource, machine.node->journal, {}, {}};
+    action(effects);
+    for (auto& [to, message] : effects.sends) {
+      if (auto* reply = std::get_if<OperatorResponse>(&message)) {
+        replies[reply->askId] = *reply;
+      } else if (auto* read = std::get_if<ReadResponse>(&message)) {
+        reads[read->askId] = *read;
+      } else if (to == machine.address) {
+        due.emplace(now, std::make_pair(machine.life, Mail{machine.address, to, std::move(message)}));
+      } else if (auto* other = at(to)) {
+        due.emplace(now + std::chrono::milliseconds(1 + randomSource() % 8),
+                    std::make_pair(other->life, Mail{machine.address, to, std::move(message)}));
+      } else {
+        outside.emplace_back(to, std::move(message));
+      }
+    }
+    for (auto& save : effects.saves) machine.syncing.push_back(std::move(save));
+  }
+  void sync(Machine& machine) {
+    if (machine.syncing.empty() || now < machine.syncedAt) return;
+    machine.syncedAt = now + 6ms;
+    auto saves = std::move(machine.syncing);
+    machine.syncing.clear();
+    for (const auto& save : saves) cr_assert(machine.disk.fold(save.record));
+    with(machine, [&](Effects& effects) {
+      for (auto& save : saves)
+        if (save.then) save.then(effects);
+    });
+  }
+  void deliver(Mail mail, std::uint64_t life) {
+    auto& machine = *at(mail.to);
+    const auto* sender = at(mail.from);
+    if (!machine.alive() || machine.life != life || (sender && cutLinks.count({sender->name, machine.name}))) return;
+    with(machine, [&](Effects& effects) { machine.node->take(effects, mail.from, mail.message); });
+  }
+  void watchReaders() {
+    for (auto& [name, machine] : machines)
+      if (machine.agent && machine.agent->fresh(now) && machine.agent->configuration().index() < acknowledgedIndex)
+        staleReaders.push_back(name);
+  }
+  void step() {
+    now += 5ms;
+    while (!due.empty() && due.begin()->first <= now) {
+      auto [life, mail] = std::move(due.begin()->second);
+      due.erase(due.begin());
+      deliver(std::move(mail), life);
+    }
+    for (auto& [name, machine] : machines) {
+      if (!machine.alive()) continue;
+      with(machine, [&, node = machine.node.get()](Effects& effects) { node->tick(effects); });
+      sync(machine);
+    }
+    watchReaders();
+  }
+  void run(Span span) {
+    for (Moment until = now + span; now < until;) step();
+  }
+  bool runUntil(const std::function<bool()>& reached, Span most) {
+    for (Moment until = now + most; now < until && !reached();) step();
+    return reached();
+  }
+  const ReplicatedLog& logOf(const std::string& name) { return machines.at(name).core->agreement(); }
+  std::size_t votersAt(const std::string& name) {
+    const auto& rows = logOf(name).members();
+    return static_cast<std::size_t>(
+        std::count_if(rows.begin(), rows.end(), [](const Member& row) { return row.votes; }));
+  }
+  std::string leader() {
+    for (auto& [name, machine] : machines)
+      if (machine.core && machine.core->agreement().leads(now)) return name;
+    return {};
+  }
+  Strings followers() {
+    Strings names;
+    for (auto& [name, machine] : machines)
+      if (machine.core && name != leader()) names.push_back(name);
+    return names;
+  }
+  void form(int cores) {
+    for (int number = 1; number <= cores; ++number) startCore("core-" + std::to_string(number), true);
+    cr_assert(runUntil(
+        [&] {
+          for (auto& [name, machine] : machines)
+            if (machine.core && votersAt(name) != static_cast<std::size_t>(cores)) return false;
+          return !leader().empty();
+        },
+        40s));
+  }
+  bool agentFresh(const std::string& name) { return machines.at(name).agent->fresh(now); }
+  std::string ask(const std::string& name, const std::string& changeName) {
+    return askWith(name, changeName, R"({"weights":{")" + changeName + R"(":{"model":"moss"}}})");
+  }
+  std::string askWith(const std::string& name, const std::string& changeName, const std::string& body) {
+    std::string askId = "ask-" + std::to_string(++askCount);
+    OperatorRequest change;
+    change.askId = askId;
+    change.body = body;
+    change.ifRevision = -1;
+    change.changeId = changeName;
+    with(machines.at(name), [&](Effects& effects) { machines.at(name).node->take(effects, "operator", change); });
+    return askId;
+  }
+  std::string read(const std::string& name) {
+    std::string askId = "read-" + std::to_string(++askCount);
+    with(machines.at(name),
+         [&](Effects& effects) { machines.at(name).node->take(effects, askId, ReadRequest{askId}); });
+    return askId;
+  }
+  ReadResponse readThrough(const std::string& name) {
+    auto askId = read(name);
+    cr_assert(runUntil([&] { return reads.count(askId) > 0; }, 1s), "a read is answered or turned away in time");
+    return reads[askId];
+  }
+  Strings allBut(const std::string& left) {
+    Strings names;
+    for (auto& [name, machine] : machines)
+      if (name != left && machine.core) names.push_back(name);
+    return names;
+  }
+  bool acknowledged(const std::string& askId) const {
+    auto found = replies.find(askId);
+    return found != replies.end() && found->second.code == static_cast<int>(Code::changeTaken);
+  }
+  bool has(const std::string& name, const std::string& changeName) {
+    return logOf(name).configuration().section("weights").count(changeName) > 0;
+  }
+};
+
+}  // namespace tt
