--- a/tests/gate_fixture.hpp
+++ b/tests/gate_fixture.hpp
@@ -50,6 +50,11 @@
     socket.connect({asio::ip::make_address("127.0.0.1"), port});
     socket.set_option(asio::ip::tcp::no_delay(true));
   }
+  /// The same where nobody may be listening.
+  Caller(unsigned short port, asio::error_code& error) : socket(io) {
+    socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) socket.set_option(asio::ip::tcp::no_delay(true), error);
+  }
   void send(std::string_view text) {
     asio::error_code ignored;
     asio::write(socket, asio::buffer(text.data(), text.size()), ignored);
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -177,6 +177,17 @@
     for (auto& door : doors) facts.push_back(pollfd{door.handle(), POLLIN, 0});
     return ::poll(facts.data(), facts.size(), static_cast<int>(inMs(wait))) > 0;
   }
+  /// Whether it says that it takes new connections.
+  bool isReady() {
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    asio::error_code error;
+    socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(base + 4)}, error);
+    if (error) return false;
+    Caller caller(static_cast<unsigned short>(base + 4));
+    caller.send("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    return has(caller.until("\r\n\r\n"), " 200 ");
+  }
   void signal(int number) { ::kill(id, number); }
   /// Waits for the process's own end.
   bool hasEnded(Span wait) {
@@ -239,16 +250,6 @@
     hub->send(to, FeedReply{ask.sentAt, 0, view.index(), true});
     ++fed;
   }
-  bool isReady() {
-    asio::io_context io;
-    asio::ip::tcp::socket socket(io);
-    asio::error_code error;
-    socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(base + 4)}, error);
-    if (error) return false;
-    Caller caller(static_cast<unsigned short>(base + 4));
-    caller.send("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    return has(caller.until("\r\n\r\n"), " 200 ");
-  }
 };
 
 /// The value of a request's header.
