Simulator: proxies leave in order, and nobody they take late is given up

Why our tests missed it: the simulator could kill a proxy but not tell it to stop, and the only test of a real one that leaves sent one late request and answered it at once.

--- a/src/sim/random_scenario.cpp
+++ b/src/sim/random_scenario.cpp
@@ -44,6 +44,22 @@
   return out.str();
 }
 
+/// Now and then proxies that are told to stop, one or all of them, with more or less time to end in.
+std::string randomDepartures(std::uint64_t seed, std::uint64_t edges, double until) {
+  std::mt19937_64 randomSource(seed * 49979687 + 11);
+  auto roll = [&](std::uint64_t below) { return randomSource() % below; };
+  std::ostringstream out;
+  if (roll(3) != 0) return {};
+  for (std::uint64_t departures = 1 + roll(3); departures > 0; --departures) {
+    double at = 6 + static_cast<double>(roll(static_cast<std::uint64_t>((until - 6) * 100))) / 100;
+    std::uint64_t grace = roll(2) ? 8 : 2 + roll(7);
+    std::string who = roll(4) == 0 ? "proxies" : "proxy-" + std::to_string(1 + roll(edges));
+    out << "at " << at << " leave " << who << " " << grace << "\n";
+    out << "at " << at + static_cast<double>(grace) + 0.5 << " start " << who << "\n";
+  }
+  return out.str();
+}
+
 /// Operators' clients for a scenario of random faults; now and then they make hundreds of changes.
 std::string randomOperators(std::uint64_t seed) {
   std::mt19937_64 randomSource(seed * 104729 + 7);
@@ -312,6 +328,7 @@
   }
   double calm = std::max(24.0, clock + 7);
   out << randomNamings(seed, workers, calm + 5, namingsADay - namings);
+  out << randomDepartures(seed, edges, calm - 10);
   out << "until " << calm + 32 << "\n";
   out << "at " << calm << " load 1\nat " << calm << " unfill cores\nat " << calm << " heal\nat " << calm
       << " start cores agents proxies workers store platform\nat " << calm << " list workers\nat " << calm
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -6,6 +6,8 @@
 
 namespace tt {
 namespace {
+/// The seconds that a process has to end in order, where a scenario does not say.
+constexpr double graceUsual = 8;
 
 struct Line {
   int number{0};
@@ -240,6 +242,9 @@
     };
     if (verb == "kill") {
       each([&](const std::string& name) { world->kill(name); });
+    } else if (verb == "leave") {
+      for (const auto& name : named(word(1)))
+        if (name.rfind("proxy-", 0) == 0) world->leave(name, secondsOf(words.size() > 2 ? number(2) : graceUsual));
     } else if (verb == "start") {
       each([&](const std::string& name) { world->start(name); });
     } else if (verb == "freeze") {
--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -15,9 +15,9 @@
 
 const std::vector<std::string>& invariantNames() {
   static const std::vector<std::string> names{
-      "runs-twice",        "not-run-but-ran",  "stitched",    "other-weights", "other-tenant",    "fetch-beyond",
-      "lookup-late",       "change-ignored",   "change-back", "revoked-works", "leaving-used",    "weights-late",
-      "old-weights-began", "too-many-retries", "acked-lost",  "two-holders",   "operator-history"};
+      "runs-twice",        "not-run-but-ran",  "stitched",    "other-weights", "other-tenant",     "fetch-beyond",
+      "lookup-late",       "change-ignored",   "change-back", "revoked-works", "leaving-used",     "weights-late",
+      "old-weights-began", "too-many-retries", "acked-lost",  "two-holders",   "operator-history", "given-up"};
   return names;
 }
 
@@ -232,6 +232,7 @@
 void World::kill(const std::string& name) {
   auto& actor = *actors.at(name);
   if (!actor.alive) return;
+  drains.erase(name);
   actor.alive = false;
   ++actor.life;
   actor.held.clear();
@@ -679,6 +680,7 @@
       violate("stitched", verdict->orderId + " looks complete with " + std::to_string(order.said) + " of " +
                               std::to_string(order.maxTokens));
     if (verdict->verdict == "not run" && order.runs > 0) violate("not-run-but-ran", verdict->orderId + " had run");
+    checkGivenUp(*verdict, order);
     auto asked = asksOpen.find(verdict->orderId);
     if (asked == asksOpen.end()) return;
     CallerOrder again = asked->second;
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -61,6 +61,8 @@
 
   /// What scenarios do. A name is core-1, agent-2, proxy-2, worker-3, app, store, platform.
   void kill(const std::string& name);
+  /// Tells a proxy to stop, as the platform does, and kills it after the grace if it has not ended by then.
+  void leave(const std::string& name, Span grace);
   void start(const std::string& name);
   void freeze(const std::string& name, Span span, bool atSending = false);
   void wipeDisk(const std::string& name);
@@ -175,6 +177,8 @@
   std::set<std::string> lostAnswers;
   std::map<std::string, Moment> lookupsOpen;
   std::map<std::string, Moment> revokedAt, leavingAt;
+  /// The plans of proxies that are leaving, on the world's clock.
+  std::map<std::string, DrainPlan> drains;
   /// The newest state that any reader has shown, and each core's and proxy's entries as they applied them.
   std::uint64_t shownMost{0};
   struct Canon {
@@ -258,6 +262,9 @@
   void watchBegin(const std::string& worker, const Event& event);
   void watchRun(const std::string& worker, const std::string& orderId);
   void violate(const std::string& invariant, const std::string& text);
+  void leaveFurther(const std::string& name, std::uint64_t life);
+  void checkGivenUp(const std::string& proxy);
+  void checkGivenUp(const CallerVerdict& verdict, const OrderRow& order);
   std::string addressOf(const std::string& name) const;
   std::string localityOf(const std::string& name) const;
   void operatorAnswer(const OperatorResponse& reply);
