A connection that never asks does not hold up a leaving gate

Found on reading the mend: the drain ends when all connections are closed, but one that was taken after the signal and sent nothing rested for the whole idle time (15 s) instead of the short one. Two part tests of the gate: this, and that a gate that accepts no more serves whoever is connected.

--- a/src/net/gate_connection.cpp
+++ b/src/net/gate_connection.cpp
@@ -32,7 +32,7 @@
 void Gate::Connection::start() {
   tune(socket);
   connectedAt = Clock::now();
-  setDeadline(connectedAt + gate->limits.idleWait);
+  setDeadline(restsUntil());
   read();
 }
 
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -689,6 +689,32 @@
   cr_assert_eq(kept.gone.load(), 0);
 }
 
+Test(gate, a_new_connection_without_a_request_does_not_hold_up_a_gate_that_leaves) {
+  GateLimits limits;
+  limits.idleClose = 150ms;
+  Door door(echo, limits);
+  door.run([&] { door.gate.leave(); });
+  Caller silent(door.port), asking(door.port);
+  asking.send(get);
+  cr_assert(has(asking.all(), "Connection: close"), "one that asks is served");
+  cr_assert_eq(silent.all(), "");
+  cr_assert_not(silent.timedOut);
+}
+
+Test(gate, a_gate_that_accepts_no_more_serves_whoever_is_connected) {
+  Kept kept;
+  Door door(kept.handler());
+  Caller caller(door.port);
+  caller.send(get);
+  cr_assert(soon([&] { return kept.taken == 1; }));
+  door.run([&] { door.gate.stopAccepting(); });
+  asio::error_code error;
+  Caller late(door.port, error);
+  cr_assert(error, "nobody listens any more");
+  door.run([&] { answerWhole(kept.answers[0], "well"); });
+  cr_assert(has(caller.until("well"), "well"));
+}
+
 Test(gate, leaving_closes_idle_connections_and_serves_the_rest) {
   Kept kept;
   GateLimits limits;
