--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -162,6 +162,20 @@
   void redraw(Effects& effects, Order& order);
   void drawAgain(Effects& effects, Order& order);
 
+  void takeFromAgent(Effects& effects, const Message& message);
+  void onWorkerChunk(Effects& effects, const WorkerChunk& chunk);
+  void onWorkerEnd(Effects& effects, const WorkerEnd& end);
+  void onWorkerLoad(const WorkerLoad& load, Moment now);
+  void onFeed(const FeedReply& feed, Moment now);
+  void onNews(Effects& effects, const NewsMsg& news);
+  void onCellNews(Effects& effects, const CellNews& news);
+  void onMarks(const MarksMsg& marks, Moment now);
+  void onLookupReply(Effects& effects, const LookupReply& reply);
+  /// The order that was sent to a worker under this id; null if it is over or was sent again since.
+  Order* orderSentAs(const std::string& sendId);
+  /// The event of the order chart that a worker's end of an order is.
+  const char* eventOf(const Order& order, Outcome outcome) const;
+
   void admit(Effects& effects, const CallerOrder& ask);
   void accept(Effects& effects, std::unique_ptr<Order> order);
   void happen(Effects& effects, const std::string& orderId, const std::string& event);
--- /dev/null
+++ b/src/routing/edge_report.cpp
@@ -0,0 +1,41 @@
+/// What a proxy tells of itself.
+#include "edge.hpp"
+
+#include <algorithm>
+
+namespace tt {
+std::string Edge::condition(Moment now) const {
+  JsonObject whole;
+  whole["proxy"] = Json(settings.name);
+  whole["fresh"] = Json(fresh(now));
+  whole["revision"] = jsonNumber(static_cast<double>(view.revision()));
+  whole["applied"] = jsonNumber(static_cast<double>(view.index()));
+  whole["orders"] = jsonNumber(static_cast<double>(orders.size()));
+  whole["pending"] = jsonNumber(static_cast<double>(pending.size()));
+  JsonObject tenants;
+  for (const auto& [tenant, open] : openByTenant) tenants[tenant] = jsonNumber(open);
+  whole["openByTenant"] = Json(tenants);
+  whole["retriesLately"] = jsonNumber(static_cast<double>(retriedAt.size()));
+  whole["admittedLately"] = jsonNumber(static_cast<double>(admittedAt.size()));
+  JsonObject workers;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers) {
+      JsonObject row;
+      row["weights"] = Json(worker.weights);
+      row["running"] = jsonNumber(worker.running);
+      row["slots"] = jsonNumber(worker.slots);
+      row["held"] = Json(worker.held);
+      row["alive"] = Json(worker.alive);
+      row["leaving"] = Json(!staying.count(worker.name));
+      auto local = locals.find(worker.name);
+      row["open"] = jsonNumber(local == locals.end() ? 0 : local->second.open);
+      workers[worker.name] = Json(row);
+    }
+  whole["workers"] = Json(workers);
+  JsonObject counters;
+  for (const auto& [kind, count] : journal.counts()) counters[kind] = jsonNumber(static_cast<double>(count));
+  whole["counters"] = Json(counters);
+  return Json(whole).serialize(true);
+}
+
+}  // namespace tt
