--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,6 +6,12 @@
 files=(
   src/rollout/*.cpp
   src/consensus/timing_check.cpp
+  src/net/gate_drain.cpp
+  src/net/operator_drain.cpp
+  src/routing/drain_plan.cpp
+  src/routing/edge_outcomes.cpp
+  src/routing/edge_report.cpp
+  src/sim/sim_drain.cpp
   src/sim/version_check.cpp
   src/tools/naming_records.cpp
 )
