--- a/tests/drain.cpp
+++ b/tests/drain.cpp
@@ -70,32 +70,17 @@
     settings.bootstrap = true;
     settings.seedPeers = {settings.controlAddress, "127.0.0.2:9", "127.0.0.3:9"};
     settings.bounds.grace = grace;
-    id = ::fork();
-    if (id == 0) {
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      if (!setTiming(settings)) ::_exit(9);
-      ::_exit(runCore(settings));
-    }
+    process = std::make_unique<RoleProcess>(settings, runCore);
     cr_assert(soon([this] { return listens(); }, 10s), "the core must listen");
   }
-  ~LonelyCore() {
-    if (id > 0) {
-      ::kill(id, SIGKILL);
-      ::waitpid(id, nullptr, 0);
-    }
-  }
   unsigned short control() const { return static_cast<unsigned short>(base + 1); }
-  void signal(int number) { ::kill(id, number); }
-  bool hasEnded(Span wait) {
-    bool over = soon([this] { return ::waitpid(id, nullptr, WNOHANG) == id; }, wait);
-    if (over) id = 0;
-    return over;
-  }
+  void signal(int number) { process->signal(number); }
+  bool hasEnded(Span wait) { return process->hasEnded(wait); }
 
  private:
   unsigned short base;
   char folder[32] = "/tmp/trouttally-drain-XXXXXX";
-  pid_t id{0};
+  std::unique_ptr<RoleProcess> process;
   bool listens() const {
     asio::error_code error;
     Caller caller(control(), error);
@@ -159,7 +144,7 @@
 
 Test(drain, a_leaving_core_answers_the_operators_that_wait_at_it) {
   LonelyCore core(1s);
-  Caller change(core.control()), read(core.control());
+  Caller change(core.control());
   change.send(
       "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 0\r\nContent-Length: 44\r\n\r\n"
       R"({"Revision":1,"Routes":[],"Backends":[]})"
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -101,6 +101,34 @@
   asio::ip::tcp::acceptor acceptor;
 };
 
+/// A role of the platform's program in a process of its own, which dies with the test.
+class RoleProcess {
+ public:
+  RoleProcess(const SiteSettings& settings, int (*role)(const SiteSettings&)) : id(::fork()) {
+    if (id != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (!setTiming(settings)) ::_exit(9);
+    ::_exit(role(settings));
+  }
+  RoleProcess(const RoleProcess&) = delete;
+  RoleProcess& operator=(const RoleProcess&) = delete;
+  ~RoleProcess() {
+    if (id <= 0) return;
+    ::kill(id, SIGKILL);
+    ::waitpid(id, nullptr, 0);
+  }
+  void signal(int number) { ::kill(id, number); }
+  /// Waits for the process's own end.
+  bool hasEnded(Span wait) {
+    bool over = soon([this] { return ::waitpid(id, nullptr, WNOHANG) == id; }, wait);
+    if (over) id = 0;
+    return over;
+  }
+
+ private:
+  pid_t id;
+};
+
 class Proxy {
  public:
   explicit Proxy(std::size_t workers = 1, Span grace = 8s)
@@ -114,12 +142,7 @@
     settings.frontAddress = at(3);
     settings.readinessAddress = at(4);
     settings.bounds.grace = grace;
-    id = ::fork();
-    if (id == 0) {
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      if (!setTiming(settings)) ::_exit(9);
-      ::_exit(runProxy(settings));
-    }
+    process = std::make_unique<RoleProcess>(settings, runProxy);
     hub = std::make_unique<Hub>(context, at(1), [this](const std::string& from, Message message) {
       if (auto* ask = std::get_if<FeedAsk>(&message)) feed(from, *ask);
     });
@@ -131,10 +154,7 @@
     cr_assert(soon([this] { return isReady(); }, 10s), "the proxy must become ready");
   }
   ~Proxy() {
-    if (id > 0) {
-      ::kill(id, SIGKILL);
-      ::waitpid(id, nullptr, 0);
-    }
+    process.reset();
     context.stop();
     thread.join();
   }
@@ -188,13 +208,8 @@
     caller.send("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
     return has(caller.until("\r\n\r\n"), " 200 ");
   }
-  void signal(int number) { ::kill(id, number); }
-  /// Waits for the process's own end.
-  bool hasEnded(Span wait) {
-    bool over = soon([this] { return ::waitpid(id, nullptr, WNOHANG) == id; }, wait);
-    if (over) id = 0;
-    return over;
-  }
+  void signal(int number) { process->signal(number); }
+  bool hasEnded(Span wait) { return process->hasEnded(wait); }
 
  private:
   unsigned short base;
@@ -208,7 +223,7 @@
   std::atomic<std::uint64_t> applied{0}, fed{0};
   std::uint64_t sequence{0};
   std::string workersModel, workersWeights;
-  pid_t id{0};
+  std::unique_ptr<RoleProcess> process;
 
   std::string at(int port) const { return "127.0.0.1:" + std::to_string(base + port); }
   void feed(const std::string& to, const FeedAsk& ask) {
