A service is a thing of its own kind: plain workers are known and drawn by load

Cause: every listed worker was taken for an engine. The cells asked plain workers for kept blocks and reports, which they do not have, so they never counted as alive and no proxy had a worker for their routes.

Change: the platform's list tells engines by their models, the configuration by `engine`; a cell asks nothing of a plain worker and lets it count for as long as it is listed; proxies choose by occupancy, nearness and passive ejection that grows with failures in succession. Delays of plain orders no longer count for the shedding of prompts.

Ruled out: health probes of plain workers (priced, and false either way under the troubles named).

--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -158,20 +158,32 @@
 }
 
 void Core::takeMarks(Effects& effects) {
-  Count stores = 1;
-  for (const auto& store : replicatedLog->configuration().stores())
-    stores = rendezvous(std::to_string(stores) + store.address, store.service + store.locality);
-  if (cellDigest == clusterView->marksDigest() && stores == storesDigest) return;
+  Count services = digestOfServices();
+  if (cellDigest == clusterView->marksDigest() && services == servicesDigest) return;
   cellDigest = clusterView->marksDigest();
-  storesDigest = stores;
+  servicesDigest = services;
   auto machines = machinesWithStores();
   for (const auto& machine : machines) cellFor(machine.locality);
   for (auto& [locality, cell] : cells) cell->setMachines(machines);
   effects.note("machines", self.id, static_cast<std::int64_t>(machines.size()));
 }
 
+Count Core::digestOfServices() const {
+  const auto& configuration = replicatedLog->configuration();
+  Count digest = 1;
+  for (const auto& store : configuration.stores())
+    digest = rendezvous(std::to_string(digest) + store.address, store.service + store.locality);
+  for (const auto& [name, service] : configuration.services())
+    if (service.kind == ServiceKind::engine) digest = rendezvous(std::to_string(digest), name);
+  return digest;
+}
+
 std::vector<Machine> Core::machinesWithStores() const {
   auto machines = clusterView->machines();
+  for (auto& machine : machines) {
+    const auto* service = replicatedLog->configuration().findService(machine.service);
+    if (service && service->kind == ServiceKind::engine) machine.kind = "language";
+  }
   for (const auto& store : replicatedLog->configuration().stores()) {
     Machine row{store.service + "@" + store.address, store.address, store.locality, "store", false, {}, {}, {}, 0};
     row.service = store.service;
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -84,7 +84,7 @@
   };
   ReadersRound round;
   Moment missedAt{};
-  Count cellDigest{0}, storesDigest{0};
+  Count cellDigest{0}, servicesDigest{0};
   std::map<std::string, HelloResponse> hellos;
   std::map<std::string, Asked> asked;
   std::deque<PendingRead> pendingReads;
@@ -132,6 +132,7 @@
   void settleReads(Effects& effects);
   void askLogEnds(Effects& effects);
   void takeMarks(Effects& effects);
+  Count digestOfServices() const;
   std::vector<Machine> machinesWithStores() const;
   void spread(Effects& effects, const Message& message);
   void keepNews(Effects& effects, const CellNews& news, bool own);
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -85,10 +85,18 @@
   if (prefixes.empty()) routeByPrefix.erase(route.host);
 }
 
+const ServiceView* Configuration::findService(const std::string& name) const {
+  auto found = serviceRows.find(name);
+  return found == serviceRows.end() ? nullptr : &found->second;
+}
+
 void Configuration::foldService(const std::string& name, const Json* value) {
   for (auto row = storeRows.begin(); row != storeRows.end();)
     row = row->service == name ? storeRows.erase(row) : std::next(row);
-  if (!value || textOr(*value, "storeAddress").empty()) return;
+  serviceRows.erase(name);
+  if (!value || !value->is<JsonObject>()) return;
+  serviceRows[name] = readService(*value);
+  if (textOr(*value, "storeAddress").empty()) return;
   storeRows.push_back(StoreView{name, textOr(*value, "storeAddress"), textOr(*value, "locality")});
 }
 
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -35,6 +35,16 @@
 struct StoreView {
   std::string service, address, locality;
 };
+/// What a service is made of: engines, which keep blocks and carry weights; plain workers, which only answer; a store.
+enum class ServiceKind { engine, plain, store };
+/// A service as operators declared it. Figures are 0 where nothing was said.
+struct ServiceView {
+  ServiceKind kind{ServiceKind::plain};
+  /// Orders that one worker runs at once, and the tokens that one worker or the store has room for.
+  double slots{0}, memoryTokens{0};
+  /// Bytes of a kept token, and megabits a second of the link of one worker or of the store.
+  double tokenBytes{0}, linkMbps{0};
+};
 /// What callers may send and how long they may take.
 struct CallerLimits {
   std::size_t headerBytes{16384}, bodyBytes{4u << 20};
@@ -80,6 +90,9 @@
   bool asksKeys() const;
   std::optional<TenantView> findTenant(const std::string& name) const;
   const std::vector<StoreView>& stores() const { return storeRows; }
+  /// A declared service; null where no service has that name.
+  const ServiceView* findService(const std::string& name) const;
+  const std::map<std::string, ServiceView>& services() const { return serviceRows; }
   const CallerLimits& callerLimits() const { return limitsRow; }
   /// A section by name, without a copy; null if it has no items.
   const JsonObject* sectionAt(const std::string& name) const;
@@ -99,6 +112,7 @@
   std::map<std::string, RouteView> routeRows;
   std::map<std::string, std::map<std::string, std::string>> routeByPrefix;
   std::vector<StoreView> storeRows;
+  std::map<std::string, ServiceView> serviceRows;
   CallerLimits limitsRow;
   std::map<std::string, Policy> policies;
   std::vector<Member> memberRows;
--- a/src/config/item_readers.cpp
+++ b/src/config/item_readers.cpp
@@ -16,6 +16,14 @@
   return static_cast<std::size_t>(std::max<std::int64_t>(0, numberOr(item, name, fallback)));
 }
 
+/// A figure that may have a fraction; 0 where there is none, or none that can be meant.
+double figureOr(const Json& item, const std::string& name) {
+  constexpr double most = 1e15;
+  if (!item.is<JsonObject>() || !item.contains(name) || !item.get(name).is<double>()) return 0;
+  double figure = item.get(name).get<double>();
+  return figure > 0 && figure < most ? figure : 0;
+}
+
 int intOr(const Json& item, const std::string& name, int fallback) {
   constexpr std::int64_t least = std::numeric_limits<int>::min(), most = std::numeric_limits<int>::max();
   return static_cast<int>(std::clamp(numberOr(item, name, fallback), least, most));
@@ -50,6 +58,22 @@
   return prefix.empty() || prefix.back() == '/' ? prefix : prefix + "/";
 }
 
+ServiceView readService(const Json& item) {
+  ServiceView service;
+  Json figures = item;
+  if (!textOr(item, "storeAddress").empty()) {
+    service.kind = ServiceKind::store;
+  } else if (item.contains("engine") && item.get("engine").is<JsonObject>()) {
+    service.kind = ServiceKind::engine;
+    figures = item.get("engine");
+  }
+  service.slots = figureOr(figures, "slots");
+  service.memoryTokens = figureOr(figures, "tokens");
+  service.tokenBytes = figureOr(figures, "tokenBytes");
+  service.linkMbps = figureOr(figures, "linkMbps");
+  return service;
+}
+
 RouteView readRoute(const std::string& name, const Json& item) {
   RouteView route;
   route.name = name;
--- a/src/config/item_readers.hpp
+++ b/src/config/item_readers.hpp
@@ -7,6 +7,7 @@
 
 /// Reads an item of the section `routes`.
 RouteView readRoute(const std::string& name, const Json& item);
+ServiceView readService(const Json& item);
 /// Reads the item `callers` of the section `limits`.
 CallerLimits readCallerLimits(const Json& item);
 /// The secrets of an item of the section `tenants`, in clear.
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -107,8 +107,11 @@
   effects.note("keeper unconfirmed", keeper.machine.name + " " + why);
 }
 
+bool Cell::reports(const Keeper& keeper) const { return !settings.apart || keeper.machine.kind != "app"; }
+
 void Cell::askReports(Effects& effects) {
   for (auto& [name, keeper] : rows) {
+    if (!reports(keeper)) continue;
     if (keeper.known && effects.now - keeper.heardAt > settings.lateAfter) doubt(effects, keeper, "late");
     if (settings.apart) askCondition(effects, keeper);
     if (keeper.askPending ? effects.now - keeper.askedAt < askAgain : effects.now - keeper.askedAt < settings.askEvery)
@@ -373,7 +376,7 @@
     bool right = !wanted || keeper.last.weights == *wanted;
     bool held = (keeper.last.draining && (!settings.loadsWhole || !right)) ||
                 (rollout != rollouts.end() && !rollout->second.walk->in("serving"));
-    bool alive = keeper.known && effects.now - keeper.heardAt < settings.goneAfter;
+    bool alive = !reports(keeper) || (keeper.known && effects.now - keeper.heardAt < settings.goneAfter);
     news.workers.push_back(WorkerView{name, keeper.machine.address, place, keeper.machine.kind, keeper.last.weights,
                                       keeper.last.model, keeper.last.running, keeper.last.slots, held, alive,
                                       keeper.confirmed, keeper.kept.size(), keeper.last.sequence,
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -136,6 +136,9 @@
   void onReport(Effects& effects, const Report& report);
   void onLookup(Effects& effects, const LookupMsg& ask);
   void weighStore(Keeper& keeper, const BlockHash& prefix, Moment now);
+  /// Whether a worker tells of itself; a plain one behind an interface with reports of their own has none, and counts
+  /// as alive for as long as it is listed.
+  bool reports(const Keeper& keeper) const;
   void askReports(Effects& effects);
   void askCondition(Effects& effects, Keeper& keeper);
   void onCondition(Effects& effects, Keeper& keeper, const Report& report);
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -33,10 +33,16 @@
 
 bool Edge::ready(Moment now) const {
   if (!fresh(now) || view.revision() == 0) return false;
+  bool anyEngine = false, engineAlive = false, plainAlive = false;
   for (const auto& [locality, news] : cells)
-    for (const auto& worker : news.workers)
-      if (worker.alive && worker.kind != "store") return true;
-  return false;
+    for (const auto& worker : news.workers) {
+      if (worker.kind == "store") continue;
+      bool engine = worker.kind == "language";
+      anyEngine = anyEngine || engine;
+      engineAlive = engineAlive || (engine && worker.alive);
+      plainAlive = plainAlive || (!engine && worker.alive);
+    }
+  return anyEngine ? engineAlive : plainAlive;
 }
 
 const WorkerView* Edge::workerView(const std::string& name) const {
@@ -266,9 +272,7 @@
   auto* order = orderSentAs(end.orderId);
   if (!order) return;
   order->end = end;
-  auto& local = locals[order->plan.worker];
-  if (outcome == Outcome::brokenUnsent || outcome == Outcome::broken || outcome == Outcome::denied)
-    local.shunUntil = effects.now + (outcome == Outcome::denied ? deniedShunFor : shunFor);
+  eject(*order, outcome, effects.now);
   if (outcome == Outcome::denied)
     effects.note(std::string("turned away ") + codeName(static_cast<Code>(end.code)), end.orderId);
   std::string orderId = order->ask.orderId;
@@ -276,6 +280,16 @@
   servePending(effects);
 }
 
+void Edge::eject(const Order& order, Outcome outcome, Moment now) {
+  auto& local = locals[order.plan.worker];
+  bool brokeOff = outcome == Outcome::brokenUnsent || outcome == Outcome::broken;
+  bool plain = order.route.byPath() && order.plan.model.empty();
+  int spans =
+      plain && outcome != Outcome::denied ? local.outliers.note(brokeOff || outcome == Outcome::failed) : brokeOff;
+  if (outcome == Outcome::denied) local.shunUntil = now + deniedShunFor;
+  if (spans > 0) local.shunUntil = now + spans * shunFor;
+}
+
 void Edge::onWorkerLoad(const WorkerLoad& load, Moment now) {
   const auto* order = orderSentAs(load.orderId);
   if (!order) return;
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -3,6 +3,7 @@
 
 #include "agent.hpp"
 #include "drain_plan.hpp"
+#include "plain_placement.hpp"
 
 namespace tt {
 
@@ -105,6 +106,8 @@
     /// Prompt tokens sent from here and not yet read there, and the load it last told of.
     int unread{0}, running{0}, waiting{0};
     Moment loadAt{};
+    /// For workers of plain services, where one that fails is left out for longer each time.
+    OutlierRecord outliers;
   };
   EdgeSettings settings;
   Configuration view;
@@ -182,6 +185,12 @@
   bool drawWorker(Effects& effects, Order& order);
   void drawSources(Order& order, Moment now);
   bool drawByPrefix(Effects& effects, Order& order);
+  /// Whether a service's workers keep no blocks and carry no weights.
+  bool isPlain(const std::string& service) const;
+  bool drawPlain(Effects& effects, Order& order);
+  PlainCandidate plainCandidate(const WorkerView& worker, Moment now) const;
+  /// Leaves a worker out for a while for how an order ended there.
+  void eject(const Order& order, Outcome outcome, Moment now);
   void drawRideSources(Order& order, Moment now);
   bool settleRide(Effects& effects, Order& order);
   double loadOf(const std::string& worker, Moment now) const;
--- a/src/routing/edge_outcomes.cpp
+++ b/src/routing/edge_outcomes.cpp
@@ -64,7 +64,7 @@
 }
 
 void Edge::passChunk(Effects& effects, Order& order) {
-  if (!order.began && order.route.byPath()) noteDelay(order, effects.now);
+  if (!order.began && order.route.byPath() && !order.plan.model.empty()) noteDelay(order, effects.now);
   if (!order.began && order.plan.source)
     effects.note("transfer inferred", order.plan.source->name, inMs(effects.now - order.heardAt));
   readDone(order);
--- a/src/routing/edge_placement.cpp
+++ b/src/routing/edge_placement.cpp
@@ -134,7 +134,54 @@
   order.counted = true;
 }
 
+bool Edge::isPlain(const std::string& service) const {
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers)
+      if (worker.service == service) return worker.kind == "app";
+  return false;
+}
+
+PlainCandidate Edge::plainCandidate(const WorkerView& worker, Moment now) const {
+  PlainCandidate candidate;
+  candidate.slots = worker.slots;
+  candidate.sameLocality = worker.locality == settings.locality;
+  auto found = locals.find(worker.name);
+  if (found == locals.end()) return candidate;
+  const auto& local = found->second;
+  candidate.open = local.open;
+  candidate.ejected = now < local.shunUntil;
+  if (now - local.loadAt >= loadOld) return candidate;
+  candidate.running = local.running;
+  candidate.waiting = local.waiting;
+  return candidate;
+}
+
+bool Edge::drawPlain(Effects& effects, Order& order) {
+  std::vector<const WorkerView*> workers;
+  std::vector<PlainCandidate> candidates;
+  bool anyAlive = false;
+  for (const auto& [locality, news] : cells)
+    for (const auto& worker : news.workers) {
+      if (worker.service != order.service || !worker.alive || !staying.count(worker.name)) continue;
+      anyAlive = true;
+      if (order.tried.count(worker.name)) continue;
+      workers.push_back(&worker);
+      candidates.push_back(plainCandidate(worker, effects.now));
+    }
+  order.lastCode = anyAlive ? Code::pendingFull : Code::noWorker;
+  auto chosen = choosePlain(candidates, effects.randomSource);
+  if (!chosen) return false;
+  order.lastCode = Code::noWorker;
+  order.plan = Plan{};
+  order.plan.worker = workers[*chosen]->name;
+  order.plan.address = workers[*chosen]->address;
+  order.plan.locality = workers[*chosen]->locality;
+  countOpen(order);
+  return true;
+}
+
 bool Edge::drawWorker(Effects& effects, Order& order) {
+  if (order.route.byPath() && isPlain(order.service)) return drawPlain(effects, order);
   if (order.route.byPath()) return drawByPrefix(effects, order);
   struct Choice {
     const WorkerView* worker;
