Cells keep a ledger of prompts placed and not read; a first try at the reading rate fails

Hypothesis: with 68 proxies before 60 workers nobody knows a worker's queue.

Change: proxies tell a worker's cell of each placement and of each first token; lookup replies bring the queue, the rate and the blocks that are about to be kept. Cost of a placement as a pure function; transfers from the declared links.

Why: the rate was taken as tokens ahead over time to the first token, as if workers read in order of arrival. They do not: a short prompt overtakes, and its worker seemed to read thousands of tokens a ms and drew all prompts to it.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -167,6 +167,10 @@
     row = effects.now - row->second > followerKept ? followers.erase(row) : std::next(row);
 }
 
+void Agent::passToCell(Effects& effects, const std::string& locality, const Message& message) {
+  if (auto cell = cells.find(locality); cell != cells.end()) effects.send(cell->second.holder, message);
+}
+
 void Agent::take(Effects& effects, const std::string& from, const Message& message) {
   if (from == parent) parentHeard = effects.now;
   if (auto* reply = std::get_if<LogEndResponse>(&message)) {
@@ -201,6 +205,10 @@
     LookupMsg passed = *lookup;
     passed.replyTo = settings.address;
     effects.send(cell->second.holder, passed);
+  } else if (auto* started = std::get_if<PrefillStarted>(&message)) {
+    passToCell(effects, started->locality, message);
+  } else if (auto* ended = std::get_if<PrefillEnded>(&message)) {
+    passToCell(effects, ended->locality, message);
   } else if (auto* watchMsg = std::get_if<WatchMsg>(&message)) {
     auto cell = cells.find(watchMsg->locality);
     if (cell == cells.end()) return;
--- a/src/agent/agent.hpp
+++ b/src/agent/agent.hpp
@@ -47,6 +47,8 @@
   void onNews(Effects& effects, const NewsMsg& news);
   void onNewsAsk(Effects& effects, const std::string& from, std::uint64_t applied, const std::vector<CellMark>& known);
   void spread(Effects& effects, const Message& message);
+  /// Passes what a proxy tells of a worker on to the holder of that worker's cell.
+  void passToCell(Effects& effects, const std::string& locality, const Message& message);
   std::vector<CellMark> cellMarks() const;
 };
 
--- a/src/base/messages.hpp
+++ b/src/base/messages.hpp
@@ -92,7 +92,8 @@
   /* kept blocks */                                                                                                 \
   X(LookupMsg, ((std::string, lookupId))((std::string, locality))((std::string, keeper))((std::string, weights))    \
                    ((Hashes, hashes))((std::string, replyTo)))                                                      \
-  X(LookupReply, ((std::string, lookupId))((std::string, keeper))((std::vector<int>, hits)))                        \
+  X(LookupReply, ((std::string, lookupId))((std::string, keeper))((std::vector<int>, hits))                          \
+                     ((double, waitingTokens))((double, tokensPerMs))((int, pendingHits)))                                  \
   X(WatchMsg, ((std::string, moveId))((std::string, locality))((std::string, source))((std::string, target))        \
                   ((Hashes, hashes))((std::int64_t, deadlineMs))((std::string, replyTo)))                           \
   X(TransferDone, ((std::string, moveId))((bool, success)))                                                         \
@@ -141,7 +142,12 @@
   X(InstallSnapshotResponse, ((Count, term))((std::string, voter))((std::string, digest))((Count, offset))          \
                                  ((Count, attempt)))                                                               \
   /* when weights were named, for who has forgotten it */                                                           \
-  X(NamingsMsg, ((std::vector<VersionNaming>, namings)))
+  X(NamingsMsg, ((std::vector<VersionNaming>, namings)))                                                           \
+  /* prompts placed at workers and not read yet, told to the cells of those workers */                            \
+  X(PrefillStarted, ((std::string, sendId))((std::string, locality))((std::string, worker))((Hashes, hashes))       \
+                        ((int, tokens)))                                                                            \
+  X(PrefillEnded, ((std::string, sendId))((std::string, locality))((std::string, worker))((Hashes, hashes))         \
+                      ((bool, read)))
 
 /* clang-format on */
 #define TT_MESSAGE_STRUCT(Name, fields) TT_STRUCT(Name, fields)
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -282,6 +282,10 @@
     onChangeReply(effects, from, *changeReply);
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
     if (auto cell = cells.find(lookup->locality); cell != cells.end()) cell->second->take(effects, from, message);
+  } else if (auto* started = std::get_if<PrefillStarted>(&message)) {
+    if (auto cell = cells.find(started->locality); cell != cells.end()) cell->second->take(effects, from, message);
+  } else if (auto* ended = std::get_if<PrefillEnded>(&message)) {
+    if (auto cell = cells.find(ended->locality); cell != cells.end()) cell->second->take(effects, from, message);
   } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
     if (auto cell = cells.find(watch->locality); cell != cells.end()) cell->second->take(effects, from, message);
   } else if (auto* report = std::get_if<Report>(&message)) {
--- a/src/index/cell.cpp
+++ b/src/index/cell.cpp
@@ -67,6 +67,7 @@
   rollouts.clear();
   watches.clear();
   agentMarks.clear();
+  prefills.clear();
   sequence = 0;
   said.clear();
   newsDue = true;
@@ -87,6 +88,7 @@
     }
     keeper.machine = machine;
   }
+  prefills.keepOnly(listed);
   for (auto row = rows.begin(); row != rows.end();) {
     if (listed.count(row->first)) {
       ++row;
@@ -265,7 +267,7 @@
 void Cell::onLookup(Effects& effects, const LookupMsg& ask) {
   if (!election.holds(effects.now)) return;
   auto found = rows.find(ask.keeper);
-  LookupReply reply{ask.lookupId, ask.keeper, {}};
+  LookupReply reply{ask.lookupId, ask.keeper, {}, 0, 0, 0};
   if (found != rows.end()) {
     auto& keeper = found->second;
     if (keeper.machine.kind == "store" && keeper.confirmed && !ask.hashes.empty())
@@ -274,6 +276,10 @@
                   (!keeper.last.draining || settings.apart) && !keeper.machine.leaving &&
                   (keeper.machine.kind == "store" || keeper.last.weights == ask.weights);
     for (const auto& hash : ask.hashes) reply.hits.push_back(usable && keeper.kept.count(hash) ? 1 : 0);
+    auto load = prefills.loadOf(ask.keeper, effects.now);
+    reply.waitingTokens = load.tokens;
+    reply.tokensPerMs = load.tokensPerMs;
+    reply.pendingHits = prefills.pendingHits(ask.keeper, ask.hashes, effects.now);
   }
   effects.note("lookup", ask.keeper, static_cast<std::int64_t>(ask.hashes.size()));
   effects.send(ask.replyTo, reply);
@@ -413,6 +419,10 @@
     }
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
     onLookup(effects, *lookup);
+  } else if (auto* started = std::get_if<PrefillStarted>(&message)) {
+    if (election.holds(effects.now) && rows.count(started->worker)) prefills.start(*started, effects.now);
+  } else if (auto* ended = std::get_if<PrefillEnded>(&message)) {
+    prefills.end(*ended, effects.now);
   } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
     if (!election.holds(effects.now)) return;
     Watch made;
--- a/src/index/cell.hpp
+++ b/src/index/cell.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "configuration.hpp"
 #include "election.hpp"
+#include "prefill_ledger.hpp"
 #include "rollout_plan.hpp"
 #include "version_timeline.hpp"
 
@@ -108,6 +109,7 @@
   std::map<std::string, Rollout> rollouts;
   std::map<std::string, Watch> watches;
   std::map<std::string, AgentMark> agentMarks;
+  PrefillLedger prefills;
   struct Speed {
     double blocksPerSecond{0};
     Moment at{};
--- /dev/null
+++ b/src/index/prefill_ledger.hpp
@@ -0,0 +1,51 @@
+#pragma once
+#include <map>
+
+#include "messages.hpp"
+
+namespace tt {
+
+/// What a worker has before it, as far as proxies told.
+struct PrefillLoad {
+  /// Prompt tokens that were sent to it and are not read yet.
+  double tokens{0};
+  /// Prompt tokens that it reads in a millisecond; 0 as long as nothing was observed.
+  double tokensPerMs{0};
+};
+
+/// Prompts that proxies have placed at the workers of one locality and that are not read yet. Proxies tell of each
+/// placement and of each first token; the ledger answers how long a worker's queue is, how fast the worker reads, and
+/// which blocks are about to be kept there. It is kept in memory only: a new holder starts without any knowledge, and
+/// what is not told of in time is forgotten.
+class PrefillLedger {
+ public:
+  void start(const PrefillStarted& prompt, Moment now);
+  /// A prompt that was read teaches how fast its worker reads; one that was given up is only taken off.
+  void end(const PrefillEnded& prompt, Moment now);
+  PrefillLoad loadOf(const std::string& worker, Moment now) const;
+  /// How many of a prompt's leading blocks the worker is reading, or has read too lately for its events to tell.
+  int pendingHits(const std::string& worker, const Hashes& hashes, Moment now) const;
+  /// Forgets workers that are not listed any more.
+  void keepOnly(const std::set<std::string>& workers);
+  void clear() { rows.clear(); }
+
+ private:
+  struct Prompt {
+    int tokens{0};
+    /// Tokens that were before the worker when this prompt came, its own among them.
+    double tokensAhead{0};
+    Moment startedAt{};
+  };
+  struct Row {
+    std::map<std::string, Prompt> prompts;
+    double tokens{0}, tokensPerMs{0};
+    std::unordered_map<BlockHash, Moment, BlockHashKey> pendingUntil;
+  };
+  std::map<std::string, Row> rows;
+  /// The mean of all workers, for those of which nothing was observed yet.
+  double meanTokensPerMs{0};
+
+  void dropOverdue(Row& row, Moment now);
+};
+
+}  // namespace tt
--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -123,6 +123,9 @@
     }
     locals[order.plan.worker].unread += order.plan.unread;
     order.unreadCounted = true;
+    if (!order.plan.model.empty())
+      effects.send(settings.agentAddress, PrefillStarted{order.sendId, order.plan.locality, order.plan.worker,
+                                                         order.plan.hashes, order.plan.unread});
   }
   effects.send(order.plan.address, std::move(sent));
 }
@@ -357,7 +360,7 @@
   auto found = orders.find(orderId);
   if (found == orders.end() || !found->second->walk->in("lookup")) return;
   auto& order = *found->second;
-  if (effects.now - order.lookupAt < settings.lookupWait) order.replies[reply.keeper] = reply.hits;
+  if (effects.now - order.lookupAt < settings.lookupWait) order.replies[reply.keeper] = reply;
   if (order.replies.size() == order.plan.candidates.size()) settleLookup(effects, order);
 }
 
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -88,7 +88,7 @@
     int urgency{5}, unsent{0};
     bool unreadCounted{false}, began{false};
     Moment sentAt{};
-    std::map<std::string, std::vector<int>> replies;
+    std::map<std::string, LookupReply> replies;
     Code lastCode{Code::noWorker};
     WorkerEnd end;
     std::string chunk;
@@ -193,6 +193,12 @@
   void eject(const Order& order, Outcome outcome, Moment now);
   void drawRideSources(Order& order, Moment now);
   bool settleRide(Effects& effects, Order& order);
+  /// Tokens of a prompt's leading parts.
+  static int tokensOf(const Plan& plan, std::size_t parts);
+  double linkMbpsOf(const std::string& service) const;
+  double tokenBytesOf(const std::string& service) const;
+  double transferMsBetween(const Order& order, const Plan::Candidate& source, const Plan::Candidate& target,
+                           int tokens) const;
   double loadOf(const std::string& worker, Moment now) const;
   void countOpen(Order& order);
   bool savesTo(const std::string& store, const BlockHash& prefix, Moment now);
@@ -203,7 +209,8 @@
   static bool endsWithProxy(const Order& order) {
     return order.lastCode == Code::staleEdge || order.lastCode == Code::stopping;
   }
-  void readDone(Order& order);
+  /// The prompt was read, or will not be read there any more.
+  void readDone(Effects& effects, Order& order, bool read);
   int mostTriesOf(const Order& order) const;
   Span pendingMostOf(const Order& order) const;
   void settleLookup(Effects& effects, Order& order);
--- a/src/routing/edge_outcomes.cpp
+++ b/src/routing/edge_outcomes.cpp
@@ -46,15 +46,18 @@
 
 int Edge::mostTriesOf(const Order& order) const { return order.route.tries > 0 ? order.route.tries : mostTries; }
 
-void Edge::readDone(Order& order) {
+void Edge::readDone(Effects& effects, Order& order, bool read) {
   if (!order.unreadCounted) return;
   order.unreadCounted = false;
+  if (!order.plan.model.empty())
+    effects.send(settings.agentAddress,
+                 PrefillEnded{order.sendId, order.plan.locality, order.plan.worker, order.plan.hashes, read});
   auto& local = locals[order.plan.worker];
   local.unread = std::max(0, local.unread - order.plan.unread);
 }
 
-void Edge::freeWorker(Effects&, Order& order) {
-  readDone(order);
+void Edge::freeWorker(Effects& effects, Order& order) {
+  readDone(effects, order, false);
   if (!order.counted) return;
   order.counted = false;
   auto& local = locals[order.plan.worker];
@@ -67,7 +70,7 @@
   if (!order.began && order.route.byPath() && !order.plan.model.empty()) noteDelay(order, effects.now);
   if (!order.began && order.plan.source)
     effects.note("transfer inferred", order.plan.source->name, inMs(effects.now - order.heardAt));
-  readDone(order);
+  readDone(effects, order, true);
   order.began = true;
   effects.send("caller", CallerChunk{order.ask.orderId, order.chunk});
   order.heardAt = effects.now;
--- a/src/routing/edge_sources.cpp
+++ b/src/routing/edge_sources.cpp
@@ -1,6 +1,6 @@
 /// Whether a part of a prompt is fetched, and from which single source: lookups, rides and moves.
 #include "edge.hpp"
-#include "placement_costs.hpp"
+#include "placement_cost.hpp"
 
 #include <algorithm>
 
@@ -10,8 +10,6 @@
 constexpr Span indexRest = 500ms;
 constexpr int leastTokens = 64;
 constexpr int leastSaved = 256;
-/// What a copy of shared tokens at one more worker costs there, as a share of reading them: others give way to it.
-constexpr double copyX = 0.5;
 constexpr std::size_t leastGain = 4;
 }  // namespace
 
@@ -67,28 +65,57 @@
   plan.candidates.erase(std::remove_if(plan.candidates.begin(), plan.candidates.end(), silent), plan.candidates.end());
 }
 
+int Edge::tokensOf(const Plan& plan, std::size_t parts) {
+  int tokens = 0;
+  for (std::size_t at = 0; at < parts && at < plan.tokens.size(); ++at) tokens += plan.tokens[at];
+  return tokens;
+}
+
+double Edge::linkMbpsOf(const std::string& service) const {
+  const auto* declared = view.findService(service);
+  return declared ? declared->linkMbps : 0;
+}
+
+double Edge::tokenBytesOf(const std::string& service) const {
+  const auto* declared = view.findService(service);
+  return declared ? declared->tokenBytes : 0;
+}
+
+double Edge::transferMsBetween(const Order& order, const Plan::Candidate& source, const Plan::Candidate& target,
+                               int tokens) const {
+  const auto* keeper = workerView(source.name);
+  return transferMs(tokens, tokenBytesOf(order.service), linkMbpsOf(keeper ? keeper->service : order.service),
+                    linkMbpsOf(order.service), source.locality == target.locality);
+}
+
 bool Edge::settleRide(Effects& effects, Order& order) {
   auto& plan = order.plan;
-  auto tokensOf = [&](const Plan::Candidate& candidate) {
+  auto hitsOf = [&](const Plan::Candidate& candidate) {
     auto reply = order.replies.find(candidate.name);
-    std::size_t hits = reply == order.replies.end() ? 0 : prefixHits(reply->second);
-    int tokens = 0;
-    for (std::size_t at = 0; at < hits && at < plan.tokens.size(); ++at) tokens += plan.tokens[at];
-    return tokens;
+    return reply == order.replies.end() ? std::size_t(0) : prefixHits(reply->second.hits);
   };
-  int shared = 0;
-  for (std::size_t at = 0; at < plan.hashes.size(); ++at) shared += plan.tokens[at];
+  auto keptBy = [&](const Plan::Candidate& candidate) { return tokensOf(plan, hitsOf(candidate)); };
+  auto soonKeptBy = [&](const Plan::Candidate& candidate) {
+    auto reply = order.replies.find(candidate.name);
+    if (reply == order.replies.end()) return 0;
+    auto pending = static_cast<std::size_t>(std::max(0, reply->second.pendingHits));
+    return tokensOf(plan, std::max(hitsOf(candidate), pending));
+  };
+  int shared = tokensOf(plan, plan.hashes.size());
+  int whole = tokensOf(plan, plan.tokens.size());
+  int heldAnywhere = 0;
   const Plan::Candidate* store = nullptr;
   for (const auto& candidate : plan.candidates) {
     if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = effects.now + indexRest;
     if (candidate.store) store = &candidate;
+    heldAnywhere = std::max(heldAnywhere, soonKeptBy(candidate));
   }
   auto sourceFor = [&](const Plan::Candidate& target, int own) {
     const Plan::Candidate* best = nullptr;
     int most = 0;
     for (const auto& candidate : plan.candidates) {
       if (candidate.name == target.name) continue;
-      int tokens = tokensOf(candidate);
+      int tokens = keptBy(candidate);
       if (auto local = locals.find(candidate.name); local != locals.end() && effects.now < local->second.shunUntil)
         continue;
       FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
@@ -104,16 +131,22 @@
   double leastCost = 0;
   for (const auto& candidate : plan.candidates) {
     if (candidate.store) continue;
-    int own = tokensOf(candidate);
-    auto [source, fetched] = sourceFor(candidate, own);
-    int missing = shared - std::max(own, fetched);
-    double load = loadOf(candidate.name, effects.now);
-    if (candidate.name == plan.worker) load -= runningMs;
-    double leaving = candidate.rank == 0
-                         ? 0
-                         : (candidate.rank == 1 ? secondMs : otherMs) + (shared - own) / settings.tokensPerMs * copyX;
-    double cost = load + (source ? moveMs : 0) + leaving +
-                  missing / settings.tokensPerMs * (candidate.rank == 0 ? 1 : readAgainX);
+    PlacementFacts facts;
+    facts.promptTokens = whole;
+    facts.sharedTokens = shared;
+    facts.ownTokens = soonKeptBy(candidate);
+    facts.heldAnywhereTokens = heldAnywhere;
+    facts.rank = candidate.rank;
+    auto [source, fetched] = sourceFor(candidate, facts.ownTokens);
+    facts.fetches = source != nullptr;
+    facts.fetchedTokens = fetched;
+    if (source) facts.transferMs = transferMsBetween(order, *source, candidate, fetched);
+    auto reply = order.replies.find(candidate.name);
+    bool known = reply != order.replies.end() && reply->second.tokensPerMs > 0;
+    facts.msPerToken = 1 / (known ? reply->second.tokensPerMs : settings.tokensPerMs);
+    facts.waitMs = loadOf(candidate.name, effects.now);
+    if (known) facts.waitMs = std::max(facts.waitMs, reply->second.waitingTokens * facts.msPerToken);
+    double cost = placementCostMs(facts);
     if (target && cost >= leastCost) continue;
     target = &candidate;
     leastCost = cost;
@@ -125,16 +158,16 @@
     plan.locality = target->locality;
     countOpen(order);
   }
-  int own = target ? tokensOf(*target) : 0, most = 0;
+  int own = target ? keptBy(*target) : 0, most = 0;
   if (target) {
-    auto [source, fetched] = sourceFor(*target, own);
+    auto [source, fetched] = sourceFor(*target, soonKeptBy(*target));
     most = fetched;
     if (source) plan.source = *source;
   }
-  if (store && order.replies.count(store->name) && tokensOf(*store) < shared && shared >= leastSaved &&
+  if (store && order.replies.count(store->name) && keptBy(*store) < shared && shared >= leastSaved &&
       savesTo(store->name, plan.hashes.back(), effects.now))
     plan.sinkAddress = store->address;
-  plan.unread -= std::max(own, most);
+  plan.unread -= std::max(target ? soonKeptBy(*target) : 0, most);
   if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
     effects.note("shed", order.ask.orderId);
@@ -207,7 +240,7 @@
   }
   for (const auto& candidate : plan.candidates) {
     auto reply = order.replies.find(candidate.name);
-    std::size_t confirmed = reply == order.replies.end() ? 0 : prefixHits(reply->second);
+    std::size_t confirmed = reply == order.replies.end() ? 0 : prefixHits(reply->second.hits);
     std::size_t hits = settings.defences.stands(Defence::hitsConfirmed) ? confirmed : candidate.guessedHits;
     FetchFacts facts{candidate.store, static_cast<double>(hits), candidate.speed, candidate.busyness};
     if (hits < plan.localHits + leastGain || hits <= plan.wantedHits || !order.policy.fetches(facts)) continue;
