The ledger learns a worker's reading rate from its throughput while busy

Change: the rate is what was read over the time in which there was something to read, in steps of 16,000 tokens, each bounded by a factor of two, so that messages held up and delivered at once do not make a worker seem fast.

--- a/src/index/prefill_ledger.cpp
+++ b/src/index/prefill_ledger.cpp
@@ -8,13 +8,17 @@
 constexpr Span promptKept = 6s;
 /// How long after its reading a block counts as kept before the worker's own events tell of it.
 constexpr Span pendingKept = 2s;
-/// Shorter queues say more of the way there and back than of how fast a worker reads.
-constexpr double leastObservedTokens = 4000;
-constexpr double observationShare = 0.2, meanShare = 0.05;
+/// An estimate is made from at least so many tokens, so that the way there and back weighs little.
+constexpr double leastObservedTokens = 16000;
+constexpr double observationShare = 0.3, meanShare = 0.05;
 constexpr double leastTokensPerMs = 0.1, mostTokensPerMs = 100000;
+/// By what factor one observation may differ from what was known, so that messages that were held up and came all at
+/// once do not count for much.
+constexpr double mostChange = 2;
 constexpr std::size_t pendingMost = 4096;
 
-void learn(double& estimate, double observed, double share) {
+void follow(double& estimate, double observed, double share) {
+  if (estimate > 0) observed = std::clamp(observed, estimate / mostChange, estimate * mostChange);
   estimate = estimate <= 0 ? observed : estimate + (observed - estimate) * share;
 }
 }  // namespace
@@ -25,7 +29,6 @@
       ++prompt;
       continue;
     }
-    row.tokens -= prompt->second.tokens;
     prompt = row.prompts.erase(prompt);
   }
   if (row.pendingUntil.size() < pendingMost) return;
@@ -33,14 +36,26 @@
     block = now >= block->second ? row.pendingUntil.erase(block) : std::next(block);
 }
 
+void PrefillLedger::countBusy(Row& row, Moment now) {
+  if (!row.prompts.empty())
+    row.busyMs += std::max(0.0, std::chrono::duration<double, std::milli>(now - row.countedAt).count());
+  row.countedAt = now;
+}
+
+void PrefillLedger::learn(Row& row) {
+  if (row.readTokens < leastObservedTokens) return;
+  double observed = std::clamp(row.readTokens / std::max(row.busyMs, 1.0), leastTokensPerMs, mostTokensPerMs);
+  if (row.tokensPerMs <= 0) row.tokensPerMs = meanTokensPerMs;
+  follow(row.tokensPerMs, observed, observationShare);
+  follow(meanTokensPerMs, observed, meanShare);
+  row.readTokens = row.busyMs = 0;
+}
+
 void PrefillLedger::start(const PrefillStarted& prompt, Moment now) {
   auto& row = rows[prompt.worker];
   dropOverdue(row, now);
-  int tokens = std::max(0, prompt.tokens);
-  auto [place, fresh] = row.prompts.try_emplace(prompt.sendId);
-  if (!fresh) return;
-  row.tokens += tokens;
-  place->second = Prompt{tokens, row.tokens, now};
+  countBusy(row, now);
+  if (!row.prompts.try_emplace(prompt.sendId, Prompt{std::max(0, prompt.tokens), now}).second) return;
   for (const auto& hash : prompt.hashes) row.pendingUntil[hash] = now + promptKept;
 }
 
@@ -50,20 +65,16 @@
   auto& row = found->second;
   auto place = row.prompts.find(prompt.sendId);
   if (place == row.prompts.end()) return;
-  Prompt ended = place->second;
+  countBusy(row, now);
+  if (prompt.read) row.readTokens += place->second.tokens;
   row.prompts.erase(place);
-  row.tokens = row.prompts.empty() ? 0 : std::max(0.0, row.tokens - ended.tokens);
+  learn(row);
   for (const auto& hash : prompt.hashes) {
     if (prompt.read)
       row.pendingUntil[hash] = now + pendingKept;
     else
       row.pendingUntil.erase(hash);
   }
-  double elapsedMs = std::chrono::duration<double, std::milli>(now - ended.startedAt).count();
-  if (!prompt.read || ended.tokensAhead < leastObservedTokens || elapsedMs <= 0) return;
-  double observed = std::clamp(ended.tokensAhead / elapsedMs, leastTokensPerMs, mostTokensPerMs);
-  learn(row.tokensPerMs, observed, observationShare);
-  learn(meanTokensPerMs, observed, meanShare);
 }
 
 PrefillLoad PrefillLedger::loadOf(const std::string& worker, Moment now) const {
--- a/src/index/prefill_ledger.hpp
+++ b/src/index/prefill_ledger.hpp
@@ -32,13 +32,14 @@
  private:
   struct Prompt {
     int tokens{0};
-    /// Tokens that were before the worker when this prompt came, its own among them.
-    double tokensAhead{0};
     Moment startedAt{};
   };
   struct Row {
     std::map<std::string, Prompt> prompts;
-    double tokens{0}, tokensPerMs{0};
+    double tokensPerMs{0};
+    /// What was read since the last estimate, and for how long there was something to read meanwhile.
+    double readTokens{0}, busyMs{0};
+    Moment countedAt{};
     std::unordered_map<BlockHash, Moment, BlockHashKey> pendingUntil;
   };
   std::map<std::string, Row> rows;
@@ -46,6 +47,9 @@
   double meanTokensPerMs{0};
 
   void dropOverdue(Row& row, Moment now);
+  /// Counts the time since the last event as busy if there was anything to read.
+  static void countBusy(Row& row, Moment now);
+  void learn(Row& row);
 };
 
 }  // namespace tt
