Urgency by reading time within a priority: short prompts wait for no long ones

Hypothesis: under high load first tokens of short prompts wait behind reading of 30,000 tokens; clients give up after a silence of 2.4 s (route) to 4 s (dossier).

--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -85,7 +85,7 @@
     bool mayHaveRun{false}, counted{false}, retryAsked{false};
     Moment takenAt{}, heardAt{}, lookupAt{}, deadline{};
     std::string service, lastPiece;
-    int urgency{5}, unsent{0};
+    int priority{5}, urgency{5}, unsent{0};
     bool unreadCounted{false}, began{false};
     Moment sentAt{};
     std::map<std::string, LookupReply> replies;
@@ -130,6 +130,8 @@
   /// Orders that ended well lately: the timing that a caller sent away may count on.
   std::deque<Moment> doneAt;
   std::map<std::string, int> openByTenant;
+  /// The priorities that orders had so far.
+  std::set<int> priorities;
   /// When each model's weights were named, so until when work may begin on older ones.
   VersionTimeline versions;
   Policy routePolicy;
--- a/src/routing/edge_admission.cpp
+++ b/src/routing/edge_admission.cpp
@@ -4,6 +4,10 @@
 #include <algorithm>
 
 namespace tt {
+namespace {
+constexpr std::size_t mostPriorities = 64;
+}  // namespace
+
 int Edge::comeBackMs(Effects& effects, Code code) const {
   int least = 300;
   if (code == Code::staleEdge) {
@@ -72,9 +76,11 @@
   if (pathRoute) {
     order->ask.route = pathRoute->name;
     order->ask.repeatable = pathRoute->repeat == Repeat::safe || pathRoute->resumable;
-    order->urgency = pathRoute->priority;
+    order->priority = pathRoute->priority;
     if (key)
-      if (auto tenant = view.findTenant(order->tenant); tenant && tenant->priority) order->urgency = *tenant->priority;
+      if (auto tenant = view.findTenant(order->tenant); tenant && tenant->priority) order->priority = *tenant->priority;
+    order->urgency = order->priority;
+    if (priorities.size() < mostPriorities) priorities.insert(order->priority);
     Span wait = ask.deadlineMs > 0 ? Span(std::chrono::milliseconds(ask.deadlineMs)) : Span(120s);
     if (pathRoute->timeout > Span(0)) wait = std::min(wait, pathRoute->timeout);
     order->deadline = effects.now + wait;
--- a/src/routing/edge_sources.cpp
+++ b/src/routing/edge_sources.cpp
@@ -1,6 +1,7 @@
 /// Whether a part of a prompt is fetched, and from which single source: lookups, rides and moves.
 #include "edge.hpp"
 #include "placement_cost.hpp"
+#include "urgency.hpp"
 
 #include <algorithm>
 
@@ -128,7 +129,7 @@
     return std::make_pair(best, most);
   };
   const Plan::Candidate* target = nullptr;
-  double leastCost = 0;
+  double leastCost = 0, msPerToken = 1 / settings.tokensPerMs;
   for (const auto& candidate : plan.candidates) {
     if (candidate.store) continue;
     PlacementFacts facts;
@@ -150,6 +151,7 @@
     if (target && cost >= leastCost) continue;
     target = &candidate;
     leastCost = cost;
+    msPerToken = facts.msPerToken;
   }
   if (target && target->name != plan.worker) {
     freeWorker(effects, order);
@@ -168,6 +170,8 @@
       savesTo(store->name, plan.hashes.back(), effects.now))
     plan.sinkAddress = store->address;
   plan.unread -= std::max(target ? soonKeptBy(*target) : 0, most);
+  order.urgency = urgencyOf(order.priority, priorities, plan.unread * msPerToken,
+                            std::chrono::duration<double, std::milli>(order.route.aim).count());
   if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
     effects.note("shed", order.ask.orderId);
