--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -132,6 +132,8 @@
   std::map<std::string, int> openByTenant;
   /// The priorities that orders had so far.
   std::set<int> priorities;
+  /// The shortest aim of any prompt so far; 0 before the first.
+  double tightestAimMs{0};
   /// When each model's weights were named, so until when work may begin on older ones.
   VersionTimeline versions;
   Policy routePolicy;
--- a/src/routing/edge_admission.cpp
+++ b/src/routing/edge_admission.cpp
@@ -81,6 +81,10 @@
       if (auto tenant = view.findTenant(order->tenant); tenant && tenant->priority) order->priority = *tenant->priority;
     order->urgency = order->priority;
     if (priorities.size() < mostPriorities) priorities.insert(order->priority);
+    if (!ask.model.empty() && pathRoute->aim > Span(0)) {
+      double aimMs = std::chrono::duration<double, std::milli>(pathRoute->aim).count();
+      tightestAimMs = tightestAimMs > 0 ? std::min(tightestAimMs, aimMs) : aimMs;
+    }
     Span wait = ask.deadlineMs > 0 ? Span(std::chrono::milliseconds(ask.deadlineMs)) : Span(120s);
     if (pathRoute->timeout > Span(0)) wait = std::min(wait, pathRoute->timeout);
     order->deadline = effects.now + wait;
--- a/src/routing/edge_sources.cpp
+++ b/src/routing/edge_sources.cpp
@@ -170,8 +170,7 @@
       savesTo(store->name, plan.hashes.back(), effects.now))
     plan.sinkAddress = store->address;
   plan.unread -= std::max(target ? soonKeptBy(*target) : 0, most);
-  order.urgency = urgencyOf(order.priority, priorities, plan.unread * msPerToken,
-                            std::chrono::duration<double, std::milli>(order.route.aim).count());
+  order.urgency = urgencyOf(order.priority, priorities, plan.unread * msPerToken, tightestAimMs);
   if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
     effects.note("shed", order.ask.orderId);
--- a/src/routing/urgency.cpp
+++ b/src/routing/urgency.cpp
@@ -6,20 +6,18 @@
 
 namespace tt {
 namespace {
-/// The shares of its aim up to which a prompt's reading counts as short and as middling.
-constexpr std::array<double, 2> sizeSteps{0.2, 0.5};
-constexpr int mostSteps = static_cast<int>(sizeSteps.size()) + 1;
+/// The shares of the tightest aim up to which a reading counts as short and as middling.
+constexpr std::array<double, 2> sizeSteps{0.2, 0.6};
+constexpr int ranksMost = (leastUrgency + 1) / (static_cast<int>(sizeSteps.size()) + 1);
 }  // namespace
 
-int urgencyOf(int priority, const std::set<int>& priorities, double readMs, double aimMs) {
+int urgencyOf(int priority, const std::set<int>& priorities, double readMs, double tightestAimMs) {
   int rank = static_cast<int>(std::distance(priorities.begin(), priorities.lower_bound(priority)));
   int ranks = std::max(1, static_cast<int>(priorities.size()));
-  int steps = std::clamp((leastUrgency + 1) / ranks, 1, mostSteps);
-  int step = 0;
-  if (aimMs > 0)
-    step = static_cast<int>(
-        std::count_if(sizeSteps.begin(), sizeSteps.end(), [&](double share) { return readMs > share * aimMs; }));
-  return std::min(leastUrgency, rank * steps + std::min(step, steps - 1));
+  if (ranks > ranksMost) rank = rank * ranksMost / ranks;
+  auto size = std::count_if(sizeSteps.begin(), sizeSteps.end(),
+                            [&](double step) { return tightestAimMs > 0 && readMs > step * tightestAimMs; });
+  return std::min(leastUrgency, static_cast<int>(size) * ranksMost + std::min(rank, ranksMost - 1));
 }
 
 }  // namespace tt
--- a/src/routing/urgency.hpp
+++ b/src/routing/urgency.hpp
@@ -7,10 +7,11 @@
 /// The least urgent value that workers are told; 0 is the most urgent.
 constexpr int leastUrgency = 9;
 
-/// The urgency of a prompt: what operators rank higher comes first, and within a rank what is soon read. A prompt that
-/// is read in a small part of its aim holds nobody up and is in time if it is taken at once; one whose reading alone
-/// takes the aim is late whenever it is taken. `priorities` holds all priorities in use, so that few leave room between
-/// them for sizes and many are all kept apart.
-int urgencyOf(int priority, const std::set<int>& priorities, double readMs, double aimMs);
+/// The urgency of a prompt: what is soon read comes first, and among prompts of like size what operators rank higher. A
+/// short prompt holds nobody up; a long one is read while nothing short waits. `readMs` is how long its reading takes
+/// and `tightestAimMs` the shortest time in which any prompt should be answered, 0 where none is known: what takes a
+/// good part of that makes those behind it late. `priorities` holds all priorities in use; many are put together to
+/// few ranks.
+int urgencyOf(int priority, const std::set<int>& priorities, double readMs, double tightestAimMs);
 
 }  // namespace tt
