--- a/src/routing/edge_placement.cpp
+++ b/src/routing/edge_placement.cpp
@@ -1,6 +1,6 @@
 /// Which worker takes an order: load, kept prefixes, and whether it is worth taking at all.
 #include "edge.hpp"
-#include "placement_costs.hpp"
+#include "first_draw_costs.hpp"
 
 #include <algorithm>
 
@@ -65,7 +65,7 @@
   std::size_t shared = order.ask.parts.size() > 1 ? order.ask.parts.size() - 1 : order.ask.parts.size();
   std::string domain = order.tenant.empty() ? "shared" : view.domainOf(order.tenant);
   std::string key = domain + "/" + order.ask.model;
-  if (shared > 0) key += "/" + order.ask.parts[shared - 1];
+  key += "/" + (shared > 0 ? order.ask.parts[shared - 1] : order.ask.orderId);
   std::vector<Choice> ranked;
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
