--- /dev/null
+++ b/tests/plain_cells.cpp
@@ -0,0 +1,145 @@
+#include "cell_bench.hpp"
+#include "list_reader.hpp"
+#include "raw_server.hpp"
+
+using namespace tt;
+
+namespace {
+CellSettings platformCell() {
+  CellSettings settings;
+  settings.apart = settings.loadsWhole = true;
+  settings.summaries = false;
+  settings.askEvery = 100ms;
+  return settings;
+}
+
+Machine plainMachine(const std::string& name) {
+  Machine machine;
+  machine.name = name;
+  machine.address = name + ":80";
+  machine.locality = "north-a";
+  machine.kind = "app";
+  machine.service = "weir";
+  machine.slots = 6;
+  return machine;
+}
+
+const WorkerView* rowOf(const CellNews& kept, const std::string& name) {
+  for (const auto& row : kept.workers)
+    if (row.name == name) return &row;
+  return nullptr;
+}
+
+/// All that a cell's holder published, folded as a reader folds it.
+CellNews publishedBy(CellBench& bench) {
+  CellNews kept;
+  for (auto& [address, core] : bench.cores)
+    for (const auto& news : core.news) takeCellNews(kept, news);
+  return kept;
+}
+}  // namespace
+
+Test(plain_cells, a_plain_worker_is_asked_nothing_and_counts_while_it_is_listed) {
+  CellBench bench(1, platformCell());
+  for (auto& [address, core] : bench.cores) core.cell->setMachines({plainMachine("c1"), plainMachine("c2")});
+  bench.runToHolder();
+  bench.run(5s);
+  for (const auto& row : bench.sent) {
+    cr_expect_neq(row.to, "c1:80", "a plain worker has neither reports nor an index");
+    cr_expect_neq(row.to, "c2:80");
+  }
+  auto kept = publishedBy(bench);
+  cr_assert_not_null(rowOf(kept, "c1"));
+  cr_expect(rowOf(kept, "c1")->alive);
+  cr_expect_not(rowOf(kept, "c1")->held);
+  cr_expect_eq(rowOf(kept, "c1")->slots, 6);
+  for (auto& [address, core] : bench.cores) core.cell->setMachines({plainMachine("c2")});
+  bench.run(1s);
+  kept = publishedBy(bench);
+  cr_expect_null(rowOf(kept, "c1"));
+  cr_expect_not_null(rowOf(kept, "c2"));
+}
+
+Test(plain_cells, lookups_bring_the_queue_and_what_is_being_read_but_no_hits_for_it) {
+  CellBench bench(1, platformCell());
+  bench.list(1);
+  bench.runToHolder();
+  bench.run(1s);
+  std::string holder;
+  for (auto& [address, core] : bench.cores)
+    if (core.cell->election.holds(bench.now)) holder = address;
+  cr_assert_not(holder.empty());
+  Hashes hashes{part("a"), part("b")};
+  auto ask = [&] {
+    bench.sent.clear();
+    bench.with(holder, [&](Effects& effects, Cell& cell) {
+      cell.take(effects, "asker", LookupMsg{"l", "north-a", "w1", "moss/3", hashes, "asker"});
+    });
+    for (const auto& row : bench.sent)
+      if (auto* reply = std::get_if<LookupReply>(&row.message)) return *reply;
+    return LookupReply{};
+  };
+  cr_expect_eq(ask().waitingTokens, 0);
+  bench.with(holder, [&](Effects& effects, Cell& cell) {
+    cell.take(effects, "asker", PrefillStarted{"o.1", "north-a", "w1", hashes, 5000});
+    cell.take(effects, "asker", PrefillStarted{"o.2", "north-a", "unlisted", hashes, 5000});
+  });
+  auto reply = ask();
+  cr_expect_eq(reply.waitingTokens, 5000);
+  cr_expect_eq(reply.pendingHits, 2);
+  cr_expect(reply.hits == (std::vector<int>{0, 0}), "what is being read is not confirmed");
+  bench.with(holder, [&](Effects& effects, Cell& cell) {
+    cell.take(effects, "asker", PrefillEnded{"o.1", "north-a", "w1", hashes, false});
+  });
+  cr_expect_eq(ask().waitingTokens, 0);
+  cr_expect_eq(ask().pendingHits, 0);
+}
+
+Test(plain_cells, the_list_tells_engines_from_plain_workers) {
+  raw::Bench bench;
+  std::vector<MachinesReply> lists;
+  raw::RawServer server(bench.io, [](const raw::RawServer::Held& held, const std::string&) {
+    held->say(raw::okay(
+        R"({"Instances":[{"Id":"e","Backend":"mill","Address":"10.1.0.1:80","Zone":"z","Models":[{"Name":"moss","Revision":3}]},)"
+        R"({"Id":"p","Backend":"weir","Address":"10.1.0.2:80","Zone":"z","Slots":6}],"NextToken":null})"));
+  });
+  std::make_shared<ListReader>(bench.calls, server.address(), 1, [&](const MachinesReply& reply) {
+    lists.push_back(reply);
+  })->start();
+  cr_assert(bench.until([&] { return lists.size() == 1; }));
+  cr_assert_eq(lists[0].machines.size(), 2u);
+  cr_expect_eq(lists[0].machines[0].kind, "language");
+  cr_expect_eq(lists[0].machines[0].weights, "moss/3");
+  cr_expect_eq(lists[0].machines[1].kind, "app");
+  cr_expect_eq(lists[0].machines[1].weights, "");
+}
+
+Test(plain_cells, a_service_is_added_changed_and_removed_by_configuration) {
+  Configuration view;
+  Count index = 0;
+  auto change = [&](const std::string& text) {
+    auto patch = view.preparePatch(text, Manner::patch);
+    cr_assert(bool(patch), "%s", patch ? "" : patch.error().text.c_str());
+    view.apply(Entry{++index, 1, static_cast<int>(EntryKind::change), patch.value(), {}, 0});
+  };
+  cr_expect_null(view.findService("mill"));
+  change(
+      R"({"services":{"mill":{"engine":{"slots":128,"tokens":1000,"tokenBytes":35136,"linkMbps":550000}},"weir":{"healthPath":"/h"},)"
+      R"("barn":{"storeAddress":"10.0.0.9:80","locality":"z","linkMbps":120000,"tokens":4000}}})");
+  cr_assert_not_null(view.findService("mill"));
+  cr_expect(view.findService("mill")->kind == ServiceKind::engine);
+  cr_expect_eq(view.findService("mill")->tokenBytes, 35136);
+  cr_expect_eq(view.findService("mill")->linkMbps, 550000);
+  cr_expect(view.findService("weir")->kind == ServiceKind::plain);
+  cr_expect_eq(view.findService("weir")->linkMbps, 0);
+  cr_expect(view.findService("barn")->kind == ServiceKind::store);
+  cr_expect_eq(view.findService("barn")->linkMbps, 120000);
+  change(R"({"services":{"weir":{"engine":{"slots":4}}}})");
+  cr_expect(view.findService("weir")->kind == ServiceKind::engine);
+  change(R"({"services":{"weir":null}})");
+  cr_expect_null(view.findService("weir"));
+  Configuration again;
+  cr_assert(bool(again.adopt(view.snapshot())));
+  cr_assert_not_null(again.findService("mill"));
+  cr_expect(again.findService("mill")->kind == ServiceKind::engine);
+}
