--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,9 +8,13 @@
   src/consensus/timing_check.cpp
   src/net/gate_drain.cpp
   src/net/operator_drain.cpp
+  src/index/prefill_ledger.cpp
   src/routing/drain_plan.cpp
   src/routing/edge_outcomes.cpp
   src/routing/edge_report.cpp
+  src/routing/placement_cost.cpp
+  src/routing/plain_placement.cpp
+  src/routing/urgency.cpp
   src/sim/sim_drain.cpp
   src/sim/version_check.cpp
   src/tools/naming_records.cpp
