--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -200,21 +200,17 @@
     effects.send(from, FeedReply{feed->sentAt, known ? (effects.now - clusterView.stamp()).count() : 0, view.index(),
                                  known, clusterView.versions().tell(effects.now, timing.versionMost, false)});
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
-    auto cell = cells.find(lookup->locality);
-    if (cell == cells.end()) return;
     LookupMsg passed = *lookup;
     passed.replyTo = settings.address;
-    effects.send(cell->second.holder, passed);
+    passToCell(effects, passed.locality, passed);
   } else if (auto* started = std::get_if<PrefillStarted>(&message)) {
     passToCell(effects, started->locality, message);
   } else if (auto* ended = std::get_if<PrefillEnded>(&message)) {
     passToCell(effects, ended->locality, message);
   } else if (auto* watchMsg = std::get_if<WatchMsg>(&message)) {
-    auto cell = cells.find(watchMsg->locality);
-    if (cell == cells.end()) return;
     WatchMsg passed = *watchMsg;
     passed.replyTo = settings.address;
-    effects.send(cell->second.holder, passed);
+    passToCell(effects, passed.locality, passed);
   } else if (std::holds_alternative<LookupReply>(message) || std::holds_alternative<TransferDone>(message)) {
     for (const auto& [address, at] : proxies) effects.send(address, message);
   }
--- a/src/cluster/core.cpp
+++ b/src/cluster/core.cpp
@@ -231,6 +231,10 @@
   return std::any_of(cells.begin(), cells.end(), [&](const auto& row) { return row.second->mayCommand(command, now); });
 }
 
+void Core::giveToCell(Effects& effects, const std::string& from, const std::string& locality, const Message& message) {
+  if (auto cell = cells.find(locality); cell != cells.end()) cell->second->take(effects, from, message);
+}
+
 void Core::take(Effects& effects, const std::string& from, const Message& message) {
   if (auto* ask = std::get_if<LogEndRequest>(&message)) {
     onEnds(effects, from, *ask);
@@ -281,13 +285,13 @@
   } else if (auto* changeReply = std::get_if<ChangeResponse>(&message)) {
     onChangeReply(effects, from, *changeReply);
   } else if (auto* lookup = std::get_if<LookupMsg>(&message)) {
-    if (auto cell = cells.find(lookup->locality); cell != cells.end()) cell->second->take(effects, from, message);
+    giveToCell(effects, from, lookup->locality, message);
   } else if (auto* started = std::get_if<PrefillStarted>(&message)) {
-    if (auto cell = cells.find(started->locality); cell != cells.end()) cell->second->take(effects, from, message);
+    giveToCell(effects, from, started->locality, message);
   } else if (auto* ended = std::get_if<PrefillEnded>(&message)) {
-    if (auto cell = cells.find(ended->locality); cell != cells.end()) cell->second->take(effects, from, message);
+    giveToCell(effects, from, ended->locality, message);
   } else if (auto* watch = std::get_if<WatchMsg>(&message)) {
-    if (auto cell = cells.find(watch->locality); cell != cells.end()) cell->second->take(effects, from, message);
+    giveToCell(effects, from, watch->locality, message);
   } else if (auto* report = std::get_if<Report>(&message)) {
     for (auto& [locality, cell] : cells)
       if (cell->keepers().count(report->worker)) cell->take(effects, from, message);
--- a/src/cluster/core.hpp
+++ b/src/cluster/core.hpp
@@ -132,6 +132,9 @@
   void settleReads(Effects& effects);
   void askLogEnds(Effects& effects);
   void takeMarks(Effects& effects);
+  /// Gives what concerns a worker or a store to the cell that has it, if this core knows that cell.
+  void giveToCell(Effects& effects, const std::string& from, const std::string& locality, const Message& message);
+  /// Tells apart configurations whose stores or engine services differ.
   Count digestOfServices() const;
   std::vector<Machine> machinesWithStores() const;
   void spread(Effects& effects, const Message& message);
