--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -40,8 +40,6 @@
 /// A service as operators declared it. Figures are 0 where nothing was said.
 struct ServiceView {
   ServiceKind kind{ServiceKind::plain};
-  /// Orders that one worker runs at once, and the tokens that one worker or the store has room for.
-  double slots{0}, memoryTokens{0};
   /// Bytes of a kept token, and megabits a second of the link of one worker or of the store.
   double tokenBytes{0}, linkMbps{0};
 };
--- a/src/config/item_readers.cpp
+++ b/src/config/item_readers.cpp
@@ -60,15 +60,12 @@
 
 ServiceView readService(const Json& item) {
   ServiceView service;
-  Json figures = item;
   if (!textOr(item, "storeAddress").empty()) {
     service.kind = ServiceKind::store;
   } else if (item.contains("engine") && item.get("engine").is<JsonObject>()) {
     service.kind = ServiceKind::engine;
-    figures = item.get("engine");
   }
-  service.slots = figureOr(figures, "slots");
-  service.memoryTokens = figureOr(figures, "tokens");
+  const Json& figures = service.kind == ServiceKind::engine ? item.get("engine") : item;
   service.tokenBytes = figureOr(figures, "tokenBytes");
   service.linkMbps = figureOr(figures, "linkMbps");
   return service;
--- a/src/config/item_readers.hpp
+++ b/src/config/item_readers.hpp
@@ -7,6 +7,7 @@
 
 /// Reads an item of the section `routes`.
 RouteView readRoute(const std::string& name, const Json& item);
+/// Reads an item of the section `services`, which must be an object.
 ServiceView readService(const Json& item);
 /// Reads the item `callers` of the section `limits`.
 CallerLimits readCallerLimits(const Json& item);
