Settling a lookup in small steps; shared checks in one place

settleRide had grown past a hundred lines, searched the source of its target twice, and looked a store's service up by scanning all workers for each candidate. Now: tokens kept, source, placement and the cheapest placement, a function each; candidates carry their service; the chosen placement carries its source.

--- a/src/routing/edge.cpp
+++ b/src/routing/edge.cpp
@@ -285,11 +285,14 @@
 
 void Edge::eject(const Order& order, Outcome outcome, Moment now) {
   auto& local = locals[order.plan.worker];
+  if (outcome == Outcome::denied) {
+    local.shunUntil = now + deniedShunFor;
+    return;
+  }
   bool brokeOff = outcome == Outcome::brokenUnsent || outcome == Outcome::broken;
   bool plain = order.route.byPath() && order.plan.model.empty();
-  int spans =
-      plain && outcome != Outcome::denied ? local.outliers.note(brokeOff || outcome == Outcome::failed) : brokeOff;
-  if (outcome == Outcome::denied) local.shunUntil = now + deniedShunFor;
+  int spans = brokeOff ? 1 : 0;
+  if (plain) spans = local.outliers.note(brokeOff || outcome == Outcome::failed);
   if (spans > 0) local.shunUntil = now + spans * shunFor;
 }
 
--- a/src/routing/edge.hpp
+++ b/src/routing/edge.hpp
@@ -3,6 +3,7 @@
 
 #include "agent.hpp"
 #include "drain_plan.hpp"
+#include "placement_cost.hpp"
 #include "plain_placement.hpp"
 
 namespace tt {
@@ -45,6 +46,7 @@
     double busyness{0}, speed{0};
     /// Its place among the workers that may be drawn for the prompt.
     int rank{0};
+    std::string service{};
   };
   std::vector<Candidate> candidates;
   std::optional<Candidate> source;
@@ -191,6 +193,8 @@
   bool drawByPrefix(Effects& effects, Order& order);
   /// Whether a service's workers keep no blocks and carry no weights.
   bool isPlain(const std::string& service) const;
+  /// Whether the platform lists a worker as staying.
+  bool mayBeDrawn(const WorkerView& worker) const;
   bool drawPlain(Effects& effects, Order& order);
   PlainCandidate plainCandidate(const WorkerView& worker, Moment now) const;
   /// Leaves a worker out for a while for how an order ended there.
@@ -199,10 +203,28 @@
   bool settleRide(Effects& effects, Order& order);
   /// Tokens of a prompt's leading parts.
   static int tokensOf(const Plan& plan, std::size_t parts);
-  double linkMbpsOf(const std::string& service) const;
-  double tokenBytesOf(const std::string& service) const;
+  /// Tokens that a candidate's cell confirmed, and those that it keeps or is about to keep.
+  static int keptTokens(const Order& order, const Plan::Candidate& candidate);
+  static int soonKeptTokens(const Order& order, const Plan::Candidate& candidate);
   double transferMsBetween(const Order& order, const Plan::Candidate& source, const Plan::Candidate& target,
                            int tokens) const;
+  /// The one that has most of a prompt beyond what the target has, and its confirmed tokens; nobody where that is not
+  /// worth a fetch.
+  struct Source {
+    const Plan::Candidate* candidate{nullptr};
+    int tokens{0};
+  };
+  Source sourceFor(const Order& order, const Plan::Candidate& target, int own, Moment now) const;
+  /// A prompt at one of the workers that were asked, with what that costs.
+  struct Placement {
+    const Plan::Candidate* target{nullptr};
+    Source source;
+    PlacementFacts facts;
+  };
+  Placement placementAt(const Order& order, const Plan::Candidate& target, int heldAnywhere, Moment now) const;
+  /// Nothing where no worker is among the candidates.
+  std::optional<Placement> cheapestPlacement(const Order& order, Moment now) const;
+  void placeAt(Effects& effects, Order& order, const Placement& placement);
   double loadOf(const std::string& worker, Moment now) const;
   void countOpen(Order& order);
   bool savesTo(const std::string& store, const BlockHash& prefix, Moment now);
--- a/src/routing/edge_placement.cpp
+++ b/src/routing/edge_placement.cpp
@@ -70,9 +70,7 @@
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.service != order.service || worker.kind == "store" || !worker.alive ||
-          (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
-        continue;
+      if (worker.service != order.service || worker.kind == "store" || !worker.alive || !mayBeDrawn(worker)) continue;
       if (!order.ask.model.empty() && worker.model != order.ask.model) continue;
       if (!worker.model.empty() && worker.weights.empty()) continue;
       ranked.push_back(Choice{&worker, rendezvous(key, worker.name)});
@@ -117,8 +115,9 @@
     for (std::size_t at = 0; at < drawable.size(); ++at) {
       const auto& worker = *ranked[drawable[at]].worker;
       if (worker.weights != plan.weights || (at != bestAt && ++others > ranksAsked)) continue;
-      plan.candidates.push_back(
-          Plan::Candidate{worker.name, worker.address, worker.locality, false, 0, 0, 0, static_cast<int>(at)});
+      plan.candidates.push_back(Plan::Candidate{worker.name, worker.address, worker.locality});
+      plan.candidates.back().rank = static_cast<int>(at);
+      plan.candidates.back().service = worker.service;
     }
   }
   order.plan = std::move(plan);
@@ -134,6 +133,10 @@
   order.counted = true;
 }
 
+bool Edge::mayBeDrawn(const WorkerView& worker) const {
+  return staying.count(worker.name) || !settings.defences.stands(Defence::marksAtDraw);
+}
+
 bool Edge::isPlain(const std::string& service) const {
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers)
@@ -162,7 +165,7 @@
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.service != order.service || !worker.alive || !staying.count(worker.name)) continue;
+      if (worker.service != order.service || !worker.alive || !mayBeDrawn(worker)) continue;
       anyAlive = true;
       if (order.tried.count(worker.name)) continue;
       workers.push_back(&worker);
@@ -195,9 +198,7 @@
   bool anyAlive = false;
   for (const auto& [locality, news] : cells)
     for (const auto& worker : news.workers) {
-      if (worker.kind != kind || !worker.alive || worker.held ||
-          (!staying.count(worker.name) && settings.defences.stands(Defence::marksAtDraw)))
-        continue;
+      if (worker.kind != kind || !worker.alive || worker.held || !mayBeDrawn(worker)) continue;
       if (kind == "language" && (worker.model != order.ask.model || worker.weights.empty() ||
                                  !mayBegin(worker.model, worker.weights, effects.now)))
         continue;
@@ -247,11 +248,7 @@
     plan.hashes = byWeights[plan.weights].second;
   }
   order.plan = std::move(plan);
-  auto& local = locals[order.plan.worker];
-  ++local.open;
-  ++local.sentSinceNews;
-  ++openByTenant[order.tenant];
-  order.counted = true;
+  countOpen(order);
   return true;
 }
 
--- a/src/routing/edge_sources.cpp
+++ b/src/routing/edge_sources.cpp
@@ -1,6 +1,5 @@
 /// Whether a part of a prompt is fetched, and from which single source: lookups, rides and moves.
 #include "edge.hpp"
-#include "placement_cost.hpp"
 #include "urgency.hpp"
 
 #include <algorithm>
@@ -58,7 +57,10 @@
         store = &keeper;
         storeRank = rank;
       }
-  if (store) plan.candidates.push_back(Plan::Candidate{store->name, store->address, store->locality, true, 0, 0, 0, 0});
+  if (store) {
+    plan.candidates.push_back(Plan::Candidate{store->name, store->address, store->locality, true});
+    plan.candidates.back().service = store->service;
+  }
   auto silent = [&](const Plan::Candidate& candidate) {
     auto found = indexSilent.find(candidate.locality);
     return found != indexSilent.end() && now < found->second;
@@ -72,113 +74,122 @@
   return tokens;
 }
 
-double Edge::linkMbpsOf(const std::string& service) const {
-  const auto* declared = view.findService(service);
-  return declared ? declared->linkMbps : 0;
+int Edge::keptTokens(const Order& order, const Plan::Candidate& candidate) {
+  auto reply = order.replies.find(candidate.name);
+  return reply == order.replies.end() ? 0 : tokensOf(order.plan, prefixHits(reply->second.hits));
 }
 
-double Edge::tokenBytesOf(const std::string& service) const {
-  const auto* declared = view.findService(service);
-  return declared ? declared->tokenBytes : 0;
+int Edge::soonKeptTokens(const Order& order, const Plan::Candidate& candidate) {
+  auto reply = order.replies.find(candidate.name);
+  if (reply == order.replies.end()) return 0;
+  auto pending = static_cast<std::size_t>(std::max(0, reply->second.pendingHits));
+  return tokensOf(order.plan, std::max(prefixHits(reply->second.hits), pending));
 }
 
 double Edge::transferMsBetween(const Order& order, const Plan::Candidate& source, const Plan::Candidate& target,
                                int tokens) const {
-  const auto* keeper = workerView(source.name);
-  return transferMs(tokens, tokenBytesOf(order.service), linkMbpsOf(keeper ? keeper->service : order.service),
-                    linkMbpsOf(order.service), source.locality == target.locality);
+  const auto* targetService = view.findService(order.service);
+  const auto* sourceService = view.findService(source.service);
+  return transferMs(tokens, targetService ? targetService->tokenBytes : 0, sourceService ? sourceService->linkMbps : 0,
+                    targetService ? targetService->linkMbps : 0, source.locality == target.locality);
 }
 
-bool Edge::settleRide(Effects& effects, Order& order) {
-  auto& plan = order.plan;
-  auto hitsOf = [&](const Plan::Candidate& candidate) {
-    auto reply = order.replies.find(candidate.name);
-    return reply == order.replies.end() ? std::size_t(0) : prefixHits(reply->second.hits);
-  };
-  auto keptBy = [&](const Plan::Candidate& candidate) { return tokensOf(plan, hitsOf(candidate)); };
-  auto soonKeptBy = [&](const Plan::Candidate& candidate) {
-    auto reply = order.replies.find(candidate.name);
-    if (reply == order.replies.end()) return 0;
-    auto pending = static_cast<std::size_t>(std::max(0, reply->second.pendingHits));
-    return tokensOf(plan, std::max(hitsOf(candidate), pending));
-  };
-  int shared = tokensOf(plan, plan.hashes.size());
-  int whole = tokensOf(plan, plan.tokens.size());
-  int heldAnywhere = 0;
-  const Plan::Candidate* store = nullptr;
-  for (const auto& candidate : plan.candidates) {
-    if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = effects.now + indexRest;
-    if (candidate.store) store = &candidate;
-    heldAnywhere = std::max(heldAnywhere, soonKeptBy(candidate));
+Edge::Source Edge::sourceFor(const Order& order, const Plan::Candidate& target, int own, Moment now) const {
+  Source best;
+  for (const auto& candidate : order.plan.candidates) {
+    if (candidate.name == target.name) continue;
+    int tokens = keptTokens(order, candidate);
+    if (auto local = locals.find(candidate.name); local != locals.end() && now < local->second.shunUntil) continue;
+    FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
+    if (tokens < own + leastTokens || !order.policy.fetches(facts)) continue;
+    const auto* other = best.candidate;
+    bool nearer = other && candidate.locality == target.locality && other->locality != target.locality;
+    if (tokens < best.tokens || (tokens == best.tokens && (candidate.store || !(nearer || (other && other->store)))))
+      continue;
+    best = Source{&candidate, tokens};
   }
-  auto sourceFor = [&](const Plan::Candidate& target, int own) {
-    const Plan::Candidate* best = nullptr;
-    int most = 0;
-    for (const auto& candidate : plan.candidates) {
-      if (candidate.name == target.name) continue;
-      int tokens = keptBy(candidate);
-      if (auto local = locals.find(candidate.name); local != locals.end() && effects.now < local->second.shunUntil)
-        continue;
-      FetchFacts facts{candidate.store, static_cast<double>(tokens), unmeasuredSpeed, 0};
-      if (tokens < own + leastTokens || !order.policy.fetches(facts)) continue;
-      bool nearer = best && candidate.locality == target.locality && best->locality != target.locality;
-      if (tokens < most || (tokens == most && (candidate.store || !(nearer || (best && best->store))))) continue;
-      most = tokens;
-      best = &candidate;
-    }
-    return std::make_pair(best, most);
-  };
-  const Plan::Candidate* target = nullptr;
-  double leastCost = 0, msPerToken = 1 / settings.tokensPerMs;
-  for (const auto& candidate : plan.candidates) {
+  return best;
+}
+
+Edge::Placement Edge::placementAt(const Order& order, const Plan::Candidate& target, int heldAnywhere,
+                                  Moment now) const {
+  Placement placement;
+  placement.target = &target;
+  auto& facts = placement.facts;
+  facts.promptTokens = tokensOf(order.plan, order.plan.tokens.size());
+  facts.sharedTokens = tokensOf(order.plan, order.plan.hashes.size());
+  facts.ownTokens = soonKeptTokens(order, target);
+  facts.heldAnywhereTokens = heldAnywhere;
+  facts.rank = target.rank;
+  placement.source = sourceFor(order, target, facts.ownTokens, now);
+  if (const auto* source = placement.source.candidate) {
+    facts.fetches = true;
+    facts.fetchedTokens = placement.source.tokens;
+    facts.transferMs = transferMsBetween(order, *source, target, placement.source.tokens);
+  }
+  auto reply = order.replies.find(target.name);
+  bool known = reply != order.replies.end() && reply->second.tokensPerMs > 0;
+  facts.msPerToken = 1 / (known ? reply->second.tokensPerMs : settings.tokensPerMs);
+  facts.waitMs = loadOf(target.name, now);
+  if (known) facts.waitMs = std::max(facts.waitMs, reply->second.waitingTokens * facts.msPerToken);
+  return placement;
+}
+
+std::optional<Edge::Placement> Edge::cheapestPlacement(const Order& order, Moment now) const {
+  int heldAnywhere = 0;
+  for (const auto& candidate : order.plan.candidates)
+    heldAnywhere = std::max(heldAnywhere, soonKeptTokens(order, candidate));
+  std::optional<Placement> best;
+  double leastCost = 0;
+  for (const auto& candidate : order.plan.candidates) {
     if (candidate.store) continue;
-    PlacementFacts facts;
-    facts.promptTokens = whole;
-    facts.sharedTokens = shared;
-    facts.ownTokens = soonKeptBy(candidate);
-    facts.heldAnywhereTokens = heldAnywhere;
-    facts.rank = candidate.rank;
-    auto [source, fetched] = sourceFor(candidate, facts.ownTokens);
-    facts.fetches = source != nullptr;
-    facts.fetchedTokens = fetched;
-    if (source) facts.transferMs = transferMsBetween(order, *source, candidate, fetched);
-    auto reply = order.replies.find(candidate.name);
-    bool known = reply != order.replies.end() && reply->second.tokensPerMs > 0;
-    facts.msPerToken = 1 / (known ? reply->second.tokensPerMs : settings.tokensPerMs);
-    facts.waitMs = loadOf(candidate.name, effects.now);
-    if (known) facts.waitMs = std::max(facts.waitMs, reply->second.waitingTokens * facts.msPerToken);
-    double cost = placementCostMs(facts);
-    if (target && cost >= leastCost) continue;
-    target = &candidate;
+    auto placement = placementAt(order, candidate, heldAnywhere, now);
+    double cost = placementCostMs(placement.facts);
+    if (best && cost >= leastCost) continue;
+    best = placement;
     leastCost = cost;
-    msPerToken = facts.msPerToken;
   }
-  if (target && target->name != plan.worker) {
+  return best;
+}
+
+void Edge::placeAt(Effects& effects, Order& order, const Placement& placement) {
+  auto& plan = order.plan;
+  if (placement.target->name != plan.worker) {
     freeWorker(effects, order);
-    plan.worker = target->name;
-    plan.address = target->address;
-    plan.locality = target->locality;
+    plan.worker = placement.target->name;
+    plan.address = placement.target->address;
+    plan.locality = placement.target->locality;
     countOpen(order);
   }
-  int own = target ? keptBy(*target) : 0, most = 0;
-  if (target) {
-    auto [source, fetched] = sourceFor(*target, soonKeptBy(*target));
-    most = fetched;
-    if (source) plan.source = *source;
+  const auto& facts = placement.facts;
+  if (placement.source.candidate) plan.source = *placement.source.candidate;
+  plan.unread -= std::max(facts.ownTokens, facts.fetchedTokens);
+}
+
+bool Edge::settleRide(Effects& effects, Order& order) {
+  auto& plan = order.plan;
+  int shared = tokensOf(plan, plan.hashes.size());
+  const Plan::Candidate* store = nullptr;
+  for (const auto& candidate : plan.candidates) {
+    if (!order.replies.count(candidate.name)) indexSilent[candidate.locality] = effects.now + indexRest;
+    if (candidate.store) store = &candidate;
   }
-  if (store && order.replies.count(store->name) && keptBy(*store) < shared && shared >= leastSaved &&
+  auto placement = cheapestPlacement(order, effects.now);
+  if (placement) placeAt(effects, order, *placement);
+  double msPerToken = placement ? placement->facts.msPerToken : 1 / settings.tokensPerMs;
+  order.urgency = urgencyOf(order.priority, priorities, plan.unread * msPerToken, tightestAimMs);
+  if (store && order.replies.count(store->name) && keptTokens(order, *store) < shared && shared >= leastSaved &&
       savesTo(store->name, plan.hashes.back(), effects.now))
     plan.sinkAddress = store->address;
-  plan.unread -= std::max(target ? soonKeptBy(*target) : 0, most);
-  order.urgency = urgencyOf(order.priority, priorities, plan.unread * msPerToken, tightestAimMs);
   if (order.tries == 0 && sheds(effects, order)) {
     order.lastCode = Code::pendingFull;
     effects.note("shed", order.ask.orderId);
     return false;
   }
+  int own = placement ? keptTokens(order, *placement->target) : 0;
   effects.note("prefix tokens", plan.worker, shared);
   effects.note("prefix kept", plan.worker, own);
-  if (plan.source) effects.note("prefix fetched", plan.source->name, most - own);
+  if (plan.source) effects.note("prefix fetched", plan.source->name, placement->source.tokens - own);
   return plan.source.has_value();
 }
 
@@ -194,8 +205,7 @@
   for (const auto& [locality, news] : cells)
     for (const auto& keeper : news.workers) {
       bool store = keeper.kind == "store";
-      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held ||
-          (!staying.count(keeper.name) && settings.defences.stands(Defence::marksAtDraw)))
+      if (keeper.name == plan.worker || !keeper.alive || !keeper.confirmed || keeper.held || !mayBeDrawn(keeper))
         continue;
       if (!store && (keeper.kind != "language" || keeper.weights != plan.weights)) continue;
       Plan::Candidate candidate{
--- a/src/routing/placement_cost.cpp
+++ b/src/routing/placement_cost.cpp
@@ -4,6 +4,12 @@
 
 namespace tt {
 namespace {
+/// How much dearer than its time it is to read shared tokens that another worker keeps.
+constexpr double rereadWeight = 2;
+/// What a further copy of shared tokens costs, as a share of the time to read them: others give way to it.
+constexpr double copyWeight = 0.1;
+/// Tells workers apart that are equal in all else.
+constexpr double rankMs = 1;
 /// What a move costs beside its bytes: the source is asked, and may turn out to be gone.
 constexpr double moveSetupMs = 2;
 constexpr double localityFactor = 2;
--- a/src/routing/placement_cost.hpp
+++ b/src/routing/placement_cost.hpp
@@ -19,13 +19,7 @@
   int rank{0};
 };
 
-/// How much dearer than its time it is to read shared tokens that another worker keeps.
-constexpr double rereadWeight = 2;
-/// What a further copy of shared tokens costs, as a share of the time to read them: others give way to it.
-constexpr double copyWeight = 0.1;
-/// Tells workers apart that are equal in all else.
-constexpr double rankMs = 1;
-
+/// The cost; the worker with the least takes the prompt.
 double placementCostMs(const PlacementFacts& facts);
 
 /// How long a move of kept tokens takes over the slower of two links, in ms; twice as long between localities. Links of
--- a/src/routing/plain_placement.cpp
+++ b/src/routing/plain_placement.cpp
@@ -8,12 +8,13 @@
 constexpr double localityWorth = 0.25;
 /// Ejections double with each failure in succession up to this many spans.
 constexpr int mostEjectionSpans = 8;
-}  // namespace
 
+/// How full a worker is taken to be: orders there for each slot, 1 and more when it has none free.
 double occupancyOf(const PlainCandidate& candidate) {
   int orders = std::max(candidate.open, candidate.running + candidate.waiting);
   return static_cast<double>(orders) / std::max(1, candidate.slots);
 }
+}  // namespace
 
 std::optional<std::size_t> choosePlain(const std::vector<PlainCandidate>& candidates, std::mt19937_64& randomSource) {
   bool allEjected = std::all_of(candidates.begin(), candidates.end(),
--- a/src/routing/plain_placement.hpp
+++ b/src/routing/plain_placement.hpp
@@ -19,9 +19,6 @@
   bool ejected{false};
 };
 
-/// How full a worker is taken to be: orders there for each slot, 1 and more when it has none free.
-double occupancyOf(const PlainCandidate& candidate);
-
 /// The place of the worker that should take an order; none only where there are no candidates. The least occupied of
 /// those that are not ejected, one in the same locality before one elsewhere unless it is clearly fuller, and any of
 /// equals. Where all are ejected none of them is known to be better than another, so all stand again.
@@ -30,8 +27,8 @@
 /// What a proxy remembers of a worker's failures, and how long it leaves the worker out for them.
 class OutlierRecord {
  public:
-  /// Notes how an order ended there and says for how many spans of `ejectionSpan` the worker is left out from now on;
-  /// 0 after a success.
+  /// Notes how an order ended there and says for how many spans, each as long as one failure alone would cost, the
+  /// worker is left out from now on; 0 after a success.
   int note(bool failed);
 
  private:
