--- a/review/stand-ins/catchup.cpp
+++ b/review/stand-ins/catchup.cpp
@@ -68,7 +68,7 @@
     worker->zone = fleet.zone;
     worker->model = "model-1";
     worker->ip = fleet.workerIp(number);
-    worker->port = 8080;
+    worker->port = fleet.workerPort;
     worker->start();
     platform.workers.push_back(worker.get());
     workers.push_back(std::move(worker));
--- a/review/stand-ins/early.cpp
+++ b/review/stand-ins/early.cpp
@@ -72,7 +72,7 @@
     row->service = "wallet";
     row->zone = fleet.zone;
     row->ip = fleet.workerIp(number);
-    row->port = 8080;
+    row->port = fleet.workerPort;
     row->slots = 64;
     early.start(row->ip, row->port, row->id);
     platform.workers.push_back(row.get());
--- a/review/stand-ins/lasttenant.cpp
+++ b/review/stand-ins/lasttenant.cpp
@@ -49,7 +49,7 @@
     worker->service = "wallet";
     worker->zone = fleet.zone;
     worker->ip = fleet.workerIp(number);
-    worker->port = 8080;
+    worker->port = fleet.workerPort;
     worker->slots = 8;
     worker->start();
     platform.workers.push_back(worker.get());
--- a/review/stand-ins/rig.hpp
+++ b/review/stand-ins/rig.hpp
@@ -538,6 +538,7 @@
  public:
   std::string root, folder, zone{"zone-a"}, zoneOther{"zone-b"};
   int net{0}, frontPort{8689}, readyPort{8687}, controlPort{8683}, cloudPort{8688};
+  int workerPort{8080}, internalPort{7360};
   int edgeMemoryMb{260}, coreMemoryMb{256};
   std::vector<std::unique_ptr<Process>> processes;
   std::string cloudIp() const { return "127." + std::to_string(net) + ".9.1"; }
@@ -549,10 +550,35 @@
     char name[] = "/tmp/review-XXXXXX";
     folder = ::mkdtemp(name);
     net = 64 + static_cast<int>(::getpid() % 128);
+    takeFreePorts();
     std::signal(SIGPIPE, SIG_IGN);
   }
   ~Fleet() { stop(); }
 
+  bool isFree(int port) const {
+    int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    ::setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK + (static_cast<std::uint32_t>(net) << 16));
+    bool free = ::bind(handle, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && ::listen(handle, 1) == 0;
+    ::close(handle);
+    return free;
+  }
+  /// All machines of a day have the same ports: moves all of them on until none is in use.
+  void takeFreePorts() {
+    constexpr int step = 101;
+    for (int tries = 0; tries < 100; ++tries) {
+      bool all =
+          isFree(frontPort) && isFree(readyPort) && isFree(controlPort) && isFree(cloudPort) && isFree(workerPort);
+      for (int port = internalPort; all && port <= internalPort + 15; ++port) all = isFree(port);
+      if (all) return;
+      for (int* port : {&frontPort, &readyPort, &controlPort, &cloudPort, &workerPort, &internalPort}) *port += step;
+    }
+  }
+
   void add(const std::string& role, const std::string& ip, const std::string& name, bool core) {
     auto process = std::make_unique<Process>();
     process->role = role;
@@ -572,7 +598,7 @@
       file << "ListenAddrs.Front=" << ip << ":" << frontPort << "\nListenAddrs.Readiness=" << ip << ":" << readyPort
            << "\n";
     if (role == "core") file << "ListenAddrs.Control=" << ip << ":" << controlPort << "\n";
-    file << "InternalPorts=7360,7375\nSeedPeers=";
+    file << "InternalPorts=" << internalPort << "," << internalPort + 15 << "\nSeedPeers=";
     for (int number = 1; number <= 3; ++number) file << (number > 1 ? "," : "") << coreIp(number) << ":" << controlPort;
     file << "\nBootstrap=true\nLossCounted=" << (core ? "true" : "false")
          << "\nLimits.CpuShare=" << (core ? "0.3" : "0.25") << "\nLimits.Cores=1\nLimits.MemoryMb=" << process->memoryMb
