End the shared cache domain when a tenant that has used it becomes isolated

Cause: the domain of all tenants that are not isolated was always "shared", so the salt of those who stay never changed. The record shows the same salt before and after the change. Removed and declared again, isolated twice, and routes to a model had the same fault; and a request that waited for lookups during the change was sent with the salt planned before.

Change: CacheDomains, replicated state that follows from the log's entries, gives each domain the index of the entry with which it began as part of its name. The shared domain ends when a tenant that may have used it becomes isolated, also one that was removed in between; an isolated tenant's domain begins with its declaration. A plan is valid only while its domain is. The simulator isolates tenants (verbs isolate, share, remove-tenant), in a quarter of the random scenarios too, and checks requests that were sent after the acknowledgement.

--- a/src/base/defences.hpp
+++ b/src/base/defences.hpp
@@ -26,6 +26,7 @@
   X(drawnAgain, "a selected worker is checked again just before the request is sent to it")                  \
   X(saltWeights, "block hashes are salted with the weights")                                                 \
   X(saltTenant, "block hashes are salted with the tenant's domain")                                          \
+  X(domainsEnd, "a shared cache domain ends when a tenant that has used it becomes isolated")                \
   X(hitsConfirmed, "only hits that the exact index confirmed are used")                                      \
   X(moveCut, "the prompt of a transfer ends at the last confirmed block")                                    \
   X(lookupExpires, "a lookup without a response in time counts as a miss")                                   \
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -11,6 +11,13 @@
 /// all members must use the same limits.
 constexpr std::size_t maxRecentChanges = 4096;
 constexpr std::size_t maxRecentRefusals = 1024;
+/// The member of a snapshot's configuration that has the cache domains. It is no section: operators neither see nor
+/// change it.
+constexpr const char* cacheDomainsMember = "cacheDomains";
+
+TenantSharing sharingIn(const Json& tenant) {
+  return boolOr(tenant, "isolated", false) ? TenantSharing::isolated : TenantSharing::shared;
+}
 }  // namespace
 
 Result<std::string> Configuration::preparePatch(const std::string& text, ChangeFormat changeFormat) const {
@@ -55,7 +62,11 @@
 
 void Configuration::updateDerivedItem(const std::string& sectionName, const std::string& name, const Json* old,
                                       const Json* value) {
-  if (sectionName == "tenants") updateTenantSecrets(name, old, value);
+  if (sectionName == "tenants") {
+    updateTenantSecrets(name, old, value);
+    cacheDomains.onTenantChanged(name, old ? sharingIn(*old) : TenantSharing::undeclared,
+                                 value ? sharingIn(*value) : TenantSharing::undeclared, appliedIndex);
+  }
   if (sectionName == "routes") updateRoute(name, value);
   if (sectionName == "services") updateService(name, value);
   if (sectionName == "limits" && name == "callers")
@@ -106,7 +117,7 @@
 
 void Configuration::applyPatch(const JsonObject& patch) {
   for (const auto& [sectionName, content] : patch) {
-    if (!content.is<JsonObject>()) continue;
+    if (!content.is<JsonObject>() || sectionName == cacheDomainsMember) continue;
     for (bool removing : {true, false})
       for (const auto& [name, item] : content.get<JsonObject>()) {
         if (item.is<picojson::null>() != removing) continue;
@@ -165,7 +176,7 @@
   result.index = appliedIndex;
   result.term = appliedTerm;
   result.revision = currentRevision;
-  result.configuration = text();
+  result.configuration = snapshotText();
   result.members = currentMembers;
   for (const auto& id : recentChangeIds) {
     result.changeIds.push_back(id);
@@ -180,8 +191,20 @@
   auto read = parseJson(snapshot.configuration);
   if (!read) return read.error();
   if (!read.value().is<JsonObject>()) return makeError(Code::badField, "capture");
+  const auto& content = read.value().get<JsonObject>();
+  auto domainsState = content.find(cacheDomainsMember);
+  std::optional<CacheDomains> domains;
+  if (domainsState != content.end()) {
+    auto restored = CacheDomains::fromJson(domainsState->second);
+    if (!restored) return restored.error();
+    domains = restored.value();
+  }
   *this = Configuration();
-  applyPatch(read.value().get<JsonObject>());
+  applyPatch(content);
+  if (domains)
+    cacheDomains = *domains;
+  else
+    cacheDomains.renewAll(snapshot.index);
   appliedIndex = snapshot.index;
   appliedTerm = snapshot.term;
   currentRevision = snapshot.revision;
@@ -232,11 +255,19 @@
   return true;
 }
 
-std::string Configuration::text() const {
+JsonObject Configuration::content() const {
   JsonObject content;
   for (const auto& [name, items] : sections)
     if (!items.empty()) content[name] = Json(items);
-  return Json(content).serialize();
+  return content;
+}
+
+std::string Configuration::text() const { return Json(content()).serialize(); }
+
+std::string Configuration::snapshotText() const {
+  JsonObject all = content();
+  all[cacheDomainsMember] = cacheDomains.toJson();
+  return Json(all).serialize();
 }
 
 JsonObject Configuration::section(const std::string& name) const {
@@ -297,10 +328,23 @@
 
 bool Configuration::knowsModel(const std::string& model) const { return weightsOf(model).has_value(); }
 
-std::string Configuration::cacheDomainOf(const std::string& tenant) const {
-  auto found = sections.find("tenants");
-  if (found == sections.end() || !found->second.count(tenant)) return "own:" + tenant;
-  return boolOr(found->second.at(tenant), "isolated", false) ? "own:" + tenant : "shared";
+TenantSharing Configuration::sharingOf(const std::string& tenant) const {
+  auto tenants = sections.find("tenants");
+  if (tenants == sections.end()) return TenantSharing::undeclared;
+  auto found = tenants->second.find(tenant);
+  return found == tenants->second.end() ? TenantSharing::undeclared : sharingIn(found->second);
+}
+
+CacheDomain Configuration::cacheDomainOf(const std::string& tenant) const {
+  if (tenant.empty()) return cacheDomains.sharedDomain();
+  switch (sharingOf(tenant)) {
+    case TenantSharing::shared:
+      return cacheDomains.sharedDomain();
+    case TenantSharing::isolated:
+      return cacheDomains.ownDomainOf(tenant);
+    default:
+      return CacheDomain{tenant, appliedIndex};
+  }
 }
 
 Policy Configuration::policyOf(const std::string& name) const {
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <deque>
 
+#include "cache_domains.hpp"
 #include "json.hpp"
 #include "messages.hpp"
 #include "policy.hpp"
@@ -117,9 +118,9 @@
   /// The weights that a model should have; nothing for an unknown model.
   std::optional<std::string> weightsOf(const std::string& model) const;
   bool knowsModel(const std::string& model) const;
-  /// The domain within which a tenant's blocks may be shared (see cacheSalt): a domain of its own if the tenant is
-  /// isolated or not declared, otherwise the domain that all other tenants have in common.
-  std::string cacheDomainOf(const std::string& tenant) const;
+  /// The domain within which a tenant's blocks may be shared (see cacheSalt). No tenant (an empty name) means the
+  /// shared domain. A tenant that is not declared has a domain that ends with the next entry.
+  CacheDomain cacheDomainOf(const std::string& tenant) const;
   /// The policy of that name, or one that never fetches if there is none.
   Policy policyOf(const std::string& name) const;
   /// Returns a copy of a section; empty if there is none.
@@ -137,6 +138,7 @@
   std::vector<StoreView> blockStores;
   std::map<std::string, ServiceView> servicesByName;
   ClientLimits currentClientLimits;
+  CacheDomains cacheDomains;
   std::map<std::string, Policy> policies;
   std::vector<Member> currentMembers;
   std::deque<std::string> recentChangeIds;
@@ -145,6 +147,10 @@
   std::uint64_t appliedIndex{0}, appliedTerm{0}, currentRevision{0}, lastEvictedRefusalIndex{0};
   std::size_t totalBytes{0};
 
+  /// The sections that are not empty.
+  JsonObject content() const;
+  /// The configuration as a snapshot has it: with the cache domains.
+  std::string snapshotText() const;
   /// Applies a merge patch. In each section, removals are applied first.
   void applyPatch(const JsonObject& patch);
   void recordChange(const std::string& changeId);
@@ -156,6 +162,7 @@
   /// These update what is derived from an item. `old` is the present item, or null if it is new; `value` is the new
   /// item, or null if it is removed.
   void updateDerivedItem(const std::string& sectionName, const std::string& name, const Json* old, const Json* value);
+  TenantSharing sharingOf(const std::string& tenant) const;
   void updateTenantSecrets(const std::string& name, const Json* old, const Json* value);
   void updateRoute(const std::string& name, const Json* value);
   void removeRoutePrefix(const RouteView& route);
--- a/src/fuzz/configurations.cpp
+++ b/src/fuzz/configurations.cpp
@@ -31,6 +31,7 @@
 /// The results of all queries of a configuration, as text, to compare two configurations.
 std::string describe(const Configuration& view) {
   std::string text = view.text() + "|" + std::to_string(view.bytes()) + "|" + std::to_string(view.revision());
+  for (const char* tenant : {"", "olm", "asp"}) text += "|" + view.cacheDomainOf(tenant).name();
   for (const auto& [name, item] : view.section("routes")) {
     auto route = view.findRoute(name);
     if (!route) return "a route cannot be looked up by its name";
--- a/src/routing/proxy_placement.cpp
+++ b/src/routing/proxy_placement.cpp
@@ -76,6 +76,13 @@
          1000 * std::min(settings.maxShedRatio, excess * 0.5) * sizeFactor;
 }
 
+std::string ProxyRouter::cacheDomainNameFor(const Request& request) const {
+  if (!settings.defences.isEnabled(Defence::saltTenant)) return CacheDomain().name();
+  CacheDomain domain = config.cacheDomainOf(request.tenant);
+  if (!settings.defences.isEnabled(Defence::domainsEnd)) domain.since = 0;
+  return domain.name();
+}
+
 /// Workers are ranked by rendezvous hashing of the shared prefix. So requests with the same prefix go to the same
 /// worker from every proxy, and the loss of a worker moves only its own prefixes.
 bool ProxyRouter::selectByPrefix(Effects& effects, Request& request) {
@@ -85,7 +92,7 @@
   };
   std::size_t shared =
       request.submitted.parts.size() > 1 ? request.submitted.parts.size() - 1 : request.submitted.parts.size();
-  std::string domain = request.tenant.empty() ? "shared" : config.cacheDomainOf(request.tenant);
+  std::string domain = cacheDomainNameFor(request);
   std::string key = domain + "/" + request.submitted.model;
   key += "/" + (shared > 0 ? request.submitted.parts[shared - 1] : request.submitted.requestId);
   std::vector<Choice> ranked;
@@ -132,8 +139,8 @@
   plan.model = best->model;
   plan.weights = best->weights;
   if (!request.submitted.model.empty()) {
-    plan.salt = cacheSalt(plan.model, settings.defences.isEnabled(Defence::saltWeights) ? plan.weights : "any",
-                          settings.defences.isEnabled(Defence::saltTenant) ? domain : "shared");
+    plan.cacheDomain = domain;
+    plan.salt = cacheSalt(plan.model, settings.defences.isEnabled(Defence::saltWeights) ? plan.weights : "any", domain);
     for (const auto& part : request.submitted.parts) plan.hashes.push_back(hashPromptPart(plan.salt, part));
     plan.tokens = request.submitted.partTokens;
     for (int tokens : plan.tokens) plan.tokensToPrefill += tokens;
@@ -241,7 +248,7 @@
   std::shuffle(eligible.begin(), eligible.end(), effects.randomSource);
   if (eligible.size() > maxComparedInFull) eligible.resize((eligible.size() + 1) / 2);
   std::map<std::string, std::pair<std::string, Hashes>> byWeights;
-  std::string domain = config.cacheDomainOf(request.tenant);
+  std::string domain = cacheDomainNameFor(request);
   std::optional<Choice> best;
   for (const auto* worker : eligible) {
     Choice choice{worker, 0, 0, {}, {}};
@@ -249,8 +256,7 @@
       auto& hashed = byWeights[worker->weights];
       if (hashed.first.empty()) {
         hashed.first = cacheSalt(request.submitted.model,
-                                 settings.defences.isEnabled(Defence::saltWeights) ? worker->weights : "any",
-                                 settings.defences.isEnabled(Defence::saltTenant) ? domain : "shared");
+                                 settings.defences.isEnabled(Defence::saltWeights) ? worker->weights : "any", domain);
         hashed.second = hashPrompt(request.submitted.parts, hashed.first);
       }
       if (worker->confirmed)
@@ -274,6 +280,7 @@
   plan.localHits = best->hits;
   if (!request.route.app) {
     plan.weights = best->worker->weights;
+    plan.cacheDomain = domain;
     plan.salt = byWeights[plan.weights].first;
     plan.hashes = byWeights[plan.weights].second;
   }
--- a/src/routing/proxy_router.cpp
+++ b/src/routing/proxy_router.cpp
@@ -76,6 +76,7 @@
   const auto* worker = findWorker(request.plan.worker);
   if (!worker || !worker->alive || worker->withheld || !schedulable.count(worker->name)) return false;
   if (request.route.app) return true;
+  if (!request.plan.cacheDomain.empty() && request.plan.cacheDomain != cacheDomainNameFor(request)) return false;
   return worker->weights == request.plan.weights && mayStartOn(request.plan.model, request.plan.weights, now);
 }
 
--- a/src/routing/proxy_router.hpp
+++ b/src/routing/proxy_router.hpp
@@ -49,7 +49,8 @@
 
 /// The routing decision for one attempt of a request: the worker, and the source from which a cached prefix is fetched.
 struct RoutingPlan {
-  std::string worker, address, zone, model, weights, salt;
+  /// `cacheDomain`: the name of the domain that the salt was made of; empty if the worker caches no blocks.
+  std::string worker, address, zone, model, weights, salt, cacheDomain;
   /// One hash for each block of the prompt; on path routes a block is a part of the prompt, and the last part, which no
   /// other request shares, has no hash once a lookup is planned.
   Hashes hashes;
@@ -298,6 +299,8 @@
   /// Estimates how many milliseconds a new request would wait at a worker, from this proxy's own traffic and the
   /// reported load.
   double estimateLoadMs(const std::string& worker, TimePoint now) const;
+  /// The name of the domain within which the request may share cached blocks.
+  std::string cacheDomainNameFor(const Request& request) const;
   void countAsOpen(Request& request);
   /// Whether a prefix is within the share of prefixes to be saved in the store and has not been sent there recently.
   bool shouldSaveTo(const std::string& store, const BlockHash& prefix, TimePoint now);
@@ -348,7 +351,7 @@
   /// Frees a place in a full queue for a tenant that has less than an equal share of it, by ending the newest pending
   /// request of the tenant that has the most. Returns false if there is no such request.
   bool displacePending(Effects& effects, const std::string& tenant);
-  /// Whether the planned worker can still take the request.
+  /// Whether the planned worker can still take the request, with the planned salt.
   bool isPlanValid(const Request& request, TimePoint now) const;
   /// Whether this proxy has been stale for so long that it ends its open requests.
   bool isCutOff(TimePoint now) const;
--- a/src/sim/random_scenario.cpp
+++ b/src/sim/random_scenario.cpp
@@ -65,6 +65,24 @@
   return out.str();
 }
 
+/// In a quarter of the scenarios, one to three tenants that share cached blocks become isolated, or the reverse. No
+/// tenant is changed twice, because a change that is sent again could otherwise undo a later one.
+std::string randomIsolations(std::uint64_t seed, std::uint64_t tenants, double until) {
+  std::mt19937_64 randomSource(seed * 86028121 + 5);
+  auto randomBelow = [&](std::uint64_t below) { return randomSource() % below; };
+  if (randomBelow(4) != 0) return {};
+  std::ostringstream out;
+  std::set<std::uint64_t> changed;
+  for (std::uint64_t changes = 1 + randomBelow(3); changes > 0; --changes) {
+    std::uint64_t tenant = 1 + randomBelow(tenants);
+    double at = 6 + static_cast<double>(randomBelow(static_cast<std::uint64_t>((until - 6) * 100))) / 100;
+    if (!changed.insert(tenant).second) continue;
+    bool isolatedAtStart = tenant % 2 == 0;
+    out << "at " << at << (isolatedAtStart ? " share" : " isolate") << " tenant-" << tenant << "\n";
+  }
+  return out.str();
+}
+
 /// Operators' clients that make changes, in every sixth scenario hundreds of them.
 std::string randomOperators(std::uint64_t seed) {
   std::mt19937_64 randomSource(seed * 104729 + 7);
@@ -341,6 +359,7 @@
   double recoveryStart = std::max(24.0, clock + 7);
   out << randomAnnouncements(seed, workers, recoveryStart + 5, maxAnnouncements - announcements);
   out << randomDrains(seed, edges, recoveryStart - 10);
+  out << randomIsolations(seed, tenants, recoveryStart - 10);
   out << "until " << recoveryStart + 32 << "\n";
   out << "at " << recoveryStart << " load 1\nat " << recoveryStart << " unfill cores\nat " << recoveryStart
       << " heal\nat " << recoveryStart << " start cores agents proxies workers store platform\nat " << recoveryStart
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -361,6 +361,10 @@
                             false, {}, -1, 1 + at % 4);
     } else if (verb == "revoke") {
       world->revokeKey(word(1));
+    } else if (verb == "isolate" || verb == "share") {
+      world->setIsolation(word(1), verb == "isolate");
+    } else if (verb == "remove-tenant") {
+      world->removeTenant(word(1));
     } else if (verb == "name") {
       world->announceWeights(word(1));
     } else if (verb == "mark" || verb == "unmark") {
--- a/src/sim/sim.cpp
+++ b/src/sim/sim.cpp
@@ -20,6 +20,8 @@
 /// The share of retries that is allowed beyond the first, and the admitted requests from which on it is checked.
 constexpr double maxRetryRatio = 0.2;
 constexpr int minProxyAdmissions = 20, minFleetAdmissions = 40;
+/// How the ids of changes begin that isolate a tenant.
+constexpr const char* isolationIdPrefix = "isolate ";
 
 /// Text of a given length that is random but always the same for one seed.
 std::string longText(const std::string& seed, std::size_t bytes) {
@@ -87,7 +89,7 @@
     if (name != "platform" && !(startsWith(name, "core-") && numberOf(name) > shape.cores))
       schedule(std::chrono::milliseconds(random() % 200), [this, name] { start(name); });
   for (int number = 1; number <= shape.tenants; ++number)
-    isolatedTenants["tenant-" + std::to_string(number)] = number % 2 == 0;
+    if (number % 2 == 0) isolatedSince["tenant-" + std::to_string(number)] = TimePoint{};
   schedule(500ms, [this] { submitChange(firstConfiguration(), true, "first", -1, 1); });
   checkHolders();
   checkReaders();
@@ -765,9 +767,7 @@
   } else if (event.kind == "cross weights") {
     reportViolation("other-weights", name + " " + event.subject);
   } else if (event.kind == "cross tenant") {
-    auto separator = event.subject.find('>');
-    if (isolatedTenants[event.subject.substr(0, separator)] || isolatedTenants[event.subject.substr(separator + 1)])
-      reportViolation("other-tenant", name + " " + event.subject);
+    checkTenants(name, event.subject);
   } else if (event.kind == "move sent") {
     auto first = event.subject.find(' ');
     transferSizes[event.subject.substr(0, first)] = event.number;
@@ -954,6 +954,34 @@
   restoredTenants.insert(tenant);
 }
 
+void World::setIsolation(const std::string& tenant, bool isolated) {
+  if (!isolated) isolatedSince.erase(tenant);
+  std::string changeId = (isolated ? isolationIdPrefix : "share ") + std::to_string(++changeCount) + " " + tenant;
+  lastIsolationId[tenant] = changeId;
+  submitChange("{\"tenants\":{\"" + tenant + "\":{\"isolated\":" + (isolated ? "true" : "false") + "}}}", false,
+               changeId, -1, 1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+}
+
+void World::onIsolationAcked(const ChangeRecord& record) {
+  if (!startsWith(record.changeId, isolationIdPrefix)) return;
+  std::string tenant = record.changeId.substr(record.changeId.rfind(' ') + 1);
+  if (lastIsolationId[tenant] == record.changeId) isolatedSince.try_emplace(tenant, clock);
+}
+
+void World::removeTenant(const std::string& tenant) {
+  submitChange("{\"tenants\":{\"" + tenant + "\":null},\"keys\":{\"" + tenant + "-key\":null}}", false, {}, -1,
+               1 + static_cast<int>(random() % static_cast<std::uint64_t>(shape.cores)));
+}
+
+/// A request that was sent before the isolation was acknowledged may still use what the tenants shared.
+void World::checkTenants(const std::string& worker, const std::string& subject) {
+  auto space = subject.find(' '), separator = subject.find('>');
+  auto sentAt = requestRecords[clientRequestId(subject.substr(space + 1))].sentAt;
+  for (const auto& tenant : {subject.substr(0, separator), subject.substr(separator + 1, space - separator - 1)})
+    if (auto since = isolatedSince.find(tenant); since != isolatedSince.end() && sentAt >= since->second)
+      return reportViolation("other-tenant", worker + " " + subject);
+}
+
 void World::listMachine(const std::string& name) {
   if (platform().machines().count(name)) return;
   leavingSince.erase(name);
--- a/src/sim/sim.hpp
+++ b/src/sim/sim.hpp
@@ -120,6 +120,10 @@
   void revokeKey(const std::string& tenant);
   /// Adds a tenant's revoked key again.
   void restoreKey(const std::string& tenant);
+  /// Sets whether a tenant is isolated, and declares it if it was removed; it then needs restoreKey to send requests.
+  void setIsolation(const std::string& tenant, bool isolated);
+  /// Removes a tenant and its key from the configuration.
+  void removeTenant(const std::string& tenant);
   /// Adds a machine to the platform's list.
   void listMachine(const std::string& name);
   /// Sets whether the platform lists a machine as leaving.
@@ -275,7 +279,9 @@
   std::map<std::string, std::pair<std::uint64_t, std::string>> lastCommandTo;
   /// By transfer: how many blocks it may bring.
   std::map<std::string, std::int64_t> transferSizes;
-  std::map<std::string, bool> isolatedTenants;
+  /// By tenant: when its isolation was acknowledged; and the id of the last change of its isolation.
+  std::map<std::string, TimePoint> isolatedSince;
+  std::map<std::string, std::string> lastIsolationId;
   VersionCheck versions;
   std::uint64_t requestCount{0}, operatorRequestCount{0}, changeCount{0};
   double loadScale{1};
@@ -369,6 +375,9 @@
   /// Checks that these weights, announced by the entry at `index`, are in use.
   void checkWeightsInUse(std::uint64_t index, const std::string& weights);
   void checkStartedWeights(const std::string& worker, const Event& event);
+  /// Checks that a request that uses blocks of another tenant may do so. `subject`: "OWNER>USER REQUEST".
+  void checkTenants(const std::string& worker, const std::string& subject);
+  void onIsolationAcked(const ChangeRecord& record);
   void checkRunWeights(const std::string& worker, const std::string& requestId);
   /// Records a violation unless the invariant already has ten.
   void reportViolation(const std::string& invariant, const std::string& text);
--- a/src/sim/sim_operators.cpp
+++ b/src/sim/sim_operators.cpp
@@ -140,6 +140,7 @@
   }
   if (startsWith(record.changeId, "revoke ") && !restoredTenants.count(record.changeId.substr(7)))
     revokedAt[record.changeId.substr(7)] = clock;
+  onIsolationAcked(record);
   onWeightsAcked(record);
   trackReach(recordIndex);
 }
--- a/src/sim/standin.cpp
+++ b/src/sim/standin.cpp
@@ -166,7 +166,7 @@
     }
     if (originTenant != run.request.tenant && !run.request.transferOnly) {
       ++crossTenants[originTenant + ">" + run.request.tenant];
-      effects.note("cross tenant", originTenant + ">" + run.request.tenant);
+      effects.note("cross tenant", originTenant + ">" + run.request.tenant + " " + run.request.requestId);
     }
     ++local;
   }
--- a/src/tools/audit.cpp
+++ b/src/tools/audit.cpp
@@ -176,10 +176,10 @@
                                          row.subject + ", which named fewer");
     }
     if (row.event == "cross weights") addViolation("other-weights", row.worker + " " + row.subject);
-    if (row.event == "cross tenant") {
-      auto separator = row.subject.find('>');
-      if (records.isolated.count(row.subject.substr(0, separator)) ||
-          records.isolated.count(row.subject.substr(separator + 1)))
+    if (row.event == "cross tenant" && !words.empty()) {
+      auto separator = words[0].find('>');
+      if (records.isolated.count(words[0].substr(0, separator)) ||
+          records.isolated.count(words[0].substr(separator + 1)))
         addViolation("other-tenant", row.worker + " " + row.subject);
     }
     if (row.event == "command taken" && words.size() >= 3) {
--- a/tests/path_routes.cpp
+++ b/tests/path_routes.cpp
@@ -221,7 +221,9 @@
   cr_expect_eq(again.tenantOf("key-a"), "asp");
   cr_expect_eq(again.tenantOf("secret-one"), "olm");
   cr_expect_eq(again.tenantOf("key-old"), "none");
-  cr_expect_eq(again.view.cacheDomainOf("asp"), "own:asp");
+  cr_expect_eq(again.view.cacheDomainOf("asp").owner, "asp");
+  cr_expect_eq(again.view.cacheDomainOf("asp").name(), configuration.view.cacheDomainOf("asp").name());
+  cr_expect_eq(again.view.cacheDomainOf("olm").name(), configuration.view.cacheDomainOf("olm").name());
   cr_expect_eq(again.view.findTenant("asp")->priority.value_or(-1), 2);
   cr_assert_eq(again.view.stores().size(), 1u);
   cr_expect_eq(again.view.stores()[0].address, "10.0.0.9:80");
