Tell a section without items from one that is not declared

Cause: a configuration without Tenants asks no keys, and Configuration::requiresKeys took a section without an item for no section.

Only a complete configuration without the section ends that (member "undeclared" of its entry, which older processes pass over). Null in place of a list of tenants counts as an empty list.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -15,6 +15,15 @@
 /// change it.
 constexpr const char* cacheDomainsMember = "cacheDomains";
 
+/// The member of a change that lists the sections whose declaration it ends. Their items are removed by the same
+/// change.
+constexpr const char* undeclaredMember = "undeclared";
+/// The section in which the operators' translation keeps what it does not translate, and its items: the configuration's
+/// other members, and the lists that the operators' configuration does not have.
+constexpr const char* translationSection = "extra";
+constexpr const char* otherMembersItem = "config";
+constexpr const char* absentListsItem = "absent";
+
 TenantSharing sharingIn(const Json& tenant) {
   return boolOr(tenant, "isolated", false) ? TenantSharing::isolated : TenantSharing::shared;
 }
@@ -29,15 +38,18 @@
     if (auto resolved = resolveEdits(patch, sections); !resolved) return resolved.error();
   auto normalized = normalizeShape(patch, sections, changeFormat == ChangeFormat::complete);
   if (!normalized) return normalized.error();
-  if (changeFormat == ChangeFormat::complete) reduceCompleteConfig(patch, sections);
+  Strings undeclared;
+  if (changeFormat == ChangeFormat::complete) undeclared = reduceCompleteConfig(patch, sections);
   if (changeFormat == ChangeFormat::sections || changeFormat == ChangeFormat::items ||
       changeFormat == ChangeFormat::edits)
     reduceItems(patch, sections, changeFormat == ChangeFormat::sections);
   if (auto checked = PatchChecks(sections, keyIdByHash, patch).run(); !checked) return checked.error();
+  if (!undeclared.empty()) patch[undeclaredMember] = Json(JsonArray(undeclared.begin(), undeclared.end()));
   return Json(patch).serialize();
 }
 
 void Configuration::setItem(const std::string& sectionName, const std::string& name, const Json* value) {
+  if (!value && !sections.count(sectionName)) return;
   auto& items = sections[sectionName];
   auto old = items.find(name);
   updateDerivedItem(sectionName, name, old == items.end() ? nullptr : &old->second, value);
@@ -116,24 +128,51 @@
 }
 
 void Configuration::applyPatch(const JsonObject& patch) {
-  for (const auto& [sectionName, content] : patch) {
-    if (!content.is<JsonObject>() || sectionName == cacheDomainsMember) continue;
-    for (bool removing : {true, false})
-      for (const auto& [name, item] : content.get<JsonObject>()) {
-        if (item.is<picojson::null>() != removing) continue;
-        if (removing) {
-          setItem(sectionName, name, nullptr);
-          continue;
-        }
-        auto& items = sections[sectionName];
-        Json merged;
-        if (auto old = items.find(name); old != items.end()) merged = old->second;
-        mergePatch(merged, item);
-        setItem(sectionName, name, &merged);
-      }
+  for (const auto& [sectionName, content] : patch)
+    if (content.is<JsonObject>() && sectionName != cacheDomainsMember)
+      applySectionPatch(sectionName, content.get<JsonObject>());
+  if (auto undeclared = patch.find(undeclaredMember); undeclared != patch.end()) endDeclarations(undeclared->second);
+}
+
+void Configuration::applySectionPatch(const std::string& sectionName, const JsonObject& items) {
+  if (items.empty()) sections[sectionName];
+  for (const auto& [name, item] : items)
+    if (item.is<picojson::null>()) setItem(sectionName, name, nullptr);
+  for (const auto& [name, item] : items) {
+    if (item.is<picojson::null>()) continue;
+    auto& present = sections[sectionName];
+    Json merged;
+    if (auto old = present.find(name); old != present.end()) merged = old->second;
+    mergePatch(merged, item);
+    setItem(sectionName, name, &merged);
   }
 }
 
+void Configuration::endDeclarations(const Json& sectionNames) {
+  if (!sectionNames.is<JsonArray>()) return;
+  for (const auto& name : sectionNames.get<JsonArray>())
+    if (auto section = sections.find(name.to_str()); section != sections.end() && section->second.empty())
+      sections.erase(section);
+}
+
+bool Configuration::isMarkedAbsent(const std::string& sectionName) const {
+  auto translation = sections.find(translationSection);
+  if (translation == sections.end()) return false;
+  auto absent = translation->second.find(absentListsItem);
+  return absent != translation->second.end() && boolOr(absent->second, sectionName, false);
+}
+
+bool Configuration::declares(const std::string& sectionName) const {
+  auto found = sections.find(sectionName);
+  return found != sections.end() && (!found->second.empty() || !isMarkedAbsent(sectionName));
+}
+
+void Configuration::declareEmptyLists() {
+  auto translation = sections.find(translationSection);
+  if (translation == sections.end() || !translation->second.count(otherMembersItem)) return;
+  for (const char* list : {"routes", "services", "tenants"}) sections[list];
+}
+
 void Configuration::apply(const LogEntry& entry) {
   if (entry.index <= appliedIndex) return;
   appliedIndex = entry.index;
@@ -201,10 +240,12 @@
   }
   *this = Configuration();
   applyPatch(content);
-  if (domains)
+  if (domains) {
     cacheDomains = *domains;
-  else
+  } else {
     cacheDomains.renewAll(snapshot.index);
+    declareEmptyLists();
+  }
   appliedIndex = snapshot.index;
   appliedTerm = snapshot.term;
   currentRevision = snapshot.revision;
@@ -258,7 +299,7 @@
 JsonObject Configuration::content() const {
   JsonObject content;
   for (const auto& [name, items] : sections)
-    if (!items.empty()) content[name] = Json(items);
+    if (declares(name)) content[name] = Json(items);
   return content;
 }
 
@@ -280,7 +321,7 @@
   return found == sections.end() || found->second.empty() ? nullptr : &found->second;
 }
 
-bool Configuration::requiresKeys() const { return findSection("tenants") || findSection("keys"); }
+bool Configuration::requiresKeys() const { return declares("tenants") || declares("keys"); }
 
 std::optional<TenantView> Configuration::findTenant(const std::string& name) const {
   const auto* tenants = findSection("tenants");
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -23,7 +23,8 @@
   /// Whether the route leads to workers of the kind "app", which cache no blocks, and not to those of the kind
   /// "language".
   bool app{false};
-  std::set<std::string> tenants;
+  /// The tenants that it serves; no value for all.
+  std::optional<std::set<std::string>> tenants;
   /// The name of the policy that decides whether cached blocks are fetched.
   std::string policy;
   std::string host, prefix;
@@ -63,6 +64,10 @@
 
 /// The replicated configuration: sections of named items that operators declare, a revision, and the recent changes. It
 /// is the state machine of the replicated log: applying the same entries gives the same state everywhere.
+///
+/// A section without items is not the same as one that is not declared: a list of tenants from which the last one was
+/// removed still asks for keys. A change of items never ends the declaration of a section; only a complete
+/// configuration without the section does.
 class Configuration {
  public:
   /// Turns an operator's change into a merge patch for the log, without applying it: checks the items, replaces secrets
@@ -94,7 +99,7 @@
   /// Whether a change of weights is already in force: each model has weights with the number in the change or a higher
   /// one.
   bool hasWeights(const std::string& change) const;
-  /// The configuration as JSON, without empty sections.
+  /// The configuration as JSON, with all declared sections.
   std::string text() const;
   /// The approximate size of text().
   std::size_t bytes() const { return totalBytes; }
@@ -105,7 +110,9 @@
   /// Finds the route of a host with the longest prefix of the path. Prefixes match complete path segments; the query is
   /// ignored. Null if there is none.
   const RouteView* routeFor(const std::string& host, const std::string& path) const;
-  /// Whether any tenant or key is declared. Otherwise requests need no key.
+  /// Whether the section is declared, possibly without items.
+  bool declares(const std::string& sectionName) const;
+  /// Whether tenants or keys are declared, possibly as empty sections. Otherwise requests need no key.
   bool requiresKeys() const;
   std::optional<TenantView> findTenant(const std::string& name) const;
   const std::vector<StoreView>& stores() const { return blockStores; }
@@ -147,12 +154,20 @@
   std::uint64_t appliedIndex{0}, appliedTerm{0}, currentRevision{0}, lastEvictedRefusalIndex{0};
   std::size_t totalBytes{0};
 
-  /// The sections that are not empty.
+  /// The declared sections.
   JsonObject content() const;
   /// The configuration as a snapshot has it: with the cache domains.
   std::string snapshotText() const;
-  /// Applies a merge patch. In each section, removals are applied first.
+  /// Applies a merge patch.
   void applyPatch(const JsonObject& patch);
+  /// Applies the patch of one section, removals first. An empty patch declares the section.
+  void applySectionPatch(const std::string& sectionName, const JsonObject& items);
+  void endDeclarations(const Json& sectionNames);
+  /// Whether the operators' translation has recorded that its lists lack this section.
+  bool isMarkedAbsent(const std::string& sectionName) const;
+  /// Declares the lists of an operators' configuration that a snapshot lacks because it was written by a process that
+  /// left out empty sections.
+  void declareEmptyLists();
   void recordChange(const std::string& changeId);
   void recordRefusal(const LogEntry& entry);
   /// The number of the weights that a model should have; 0 if they have none.
--- a/src/config/item_readers.cpp
+++ b/src/config/item_readers.cpp
@@ -81,7 +81,10 @@
   route.policy = stringOr(item, "policy");
   route.host = stringOr(item, "host");
   route.prefix = normalizedPrefix(stringOr(item, "prefix"));
-  for (const auto& tenant : listOf(item, "tenants")) route.tenants.insert(tenant.to_str());
+  if (item.contains("tenants")) {
+    route.tenants.emplace();
+    for (const auto& tenant : listOf(item, "tenants")) route.tenants->insert(tenant.to_str());
+  }
   route.split = readSplit(item);
   route.repeat = readRetryMode(item);
   route.timeout = durationOr(item, "timeoutMs", 0);
--- a/src/config/patch_shape.cpp
+++ b/src/config/patch_shape.cpp
@@ -42,14 +42,27 @@
 }
 
 /// Returns a patch of one section that removes all its items.
-Json removalOfAll(const std::string& sectionName, const Sections& sections) {
+Json removalOfAll(const JsonObject& items) {
   JsonObject removal;
-  auto found = sections.find(sectionName);
-  if (found == sections.end()) return Json(removal);
-  for (const auto& [name, item] : found->second) removal[name] = Json();
+  for (const auto& [name, item] : items) removal[name] = Json();
   return Json(removal);
 }
 
+/// Replaces null in place of a section by the removal of its items. For a section that is not declared there is nothing
+/// to remove.
+void replaceNullSections(JsonObject& patch, const Sections& sections) {
+  for (auto row = patch.begin(); row != patch.end();) {
+    bool isNull = row->second.is<picojson::null>();
+    auto declared = sections.find(row->first);
+    if (isNull && declared == sections.end()) {
+      row = patch.erase(row);
+      continue;
+    }
+    if (isNull) row->second = removalOfAll(declared->second);
+    ++row;
+  }
+}
+
 /// Replaces the secret of a key by its hash, because the log must not contain secrets.
 Result<void> hashSecret(JsonObject& fields, const std::string& path) {
   if (!fields.count("secret")) return boost::outcome_v2::success();
@@ -120,9 +133,10 @@
 bool isFreeSection(const std::string& section) { return freeSections.count(section) > 0; }
 
 Result<void> normalizeShape(JsonObject& patch, const Sections& sections, bool complete) {
-  for (auto& [sectionName, content] : patch) {
+  for (const auto& [sectionName, content] : patch)
     if (!sectionNames.count(sectionName)) return makeError(Code::unknownField, sectionName);
-    if (!complete && content.is<picojson::null>()) content = removalOfAll(sectionName, sections);
+  if (!complete) replaceNullSections(patch, sections);
+  for (auto& [sectionName, content] : patch) {
     if (!content.is<JsonObject>()) return makeError(Code::badField, sectionName, "must be an object");
     for (auto& [name, item] : content.get<JsonObject>())
       if (auto normalized = normalizeItem(sectionName, name, item, complete); !normalized) return normalized.error();
@@ -130,13 +144,17 @@
   return boost::outcome_v2::success();
 }
 
-void reduceCompleteConfig(JsonObject& patch, const Sections& sections) {
-  for (const auto& [sectionName, items] : sections)
+Strings reduceCompleteConfig(JsonObject& patch, const Sections& sections) {
+  Strings undeclared;
+  for (const auto& [sectionName, items] : sections) {
+    if (!patch.count(sectionName)) undeclared.push_back(sectionName);
     for (const auto& [name, item] : items) {
       auto& content = patch[sectionName];
       if (!content.is<JsonObject>()) content = Json(JsonObject());
       reduceCompleteItem(name, item, content.get<JsonObject>());
     }
+  }
+  return undeclared;
 }
 
 void reduceItems(JsonObject& patch, const Sections& sections, bool removeUnnamed) {
--- a/src/config/patch_shape.hpp
+++ b/src/config/patch_shape.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "item_edits.hpp"
+#include "messages.hpp"
 
 namespace tt {
 
@@ -14,8 +15,9 @@
 /// a removal of each of its items. With `complete` the patch is a complete configuration, which must not contain null.
 Result<void> normalizeShape(JsonObject& patch, const Sections& sections, bool complete);
 
-/// Turns a complete configuration into the merge patch that leads to it from the present one.
-void reduceCompleteConfig(JsonObject& patch, const Sections& sections);
+/// Turns a complete configuration into the merge patch that leads to it from the present one. Returns the present
+/// sections that it does not declare.
+Strings reduceCompleteConfig(JsonObject& patch, const Sections& sections);
 
 /// Turns complete items into the merge patch that leads to them from the present ones. With removeUnnamed, present
 /// items that are absent from the patch are removed if the patch contains their section.
--- a/src/routing/proxy_admission.cpp
+++ b/src/routing/proxy_admission.cpp
@@ -129,7 +129,7 @@
   if (!route || route->matchesPath()) return deny(Code::unknownRoute, "route");
   if (!config.knowsModel(submitted.model)) return deny(Code::unknownModel, "model");
   if (route->model != submitted.model) return deny(Code::badField, "model", "this route serves model " + route->model);
-  if (!route->tenants.empty() && !route->tenants.count(request->tenant)) return deny(Code::unknownTenant, "route");
+  if (route->tenants && !route->tenants->count(request->tenant)) return deny(Code::unknownTenant, "route");
   if (!submitted.tenant.empty() && submitted.tenant != request->tenant) return deny(Code::unknownTenant, "tenant");
   if (auto modes = checkTransferModes(submitted.modes); !modes)
     return deny(modes.error().code, modes.error().subject, modes.error().text);
--- a/src/routing/proxy_report.cpp
+++ b/src/routing/proxy_report.cpp
@@ -9,6 +9,7 @@
   report["proxy"] = Json(settings.name);
   report["fresh"] = Json(fresh(now));
   report["revision"] = jsonNumber(static_cast<double>(config.revision()));
+  report["requiresKeys"] = Json(config.requiresKeys());
   report["applied"] = jsonNumber(static_cast<double>(config.index()));
   report["orders"] = jsonNumber(static_cast<double>(requests.size()));
   report["pending"] = jsonNumber(static_cast<double>(pending.size()));
--- a/tests/proxy_router_harness.hpp
+++ b/tests/proxy_router_harness.hpp
@@ -94,12 +94,17 @@
     sendSnapshot();
     tick();
   }
-  static ProxyRouterSettings pathSettings(const std::string& name) {
+  /// Settings for routes that lead to a model, without host and path.
+  static ProxyRouterSettings modelSettings(const std::string& name) {
     ProxyRouterSettings settings;
     settings.name = name;
     settings.address = name + ":1";
     settings.zone = "north-a";
     settings.agentAddress = agentAddress;
+    return settings;
+  }
+  static ProxyRouterSettings pathSettings(const std::string& name) {
+    ProxyRouterSettings settings = modelSettings(name);
     settings.maxPending = 256;
     settings.fetchWithinRequest = settings.letOpenRequestsFinish = true;
     settings.routePolicy = "fetch peer when hits >= 1\nfetch store when hits >= 1";
@@ -206,6 +211,13 @@
     request.partTokens = tokens;
     return request;
   }
+  /// A request on a route that leads to a model.
+  CallerOrder modelRequest(const std::string& route, const std::string& key) {
+    CallerOrder request = clientRequest("", key, {"system", "document", "question"});
+    request.host.clear();
+    request.route = route;
+    return request;
+  }
   std::string submit(const CallerOrder& request) {
     deliver("caller", request);
     return request.requestId;
--- a/tests/tenant_isolation.cpp
+++ b/tests/tenant_isolation.cpp
@@ -112,18 +112,8 @@
 
 /// Guards against the same fault on routes to a model, whose workers are selected by another function.
 Test(tenant_isolation, holds_on_routes_to_a_model_too) {
-  ProxyRouterSettings settings;
-  settings.name = "proxy-1";
-  settings.address = "proxy-1:1";
-  settings.zone = "north-a";
-  settings.agentAddress = agentAddress;
-  IsolationHarness harness(settings, modelRouteConfiguration);
-  auto saltOf = [&](const std::string& secret) {
-    CallerOrder request = harness.clientRequest("", secret, promptOf(1));
-    request.host.clear();
-    request.route = "plan";
-    return harness.saltOf(request);
-  };
+  IsolationHarness harness(ProxyHarness::modelSettings("proxy-1"), modelRouteConfiguration);
+  auto saltOf = [&](const std::string& secret) { return harness.saltOf(harness.modelRequest("plan", secret)); };
   std::string before = saltOf("secret-of-asp");
   cr_assert_eq(saltOf("secret-of-olm"), before);
   harness.change(aspIsolated);
