Soak: a machine that stands still or is down is not judged as if it ran

The audit took a machine for calm once ContactMs had passed since the last signal, also while one of its processes still stood still.

Shown: soak/a_machine_in_trouble_is_not_judged_by_bounds_of_time; the controls of denied, routes, lost, ready and keys are found as before.

--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -166,6 +166,24 @@
   cr_expect(denied.broken() == Names{"denied"});
 }
 
+/// Guards against a machine that stands still for longer than ContactMs and is judged as if it ran.
+Test(soak, a_machine_in_trouble_is_not_judged_by_bounds_of_time) {
+  AuditHarness harness(AuditHarness::shortBounds());
+  harness.audit.onRunning("edge-1", false, false);
+  harness.send("a");
+  harness.audit.onResponse("a", AuditHarness::response("a", 401));
+  cr_expect(harness.broken().empty());
+  harness.audit.onRunning("edge-1", false, true);
+  harness.audit.onRunning("core-1", true, false);
+  harness.send("b");
+  harness.audit.onResponse("b", AuditHarness::response("b", 401));
+  cr_expect(harness.broken().empty());
+  harness.audit.onRunning("core-1", true, true);
+  harness.send("c");
+  harness.audit.onResponse("c", AuditHarness::response("c", 401));
+  cr_expect(harness.broken() == Names{"denied"});
+}
+
 Test(soak, bounds_of_time_are_not_judged_while_the_soak_itself_is_held_up) {
   AuditHarness harness(AuditHarness::shortBounds());
   harness.audit.onDelay(2s);
