--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -24,5 +24,5 @@
 )
 # Only configures, to get the compile commands. GCC's precompiled headers are disabled, as clang can't read them.
 cmake -G Ninja -B "$build" -S . -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
-printf '%s\n' "${files[@]}" | xargs -P 4 -n 1 clang-tidy --quiet -p "$build"
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build"
 echo "lint: ${#files[@]} files are clean"
