--- a/review/stand-ins-2/fleet.hpp
+++ b/review/stand-ins-2/fleet.hpp
@@ -152,8 +152,9 @@
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
-  /// Reads one request or response. A response that ends with the connection is not complete.
-  HttpMessage read(std::int64_t deadlineMs) {
+  /// Reads one request or response. A response that ends with the connection is not complete. `onHead` is called before
+  /// the body is read.
+  HttpMessage read(std::int64_t deadlineMs, const std::function<void(const HttpMessage&)>& onHead = {}) {
     HttpMessage message;
     std::size_t end;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos)
@@ -161,6 +162,7 @@
     parseHead(buffer.substr(0, end), message);
     buffer.erase(0, end + 4);
     message.headRead = true;
+    if (onHead) onHead(message);
     if (lower(message.header("Transfer-Encoding")) == "chunked") {
       message.complete = readChunks(message.body, deadlineMs);
       return message;
@@ -262,14 +264,16 @@
  public:
   /// Handles one request; returns whether the connection is kept.
   using Handler = std::function<bool(Connection&, const HttpMessage&)>;
-  bool start(const std::string& address, Handler handler) {
+  /// `early` is asked before a request's body is read; if it returns true, it has answered already, and the rest of the
+  /// body is then read and dropped.
+  bool start(const std::string& address, Handler handler, Handler early = {}) {
     listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int on = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto own = socketAddress(address);
     if (::bind(listener, reinterpret_cast<sockaddr*>(&own), sizeof own) != 0 || ::listen(listener, 128) != 0)
       return false;
-    std::thread([listening = listener, handler = std::move(handler)] {
+    std::thread([listening = listener, handler = std::move(handler), early = std::move(early)] {
       while (true) {
         int accepted = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
         if (accepted < 0) {
@@ -278,11 +282,15 @@
         }
         int nodelay = 1;
         ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &nodelay, sizeof nodelay);
-        std::thread([accepted, handler] {
+        std::thread([accepted, handler, early] {
           Connection connection(accepted);
           while (true) {
-            auto request = connection.read(nowMs() + 60000);
-            if (!request.complete || !handler(connection, request)) return;
+            bool answered = false;
+            auto request = connection.read(nowMs() + 60000, [&](const HttpMessage& head) {
+              if (early) answered = early(connection, head);
+            });
+            if (!request.complete) return;
+            if (!answered && !handler(connection, request)) return;
           }
         }).detach();
       }
@@ -336,10 +344,13 @@
   int promptMs{2}, events{3}, eventMs{20};
   /// Called before a request runs; returns true if it has answered by itself.
   std::function<bool(Connection&, const HttpMessage&, Worker&)> hook;
+  /// Called before a request's body is read; returns true if it has answered already.
+  std::function<bool(Connection&, const HttpMessage&, Worker&)> early;
 
   bool start() {
     return server.start(
-        address, [this](Connection& connection, const HttpMessage& request) { return handle(connection, request); });
+        address, [this](Connection& connection, const HttpMessage& request) { return handle(connection, request); },
+        [this](Connection& connection, const HttpMessage& head) { return early && early(connection, head, *this); });
   }
   std::string listEntry() const {
     std::string models =
