--- a/review/stand-ins-2/fleet.hpp
+++ b/review/stand-ins-2/fleet.hpp
@@ -344,6 +344,9 @@
   int promptMs{2}, events{3}, eventMs{20};
   /// Called before a request runs; returns true if it has answered by itself.
   std::function<bool(Connection&, const HttpMessage&, Worker&)> hook;
+  /// Called before the worker answers a question about its state or its kept parts; returns true if it has answered by
+  /// itself and broken off.
+  std::function<bool(Connection&, const HttpMessage&, Worker&)> controlHook;
   /// Called before a request's body is read; returns true if it has answered already.
   std::function<bool(Connection&, const HttpMessage&, Worker&)> early;
 
@@ -391,6 +394,8 @@
   }
 
   bool handle(Connection& connection, const HttpMessage& request) {
+    if (controlHook && request.headRead && isOfControl(request) && controlHook(connection, request, *this))
+      return false;
     if (request.target == "/health") return connection.write(responseText(200, {{"X-Instance-Id", id}}, ""));
     if (request.target == "/report") return connection.write(responseText(200, json(), reportBody()));
     if (request.target.rfind("/kv-events", 0) == 0)
@@ -399,6 +404,9 @@
     if (request.target == "/order" && request.method == "POST") return order(connection, request);
     return serve(connection, request);
   }
+  static bool isOfControl(const HttpMessage& request) {
+    return request.target == "/report" || request.target.rfind("/kv-", 0) == 0;
+  }
   static Headers json() { return {{"Content-Type", "application/json"}}; }
   std::string reportBody() {
     std::lock_guard<std::mutex> guard(lock);
