--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int streams = 40, alertClients = 10, alertEveryMs = 100, timeoutMs = 1500, watchMs = 12000;
+constexpr int streams = 40, alertClients = 10, alertEveryMs = 100, timeoutMs = 1500, watchMs = 12000, spoilMs = 5000;
 constexpr std::size_t junkBytes = 16000000;
 
 struct Alert {
@@ -28,7 +28,7 @@
   record.open(self + "/record.txt");
   bool trouble = withTrouble();
   Fleet fleet;
-  fleet.platformAddress = fleet.ip(150) + ":8688";
+  fleet.platformAddress = fleet.standIn(150, true);
   std::vector<std::unique_ptr<Worker>> workers;
   Platform platform;
   std::atomic<int> spoilt{0};
@@ -43,7 +43,7 @@
     worker.slots = 128;
     worker.events = 10;
     worker.eventMs = 20;
-    worker.address = fleet.ip(160 + number) + ":8080";
+    worker.address = fleet.standIn(160 + number);
     if (!plain)
       worker.hook = [&](Connection& connection, const HttpMessage& request, Worker& own) {
         std::string id = request.header("X-Attempt-Id");
@@ -55,9 +55,12 @@
                          "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                          "16\r\nid: 1\ndata: token 1\n\n\r\n");
         std::string junk(100000, 'z');
-        for (std::size_t sent = 0; sent < junkBytes; sent += junk.size())
-          if (!connection.write("186a0\r\n" + junk + "\r\n")) break;
-        record.line("worker %s: breaks off", own.id.c_str());
+        auto endsAt = nowMs() + spoilMs;
+        std::size_t sent = 0;
+        while (sent < junkBytes && connection.writeUntil("186a0\r\n" + junk + "\r\n", endsAt)) sent += junk.size();
+        sleepMs(sent < junkBytes ? 0 : 100);
+        connection.reset();
+        record.line("worker %s: breaks off after %zu bytes", own.id.c_str(), sent);
         return true;
       };
     if (!worker.start()) fleet.finish(2);
--- a/review/stand-ins-2/fleet.hpp
+++ b/review/stand-ins-2/fleet.hpp
@@ -145,6 +145,20 @@
     }
     return true;
   }
+  /// Writes while the peer takes the bytes, at most until the deadline. Returns whether all were written.
+  bool writeUntil(const std::string& bytes, std::int64_t deadlineMs) {
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+      auto left = deadlineMs - nowMs();
+      pollfd waiting{fd, POLLOUT, 0};
+      if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) != 1) return false;
+      auto step = ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (step < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
+      if (step <= 0) return false;
+      done += static_cast<std::size_t>(step);
+    }
+    return true;
+  }
   /// Whether the peer has closed or reset the connection.
   bool peerLeft() const {
     char byte;
@@ -568,15 +582,19 @@
   Server server;
 };
 
+/// The ports of a deployment, which are alike on all its machines. They follow each other; each was free at the start.
+inline int firstPort = 0;
+inline std::string onPort(const std::string& ip, int number) { return ip + ":" + std::to_string(firstPort + number); }
+
 /// A machine of the deployment with its one or two processes.
 struct Machine {
   std::string name, zone, ip;
   bool core{false};
   std::vector<std::string> roles;
   std::map<std::string, pid_t> pids;
-  std::string front() const { return ip + ":8689"; }
-  std::string readiness() const { return ip + ":8687"; }
-  std::string control() const { return ip + ":8683"; }
+  std::string front() const { return onPort(ip, 0); }
+  std::string readiness() const { return onPort(ip, 1); }
+  std::string control() const { return onPort(ip, 2); }
 };
 
 /// The project's own processes, each with a settings file as DEPLOY.md shows it. All of them end with finish().
@@ -588,11 +606,19 @@
   /// Further lines of the settings files, which replace those of the same name.
   std::map<std::string, std::string> extraSettings;
 
+  /// Uses the folder that run.sh has made and removes, or makes one.
   Fleet() {
     char name[] = "/tmp/review-fleet-XXXXXX";
-    if (char* made = ::mkdtemp(name)) folder = made;
+    const char* given = std::getenv("REVIEW_FOLDER");
+    if (given)
+      folder = given;
+    else if (char* made = ::mkdtemp(name))
+      folder = made;
     base = 20 + static_cast<int>(::getpid()) % 200;
+    firstPort = findPorts();
   }
+  /// The address of a stand-in: the platform, or a worker.
+  std::string standIn(int number, bool platform = false) const { return onPort(ip(number), platform ? 4 : 3); }
   /// Ends all processes, removes their folder, and ends this program, whose servers' threads still run.
   [[noreturn]] void finish(int code) {
     for (auto& machine : machines)
@@ -701,6 +727,23 @@
   int base{0}, lastNumber{0};
   std::size_t nextCore{0};
 
+  static bool isFree(const std::string& address) {
+    int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto own = socketAddress(address);
+    bool bound = ::bind(probe, reinterpret_cast<sockaddr*>(&own), sizeof own) == 0;
+    ::close(probe);
+    return bound;
+  }
+  /// The first of 21 ports in a row that nothing listens on, below those that the system gives to clients.
+  int findPorts() const {
+    for (int first = 21000 + base * 25; first < 32000; first += 25) {
+      int count = 0;
+      while (count < 21 && isFree(ip(1) + ":" + std::to_string(first + count))) ++count;
+      if (count == 21) return first;
+    }
+    return 0;
+  }
+
   std::string settings(const Machine& machine, const std::string& role, bool bootstrap) {
     std::map<std::string, std::string> values{
         {"NodeName", machine.name},
@@ -712,12 +755,12 @@
         {"Ip", machine.ip},
         {"Zone", machine.zone},
         {"Region", "vlaanderen"},
-        {"InternalPorts", "7360,7375"},
+        {"InternalPorts", std::to_string(firstPort + 5) + "," + std::to_string(firstPort + 20)},
         {"Bootstrap", bootstrap ? "true" : "false"},
         {"LossCounted", machine.core ? "true" : "false"},
-        {"Limits.CpuShare", "1"},
+        {"Limits.CpuShare", machine.core ? "0.3" : "0.25"},
         {"Limits.Cores", "1"},
-        {"Limits.MemoryMb", "260"},
+        {"Limits.MemoryMb", machine.core ? "256" : "260"},
         {"Limits.MaxFds", "4100"},
         {"Limits.LinkMbps", "1000.0"},
         {"Limits.DiskMb", machine.core ? "128" : "0"},
